--- /dev/null
+++ b/include/trayrock/internal/decide/shard_map.h
@@ -0,0 +1,89 @@
+// Which node owns which shard, by version; versions only rise.
+//
+// A program's id hashes to its shard by the part before the first dot, so
+// that sub-programs live with the program that they share a budget with.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "trayrock.pb.h"
+
+namespace trayrock {
+
+// The part of a program's id that its sub-programs share.
+std::string_view root_of(std::string_view program);
+
+// The shard of a program; `shards` is fixed at installation.
+std::uint32_t shard_of(std::string_view program, std::uint32_t shards);
+
+class shard_map_store {
+ public:
+  std::uint64_t version() const { return version_; }
+  std::uint32_t shards() const { return shards_; }
+
+  // The owner's entry; null while no map is known.
+  const wire::ShardEntry* find(std::uint32_t shard) const;
+
+  // What has changed after `since`.
+  wire::ShardMap delta(std::uint64_t since) const;
+
+  // Takes a newer map or part of one; an older one is ignored. True when
+  // something was taken.
+  bool adopt(const wire::ShardMap& newer);
+
+  // Shards held by a journal.
+  std::vector<std::uint32_t> owned_by(std::string_view journal) const;
+
+  const std::map<std::uint32_t, wire::ShardEntry>& entries() const {
+    return entries_;
+  }
+
+ private:
+  std::uint64_t version_ = 0;
+  std::uint32_t shards_ = 0;
+  std::map<std::uint32_t, wire::ShardEntry> entries_;
+};
+
+// A new owner of shards, as the map names it.
+struct shard_owner {
+  std::string node;
+  std::string journal;
+  std::string address;
+};
+
+// Changes to a stored map. Each gives the next version, or the same version
+// when there is nothing to change (somebody else did it already).
+wire::ShardMap first_map(std::uint32_t shards, const shard_owner& owner);
+
+// Moves every shard of a sealed journal. `end_segment` is the seal's number.
+wire::ShardMap with_sealed_moved(const wire::ShardMap& stored,
+                                 const std::string& sealed_journal,
+                                 std::uint64_t end_segment,
+                                 const shard_owner& to);
+
+// Segments of a journal, the last one excluded.
+struct segment_range {
+  std::uint64_t first;
+  std::uint64_t end;
+};
+
+// Moves shards by agreement; their whole state stands in these segments.
+wire::ShardMap with_handed_over(const wire::ShardMap& stored,
+                                const std::string& from_journal,
+                                const std::set<std::uint32_t>& shards,
+                                segment_range where, const shard_owner& to);
+
+// Drops the sources of shards whose state is in the owner's own journal.
+wire::ShardMap with_sources_read(const wire::ShardMap& stored,
+                                 const std::string& journal,
+                                 const std::set<std::uint32_t>& shards);
+
+// Journals that the map still needs, as owner or as source.
+std::set<std::string> journals_in_use(const wire::ShardMap& stored);
+
+}  // namespace trayrock
--- /dev/null
+++ b/src/net/http2_session.h
@@ -0,0 +1,66 @@
+// One nghttp2 session over one libevent connection, either side.
+//
+// Takes care of what client and server share: feeding bytes, flushing output
+// outside of nghttp2's own callbacks, and cutting a stream's bytes into
+// length-prefixed messages.
+#pragma once
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <nghttp2/nghttp2.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace trayrock::internal {
+
+// Cuts a byte stream into messages of a four-byte length and a body.
+class message_cutter {
+ public:
+  explicit message_cutter(std::size_t max_bytes) : max_bytes_(max_bytes) {}
+
+  // Adds bytes and hands on each whole message. False when a message would
+  // exceed the limit; the stream is useless from then on.
+  bool add(std::string_view bytes,
+           const std::function<void(std::string_view)>& deliver);
+
+  // True when no started message is waiting for its rest.
+  bool at_boundary() const { return held_.empty(); }
+
+ private:
+  std::size_t max_bytes_;
+  std::string held_;
+};
+
+// Appends length and body.
+void append_message(std::string& out, std::string_view body);
+
+// Bytes waiting to be sent on a stream; nghttp2 pulls from it.
+struct stream_output {
+  std::string bytes;
+  std::size_t sent = 0;
+  bool finished = false;
+
+  static ssize_t pull(nghttp2_session* session, std::int32_t stream,
+                      std::uint8_t* buffer, std::size_t length,
+                      std::uint32_t* flags, nghttp2_data_source* source,
+                      void* context);
+};
+
+// Feeds what has arrived on `bev` to the session. False when the session is
+// broken. `busy` is set while nghttp2's callbacks run.
+bool feed_session(nghttp2_session* session, bufferevent* bev, bool& busy,
+                  std::uint64_t& bytes_in);
+
+// Moves what the session wants to send to `bev`; does nothing while `busy`.
+bool flush_session(nghttp2_session* session, bufferevent* bev, bool busy,
+                   std::uint64_t& bytes_out);
+
+// Sends the settings and opens a large window for the connection.
+void submit_large_windows(nghttp2_session* session);
+
+void set_no_delay(bufferevent* bev);
+
+}  // namespace trayrock::internal
--- /dev/null
+++ b/src/node/journal_loader.cc
@@ -0,0 +1,185 @@
+#include "trayrock/internal/node/journal_loader.h"
+
+#include <algorithm>
+
+#include "trayrock/internal/log.h"
+#include "trayrock/internal/node/journal.h"
+
+namespace trayrock {
+namespace {
+
+constexpr milliseconds retry_pause{200};
+constexpr milliseconds claim_timeout{2000};
+
+std::uint64_t number_of(const listed_object& segment) {
+  return std::stoull(segment.key.substr(segment.key.rfind('/') + 1));
+}
+
+}  // namespace
+
+journal_loader::journal_loader(event_loop& loop, cluster& shared,
+                               rpc_pool& pool, platform_client& platform,
+                               metrics_registry& metrics,
+                               std::string successor,
+                               std::vector<wire::JournalRange> sources,
+                               done_callback done)
+    : loop_(loop),
+      shared_(shared),
+      pool_(pool),
+      platform_(platform),
+      metrics_(metrics),
+      successor_(std::move(successor)),
+      sources_(std::move(sources)),
+      done_(std::move(done)) {
+  again([this] { next_source(); });
+}
+
+journal_loader::~journal_loader() = default;
+
+void journal_loader::again(std::function<void()> step) {
+  retry_ = loop_.after(segments_.empty() && at_ == 0 && records_.empty()
+                           ? milliseconds(0)
+                           : retry_pause,
+                       std::move(step));
+}
+
+void journal_loader::next_source() {
+  if (at_ == sources_.size()) {
+    // The callback drops this loader.
+    auto done = std::move(done_);
+    done(std::move(records_), std::move(claimed_));
+    return;
+  }
+  reader_ = journal_reader();
+  list_segments();
+}
+
+void journal_loader::list_segments() {
+  std::weak_ptr<bool> alive = alive_;
+  platform_.list(segment_prefix(source().journal()),
+                 [this, alive](result<listing> got) {
+                   if (alive.expired()) {
+                     return;
+                   }
+                   if (!got) {
+                     retry_ = loop_.after(retry_pause,
+                                          [this] { list_segments(); });
+                     return;
+                   }
+                   segments_ = std::move(got.value().items);
+                   std::erase_if(segments_, [this](const listed_object& each) {
+                     const std::uint64_t number = number_of(each);
+                     return number < source().first_segment() ||
+                            number >= source().end_segment();
+                   });
+                   read_segment(0);
+                 });
+}
+
+void journal_loader::read_segment(std::size_t index) {
+  if (index == segments_.size()) {
+    claim_tail();
+    return;
+  }
+  std::weak_ptr<bool> alive = alive_;
+  platform_.get(segments_[index].key,
+                [this, alive, index](const result<stored_object>& got) {
+                  if (alive.expired()) {
+                    return;
+                  }
+                  wire::Segment segment;
+                  if (!got || !segment.ParseFromString(got.value().bytes)) {
+                    retry_ = loop_.after(retry_pause, [this, index] {
+                      read_segment(index);
+                    });
+                    return;
+                  }
+                  for (wire::Record& each : reader_.take(segment)) {
+                    records_.push_back(std::move(each));
+                  }
+                  read_segment(index + 1);
+                });
+}
+
+void journal_loader::claim_tail() {
+  if (!source().sealed() || !reader_.holder().has_value()) {
+    ++at_;
+    next_source();
+    return;
+  }
+  const wire::CopyHolderNamed& holder = *reader_.holder();
+  if (shared_.box_gone(holder.node())) {
+    ask_old_owner();
+    return;
+  }
+  wire::CopyClaim claim;
+  claim.set_journal(source().journal());
+  claim.set_successor(successor_);
+  claim.set_holder_start(holder.start());
+  call_ = pool_.ask<wire::CopyTail>(
+      holder.address(), "CopyClaim", claim, claim_timeout,
+      [this](const result<wire::CopyTail>& tail) {
+        if (!tail) {
+          // Out of reach is not gone: the paused owner may hold records
+          // that were acknowledged and never stored.
+          retry_ = loop_.after(retry_pause, [this] { claim_tail(); });
+        } else if (tail.value().other_start()) {
+          ask_old_owner();
+        } else {
+          claimed_.push_back(*reader_.holder());
+          take_tail(tail.value());
+        }
+      });
+}
+
+void journal_loader::ask_old_owner() {
+  const journal_name old = journal_name::parse(source().journal());
+  const member_view* member = shared_.members().find(old.node);
+  const bool self = old.node == shared_.members().self().node();
+  const bool restarted =
+      (self && old.start != shared_.start_id()) ||
+      (member != nullptr && old.start < member->peer.start());
+  if (restarted || shared_.box_gone(old.node)) {
+    go_on_without();
+    return;
+  }
+  if (member == nullptr && !self) {
+    retry_ = loop_.after(retry_pause, [this] { ask_old_owner(); });
+    return;
+  }
+  const std::string address = self ? shared_.members().self().address()
+                                   : member->peer.address();
+  wire::HandOverTail request;
+  request.set_journal(source().journal());
+  call_ = pool_.ask<wire::CopyTail>(
+      address, "HandOverTail", request, claim_timeout,
+      [this](const result<wire::CopyTail>& tail) {
+        if (!tail) {
+          retry_ = loop_.after(retry_pause, [this] { ask_old_owner(); });
+        } else if (tail.value().other_start()) {
+          go_on_without();
+        } else {
+          take_tail(tail.value());
+        }
+      });
+}
+
+void journal_loader::take_tail(const wire::CopyTail& tail) {
+  log_info("tail_taken", {{"journal", source().journal()},
+                          {"records", std::to_string(tail.records_size())}});
+  for (wire::Record& each : reader_.take_tail(
+           {tail.records().begin(), tail.records().end()})) {
+    records_.push_back(std::move(each));
+  }
+  ++at_;
+  next_source();
+}
+
+void journal_loader::go_on_without() {
+  metrics_.add("tails_lost_total");
+  log_warn("tail_lost", {{"journal", source().journal()}});
+  ++at_;
+  next_source();
+}
+
+}  // namespace trayrock
