Give a DELETE no body: evhttp garbles the next request after it

The runners answered 501 to the request after each release of a hold. A system call trace shows evhttp's client writing the body of a DELETE without a Content-Length, and its server taking that body as the next request on the connection. Ruled out: idle connections closed by the server (idle timeout 60 s, the failures came within the first second), the chunked reader. Change: orders go by query parameters; the client refuses a body on GET and DELETE; the server closes the connection after such a request. Also: a node that drains while every other one drains as well no longer waits for somebody to hand its shards to.

--- a/fakes/fake_engine.cc
+++ b/fakes/fake_engine.cc
@@ -146,7 +146,7 @@
     if (request.path == "/v1/chat/completions" && body.is_object()) {
       generate(body, out);
     } else if (request.path == "/v1/holds") {
-      serve_holds(request, body, out);
+      serve_holds(request, out);
     } else if (request.path == "/v1/load") {
       out->reply(200, "application/json", reported_.dump());
     } else if (request.path == "/v1/kv/export" && body.is_object()) {
@@ -283,7 +283,7 @@
     ++finished_;
   }
 
-  void serve_holds(const http_request& request, const json& body,
+  void serve_holds(const http_request& request,
                    const http_exchange_ptr& out) {
     if (request.method == "GET") {
       json programs = json::array();
@@ -294,11 +294,11 @@
                  json{{"count", held_.size()}, {"programs", programs}}.dump());
       return;
     }
-    if (!body.is_object() || !fence_passes(body)) {
+    if (!fence_passes(request)) {
       out->reply(409, "application/json", "{}");
       return;
     }
-    const std::string program = body.value("program", "");
+    const std::string program(request.parameter("program"));
     release(program);
     if (request.method == "POST" && last_chain_.contains(program)) {
       held_[program] = last_chain_[program];
@@ -307,9 +307,9 @@
     out->reply(200, "application/json", "{}");
   }
 
-  bool fence_passes(const json& body) {
-    const std::string group = body.value("fence_group", "");
-    const std::uint64_t number = body.value("fence", std::uint64_t{0});
+  bool fence_passes(const http_request& request) {
+    const std::string group(request.parameter("fence_group"));
+    const std::uint64_t number = request.number("fence", 0);
     std::uint64_t& highest = fences_[group];
     if (options_.checks_fencing && number < highest) {
       ++stale_orders_;
--- a/include/trayrock/internal/net/http_client.h
+++ b/include/trayrock/internal/net/http_client.h
@@ -63,7 +63,8 @@
   // the reply's body stays empty. The timeout is the longest silence.
   // Errors: errc::connect_failed when the peer could not be reached and
   // nothing was sent, errc::connection_lost when the connection broke,
-  // errc::rpc_timeout after silence.
+  // errc::rpc_timeout after silence, errc::malformed_request for a GET or
+  // DELETE with a body, which evhttp cannot send.
   http_call start(const address& peer, const http_message& message,
                   milliseconds timeout, chunk_callback on_chunk,
                   done_callback on_done);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -29,6 +29,12 @@
   return EVHTTP_REQ_POST;
 }
 
+// evhttp writes a body after these without saying how long it is; the other
+// side then reads it as the next request.
+bool may_have_body(std::string_view method) {
+  return method != "GET" && method != "DELETE";
+}
+
 std::string lower(std::string_view text) {
   std::string out(text);
   std::transform(out.begin(), out.end(), out.begin(),
@@ -214,6 +220,12 @@
                              milliseconds timeout, chunk_callback on_chunk,
                              done_callback on_done) {
   auto call = std::make_shared<http_call::state>();
+  if (!message.body.empty() && !may_have_body(message.method)) {
+    impl_->loop.post([done = std::move(on_done)] {
+      done(errc::malformed_request);
+    });
+    return {};
+  }
   call->client = impl_;
   call->peer = peer.text();
   call->timeout = timeout;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -217,6 +217,13 @@
   auto exchange = std::make_shared<evhttp_exchange>(raw, self->open);
   exchange->watch();
   const http_request request = read_request(raw);
+  // evhttp leaves the body of such a request on the connection, where it
+  // would be read as the next one.
+  const bool body_left = request.method == "GET" || request.method == "DELETE";
+  const std::string_view length = request.header("content-length");
+  if (body_left && !length.empty() && length != "0") {
+    exchange->add_header("Connection", "close");
+  }
   self->callback(request, exchange);
 }
 
--- a/src/node/cache_holds.cc
+++ b/src/node/cache_holds.cc
@@ -103,11 +103,11 @@
   const bool hold = state.wanted;
   state.renew = false;
   state.ordering = true;
-  const json body{{"program", program},
-                  {"fence_group", std::string(root_of(program))},
-                  {"fence", term_of_(program)}};
-  const http_message order{hold ? "POST" : "DELETE", "/v1/holds", body.dump(),
-                           {}};
+  const std::string target =
+      "/v1/holds?program=" + program +
+      "&fence_group=" + std::string(root_of(program)) +
+      "&fence=" + std::to_string(term_of_(program));
+  const http_message order{hold ? "POST" : "DELETE", target, "", {}};
   state.order = client_.start(
       state.engine, order, order_timeout, nullptr,
       [this, program, hold](const result<http_reply>& reply) {
--- a/src/node/node_main.cc
+++ b/src/node/node_main.cc
@@ -1,4 +1,5 @@
 // trayrock-node: serves the runners on its box and owns shards of programs.
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 
@@ -104,10 +105,10 @@
   }
 
   void check_drained() {
-    const bool nobody_else = shared_.members().live_nodes().size() == 1;
-    const bool empty = (keeper_.drained() || nobody_else) &&
-                       gate_.active() == 0 && owner_.active_calls() == 0 &&
-                       keeper_.copies().bytes() == 0;
+    const bool work_left = gate_.active() > 0 || owner_.active_calls() > 0;
+    const bool state_left =
+        !keeper_.drained() || keeper_.copies().bytes() > 0;
+    const bool empty = !work_left && (!state_left || everyone_leaves());
     quiet_ = empty ? quiet_ + 1 : 0;
     if (quiet_ >= quiet_checks) {
       log_info("drain_done", {});
@@ -115,6 +116,14 @@
     }
   }
 
+  // Nobody is left to hand shards over to; they stay in the journal.
+  bool everyone_leaves() const {
+    const std::vector<std::string> nodes = shared_.members().live_nodes();
+    return std::all_of(nodes.begin(), nodes.end(), [this](const auto& each) {
+      return shared_.node_leaving(each);
+    });
+  }
+
   node_settings settings_;
   event_loop loop_;
   metrics_registry metrics_;
