--- a/include/trayrock/internal/cluster/cluster.h
+++ b/include/trayrock/internal/cluster/cluster.h
@@ -79,8 +79,9 @@
   // that the node is leaving.
   bool node_leaving(std::string_view node) const;
 
-  // Members, versions and generation as JSON, for /status.
-  std::string status_json() const;
+  // Members, versions and generation as JSON, for /status; with a program's
+  // id, its owner as well.
+  std::string status_json(std::string_view program) const;
 
  private:
   class config_watcher;
--- a/src/cluster/cluster.cc
+++ b/src/cluster/cluster.cc
@@ -278,7 +278,7 @@
   return member != nullptr && (member->peer.leaving() || member->peer.gone());
 }
 
-std::string cluster::status_json() const {
+std::string cluster::status_json(std::string_view program) const {
   nlohmann::json members = nlohmann::json::array();
   for (const member_view* each : members_.others()) {
     members.push_back({{"node", each->peer.node()},
@@ -292,7 +292,11 @@
   for (const auto& [shard, entry] : map_.entries()) {
     ++owned[entry.node()];
   }
-  return nlohmann::json{{"node", members_.self().node()},
+  const wire::ShardEntry* entry =
+      program.empty() ? nullptr
+                      : map_.find(shard_of(program, map_.shards()));
+  return nlohmann::json{{"owner", entry == nullptr ? "" : entry->node()},
+                        {"node", members_.self().node()},
                         {"start", start_id_},
                         {"generation", config_.generation()},
                         {"map_version", map_.version()},
--- a/src/entry/entry_main.cc
+++ b/src/entry/entry_main.cc
@@ -40,7 +40,9 @@
                            const http_exchange_ptr& out) {
       const probe_sources sources{
           metrics_, [this] { return is_ready(); },
-          [this] { return shared_.status_json(); }};
+          [this, &request] {
+            return shared_.status_json(request.parameter("program"));
+          }};
       if (draining_) {
         out->add_header("Connection", "close");
       }
--- a/src/node/node_main.cc
+++ b/src/node/node_main.cc
@@ -43,7 +43,9 @@
                           const http_exchange_ptr& out) {
       const probe_sources sources{
           metrics_, [this] { return is_ready(); },
-          [this] { return shared_.status_json(); }};
+          [this, &request] {
+            return shared_.status_json(request.parameter("program"));
+          }};
       if (!answer_probe(request, out, sources)) {
         out->reply(http_status(errc::unknown_path), "text/plain", "");
       }
--- /dev/null
+++ b/test/test_support.h
@@ -0,0 +1,17 @@
+// Short names for CppUnit's registration, and messages with context.
+#pragma once
+
+#include <cppunit/TestAssert.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sstream>
+#include <string>
+
+// Checks a condition; the message says what was expected and seen.
+#define TRAYROCK_CHECK(condition, context)                        \
+  do {                                                            \
+    std::ostringstream message;                                   \
+    message << context; /* NOLINT(bugprone-macro-parentheses) */  \
+    CPPUNIT_ASSERT_MESSAGE(message.str(), condition);             \
+  } while (false)
