Model of the ownership rules against the real decision code

Change: the choice of where a successor gets the tail is a pure function; a seeded world (6,000 runs of 120 steps: outages, lost and late writes, a paused or dead owner, a restarted holder, successors that die) drives the real writer, keeper and choice.

--- a/include/trayrock/internal/node/journal_loader.h
+++ b/include/trayrock/internal/node/journal_loader.h
@@ -13,6 +13,7 @@
 
 #include "trayrock/internal/cluster/cluster.h"
 #include "trayrock/internal/decide/journal_writer.h"
+#include "trayrock/internal/decide/tail_step.h"
 #include "trayrock/internal/metrics.h"
 #include "trayrock/internal/net/rpc.h"
 #include "trayrock/internal/platform/platform_client.h"
@@ -39,10 +40,12 @@
   void list_segments();
   void read_segment(std::size_t index);
   void claim_tail();
-  void ask_old_owner();
-  void take_tail(const wire::CopyTail& tail);
+  void ask_holder();
+  void ask_old_owner(const std::string& address);
+  tail_answer take_answer(result<wire::CopyTail> tail);
+  void step_later(tail_answer answer);
+  void take_tail();
   void go_on_without();
-  void again(std::function<void()> step);
   const wire::JournalRange& source() const { return sources_[at_]; }
 
   event_loop& loop_;
@@ -56,6 +59,8 @@
   std::size_t at_ = 0;
   std::vector<listed_object> segments_;
   journal_reader reader_;
+  tail_view tail_;
+  wire::CopyTail given_;
   std::vector<wire::Record> records_;
   std::vector<wire::CopyHolderNamed> claimed_;
   rpc_call call_;
--- a/src/node/journal_loader.cc
+++ b/src/node/journal_loader.cc
@@ -31,18 +31,11 @@
       successor_(std::move(successor)),
       sources_(std::move(sources)),
       done_(std::move(done)) {
-  again([this] { next_source(); });
+  retry_ = loop_.after(milliseconds(0), [this] { next_source(); });
 }
 
 journal_loader::~journal_loader() = default;
 
-void journal_loader::again(std::function<void()> step) {
-  retry_ = loop_.after(segments_.empty() && at_ == 0 && records_.empty()
-                           ? milliseconds(0)
-                           : retry_pause,
-                       std::move(step));
-}
-
 void journal_loader::next_source() {
   if (at_ == sources_.size()) {
     // The callback drops this loader.
@@ -51,6 +44,7 @@
     return;
   }
   reader_ = journal_reader();
+  tail_ = tail_view();
   list_segments();
 }
 
@@ -102,73 +96,94 @@
 }
 
 void journal_loader::claim_tail() {
-  if (!source().sealed() || !reader_.holder().has_value()) {
+  if (!source().sealed()) {
     ++at_;
     next_source();
     return;
   }
-  const wire::CopyHolderNamed& holder = *reader_.holder();
-  if (shared_.box_gone(holder.node())) {
-    ask_old_owner();
-    return;
+  const journal_name old = journal_name::parse(source().journal());
+  const member_view* member = shared_.members().find(old.node);
+  const bool self = old.node == shared_.members().self().node();
+  tail_.holder_named = reader_.holder().has_value();
+  tail_.holder_box_gone =
+      tail_.holder_named && shared_.box_gone(reader_.holder()->node());
+  tail_.owner_gone =
+      (self && old.start != shared_.start_id()) ||
+      (member != nullptr && old.start < member->peer.start()) ||
+      shared_.box_gone(old.node);
+  switch (next_tail_step(tail_)) {
+    case tail_step::nothing_needed:
+      ++at_;
+      next_source();
+      break;
+    case tail_step::ask_holder:
+      ask_holder();
+      break;
+    case tail_step::ask_owner:
+      ask_old_owner(self ? shared_.members().self().address()
+                         : (member == nullptr ? std::string()
+                                              : member->peer.address()));
+      break;
+    case tail_step::take_tail:
+      take_tail();
+      break;
+    case tail_step::go_on_without:
+      go_on_without();
+      break;
   }
+}
+
+void journal_loader::ask_holder() {
+  const wire::CopyHolderNamed& holder = *reader_.holder();
   wire::CopyClaim claim;
   claim.set_journal(source().journal());
   claim.set_successor(successor_);
   claim.set_holder_start(holder.start());
   call_ = pool_.ask<wire::CopyTail>(
       holder.address(), "CopyClaim", claim, claim_timeout,
-      [this](const result<wire::CopyTail>& tail) {
-        if (!tail) {
-          // Out of reach is not gone: the paused owner may hold records
-          // that were acknowledged and never stored.
-          retry_ = loop_.after(retry_pause, [this] { claim_tail(); });
-        } else if (tail.value().other_start()) {
-          ask_old_owner();
-        } else {
+      [this](result<wire::CopyTail> tail) {
+        tail_.holder = take_answer(std::move(tail));
+        if (tail_.holder == tail_answer::given) {
           claimed_.push_back(*reader_.holder());
-          take_tail(tail.value());
         }
+        step_later(tail_.holder);
       });
 }
 
-void journal_loader::ask_old_owner() {
-  const journal_name old = journal_name::parse(source().journal());
-  const member_view* member = shared_.members().find(old.node);
-  const bool self = old.node == shared_.members().self().node();
-  const bool restarted =
-      (self && old.start != shared_.start_id()) ||
-      (member != nullptr && old.start < member->peer.start());
-  if (restarted || shared_.box_gone(old.node)) {
-    go_on_without();
-    return;
-  }
-  if (member == nullptr && !self) {
-    retry_ = loop_.after(retry_pause, [this] { ask_old_owner(); });
-    return;
-  }
-  const std::string address = self ? shared_.members().self().address()
-                                   : member->peer.address();
+void journal_loader::ask_old_owner(const std::string& address) {
   wire::HandOverTail request;
   request.set_journal(source().journal());
   call_ = pool_.ask<wire::CopyTail>(
       address, "HandOverTail", request, claim_timeout,
-      [this](const result<wire::CopyTail>& tail) {
-        if (!tail) {
-          retry_ = loop_.after(retry_pause, [this] { ask_old_owner(); });
-        } else if (tail.value().other_start()) {
-          go_on_without();
-        } else {
-          take_tail(tail.value());
-        }
+      [this](result<wire::CopyTail> tail) {
+        tail_.owner = take_answer(std::move(tail));
+        step_later(tail_.owner);
       });
 }
 
-void journal_loader::take_tail(const wire::CopyTail& tail) {
+tail_answer journal_loader::take_answer(result<wire::CopyTail> tail) {
+  if (!tail) {
+    return tail_answer::unreachable;
+  }
+  if (tail.value().other_start()) {
+    return tail_answer::other_start;
+  }
+  given_ = std::move(tail.value());
+  return tail_answer::given;
+}
+
+void journal_loader::step_later(tail_answer answer) {
+  const milliseconds pause = answer == tail_answer::unreachable
+                                 ? retry_pause
+                                 : milliseconds(0);
+  retry_ = loop_.after(pause, [this] { claim_tail(); });
+}
+
+void journal_loader::take_tail() {
   log_info("tail_taken", {{"journal", source().journal()},
-                          {"records", std::to_string(tail.records_size())}});
+                          {"records", std::to_string(given_.records_size())}});
   for (wire::Record& each : reader_.take_tail(
-           {tail.records().begin(), tail.records().end()})) {
+           {given_.records().begin(), given_.records().end()})) {
     records_.push_back(std::move(each));
   }
   ++at_;
