--- a/fakes/fake_engine.cc
+++ b/fakes/fake_engine.cc
@@ -175,7 +175,8 @@
     for (const json& each : body.value("messages", json::array())) {
       const std::string role = each.value("role", "");
       const std::string content = each.value("content", "");
-      made.digest = trayrock::synthetic::fold_message(made.digest, role, content);
+      made.digest =
+          trayrock::synthetic::fold_message(made.digest, role, content);
       const std::uint64_t tokens = trayrock::synthetic::message_tokens(content);
       made.links.push_back({made.digest, tokens});
       made.prompt_tokens += tokens;
@@ -200,9 +201,8 @@
     for (sequence& each : batch_) {
       advance(each, prefill);
     }
-    std::erase_if(batch_, [](const sequence& each) {
-      return each.out->answered();
-    });
+    std::erase_if(batch_,
+                  [](const sequence& each) { return each.out->answered(); });
     if (!batch_.empty() || !queue_.empty()) {
       schedule();
     }
@@ -220,12 +220,12 @@
 
   void fill_batch() {
     while (batch_.size() < options_.max_batch && !queue_.empty()) {
-      const auto next = std::min_element(
-          queue_.begin(), queue_.end(),
-          [](const sequence& left, const sequence& right) {
-            return std::pair(left.priority, left.arrival) <
-                   std::pair(right.priority, right.arrival);
-          });
+      const auto next =
+          std::min_element(queue_.begin(), queue_.end(),
+                           [](const sequence& left, const sequence& right) {
+                             return std::pair(left.priority, left.arrival) <
+                                    std::pair(right.priority, right.arrival);
+                           });
       sequence taken = std::move(*next);
       queue_.erase(next);
       taken.cached_tokens = cache_.cached_tokens(taken.links);
@@ -249,7 +249,8 @@
       cache_.insert(each.links);
     }
     if (each.made < each.max_tokens) {
-      const std::string token = trayrock::synthetic::answer_token(each.digest, each.made);
+      const std::string token =
+          trayrock::synthetic::answer_token(each.digest, each.made);
       each.text += token;
       ++each.made;
       ++generated_;
@@ -270,7 +271,8 @@
   void finish(sequence& each) {
     const std::uint64_t digest =
         trayrock::synthetic::fold_message(each.digest, "assistant", each.text);
-    each.links.push_back({digest, trayrock::synthetic::message_tokens(each.text)});
+    each.links.push_back(
+        {digest, trayrock::synthetic::message_tokens(each.text)});
     cache_.insert(each.links);
     last_chain_[each.program] = each.links;
     const json usage{{"usage",
@@ -283,8 +285,7 @@
     ++finished_;
   }
 
-  void serve_holds(const http_request& request,
-                   const http_exchange_ptr& out) {
+  void serve_holds(const http_request& request, const http_exchange_ptr& out) {
     if (request.method == "GET") {
       json programs = json::array();
       for (const auto& [program, links] : held_) {
@@ -339,8 +340,8 @@
   void import_kv(const json& body, const http_exchange_ptr& out) {
     chain links;
     for (const json& each : body.value("chain", json::array())) {
-      links.push_back({each[0].get<std::uint64_t>(),
-                       each[1].get<std::uint64_t>()});
+      links.push_back(
+          {each[0].get<std::uint64_t>(), each[1].get<std::uint64_t>()});
     }
     cache_.insert(links);
     last_chain_[body.value("program", "")] = links;
@@ -348,11 +349,12 @@
   }
 
   void reply_counts(const http_exchange_ptr& out) {
-    const json body{{"prefilled", prefilled_},   {"generated", generated_},
-                    {"finished", finished_},     {"cancelled", cancelled_},
-                    {"stale_orders", stale_orders_},
-                    {"running", batch_.size()},  {"queued", queue_.size()},
-                    {"cache_tokens", cache_.used()}, {"holds", held_.size()}};
+    const json body{
+        {"prefilled", prefilled_},       {"generated", generated_},
+        {"finished", finished_},         {"cancelled", cancelled_},
+        {"stale_orders", stale_orders_}, {"running", batch_.size()},
+        {"queued", queue_.size()},       {"cache_tokens", cache_.used()},
+        {"holds", held_.size()}};
     out->reply(200, "application/json", body.dump());
   }
 
--- a/fakes/fake_platform.cc
+++ b/fakes/fake_platform.cc
@@ -46,12 +46,12 @@
 
 // What can be made to go wrong, by key of POST /fault.
 struct fault_switches {
-  bool outage = false;                // every call is refused with 503
-  bool silent = false;                // every call is left without an answer
-  std::uint64_t answer_ms = 0;        // delay before each answer
-  std::uint64_t lose_put_answers = 0; // so many puts act, answers are cut
+  bool outage = false;                  // every call is refused with 503
+  bool silent = false;                  // every call is left without an answer
+  std::uint64_t answer_ms = 0;          // delay before each answer
+  std::uint64_t lose_put_answers = 0;   // so many puts act, answers are cut
   std::uint64_t lose_watch_events = 0;  // so many changes miss the watchers
-  std::uint64_t stale_gets = 0;       // so many gets show the version before
+  std::uint64_t stale_gets = 0;         // so many gets show the version before
 };
 
 struct options {
@@ -107,11 +107,10 @@
 
  private:
   void count(const http_request& request) {
-    const std::string operation =
-        request.path == "/v1/watch"   ? "watch"
-        : request.path == "/v1/boxes" ? "boxes"
-        : request.path == "/v1/list"  ? "list"
-                                      : request.method;
+    const std::string operation = request.path == "/v1/watch"   ? "watch"
+                                  : request.path == "/v1/boxes" ? "boxes"
+                                  : request.path == "/v1/list"  ? "list"
+                                                               : request.method;
     ++counts_[std::string(request.header("x-role")) + " " + operation];
     ++counts_["all " + operation];
   }
@@ -122,11 +121,11 @@
 
   void delay_ms(std::uint64_t wait, std::function<void()> action) {
     const std::uint64_t id = ++next_delay_;
-    delays_[id] = loop_.after(milliseconds(wait),
-                              [this, id, action = std::move(action)] {
-                                action();
-                                delays_.erase(id);
-                              });
+    delays_[id] =
+        loop_.after(milliseconds(wait), [this, id, action = std::move(action)] {
+          action();
+          delays_.erase(id);
+        });
   }
 
   void set_faults(const json& body) {
@@ -149,8 +148,8 @@
   bool over_limit(const http_request& request) {
     const bool write = request.method == "PUT" || request.method == "DELETE";
     std::uint64_t& used = write ? writes_this_second_ : reads_this_second_;
-    return ++used > (write ? options_.writes_per_second
-                           : options_.reads_per_second);
+    return ++used >
+           (write ? options_.writes_per_second : options_.reads_per_second);
   }
 
   void act(const http_request& request, const http_exchange_ptr& out) {
@@ -258,8 +257,8 @@
     json items = json::array();
     for (auto each = objects_.lower_bound(prefix);
          each != objects_.end() && each->first.starts_with(prefix); ++each) {
-      items.push_back({{"key", each->first},
-                       {"version", each->second.version}});
+      items.push_back(
+          {{"key", each->first}, {"version", each->second.version}});
     }
     out->reply(200, "application/json",
                json{{"revision", revision_}, {"items", items}}.dump());
--- a/fakes/fake_service.cc
+++ b/fakes/fake_service.cc
@@ -78,8 +78,8 @@
     }
     const json answer{{"answer", trayrock::synthetic::service_answer(request)}};
     const std::uint64_t id = ++next_;
-    pending_[id] = loop_.after(
-        milliseconds(work_ms_ + late_ms_), [this, id, out, answer] {
+    pending_[id] =
+        loop_.after(milliseconds(work_ms_ + late_ms_), [this, id, out, answer] {
           out->reply(200, "application/json", answer.dump());
           pending_.erase(id);
         });
--- a/include/trayrock/internal/cluster/cluster.h
+++ b/include/trayrock/internal/cluster/cluster.h
@@ -97,6 +97,7 @@
   std::string random_peer();
   void serve();
   void stamp_versions();
+  void share_platform_rate();
 
   event_loop& loop_;
   process_settings settings_;
@@ -109,6 +110,7 @@
   config_store config_;
   shard_map_store map_;
   std::mt19937_64 random_;
+  std::uint64_t started_ms_ = 0;
   std::vector<std::function<void()>> config_callbacks_;
   std::vector<std::function<void()>> map_callbacks_;
   std::function<void(const wire::Peer&)> gone_callback_;
--- a/include/trayrock/internal/decide/declarations.h
+++ b/include/trayrock/internal/decide/declarations.h
@@ -21,8 +21,8 @@
 #include <variant>
 #include <vector>
 
-#include "trayrock/internal/settings/strict_json.h"
 #include "trayrock.pb.h"
+#include "trayrock/internal/settings/strict_json.h"
 
 namespace trayrock {
 
@@ -31,18 +31,18 @@
 // A target that the burn report judges.
 struct objective {
   std::string work_class;
-  std::uint64_t program_ms = 0;       // 0: none
-  double within_share = 0.95;         // share of programs within program_ms
-  double success_share = 0.999;       // share of calls that end well
-  double recomputed_share = 0.2;      // largest share of wasted prefill
+  std::uint64_t program_ms = 0;   // 0: none
+  double within_share = 0.95;     // share of programs within program_ms
+  double success_share = 0.999;   // share of calls that end well
+  double recomputed_share = 0.2;  // largest share of wasted prefill
 };
 
 struct service_spec {
   service_kind kind = service_kind::model;
   bool repeatable = true;
-  std::uint64_t wait_limit_ms = 20000;  // longer expected waits are refused
+  std::uint64_t wait_limit_ms = 20000;    // longer expected waits are refused
   std::uint64_t call_timeout_ms = 60000;  // longest silence of a runner
-  std::uint64_t retry_percent = 10;  // retries as a share of calls
+  std::uint64_t retry_percent = 10;       // retries as a share of calls
   std::vector<objective> objectives;
 };
 
@@ -75,7 +75,7 @@
 struct policy_spec {
   std::string routing = "balanced";
   std::string order = "attained";
-  double cache_weight = 0.5;  // 0: latency alone, 1: wasted cache alone
+  double cache_weight = 0.5;      // 0: latency alone, 1: wasted cache alone
   std::uint64_t hold_ms = 30000;  // longest pause that a prefix is held for
 };
 
@@ -141,8 +141,8 @@
   // after it; anything else is ignored. True when something was taken.
   bool adopt(const wire::ConfigDelta& delta);
 
-  const std::map<std::pair<std::string, std::string>, wire::Declaration>&
-  held() const {
+  const std::map<std::pair<std::string, std::string>, wire::Declaration>& held()
+      const {
     return held_;
   }
 
--- a/include/trayrock/internal/decide/journal_writer.h
+++ b/include/trayrock/internal/decide/journal_writer.h
@@ -107,9 +107,7 @@
   std::uint64_t last_sequence() const { return next_sequence_ - 1; }
   // One past the last segment known to be stored.
   std::uint64_t segments() const { return next_segment_; }
-  const std::optional<wire::CopyHolderNamed>& holder() const {
-    return holder_;
-  }
+  const std::optional<wire::CopyHolderNamed>& holder() const { return holder_; }
   std::size_t waiting_bytes() const { return waiting_bytes_; }
 
   // The records that are not known to be stored, for a successor that asks.
@@ -164,13 +162,10 @@
  public:
   // Hands on the records that were not seen before.
   std::vector<wire::Record> take(const wire::Segment& segment);
-  std::vector<wire::Record> take_tail(
-      const std::vector<wire::Record>& records);
+  std::vector<wire::Record> take_tail(const std::vector<wire::Record>& records);
 
   // The last copy holder named in what was read.
-  const std::optional<wire::CopyHolderNamed>& holder() const {
-    return holder_;
-  }
+  const std::optional<wire::CopyHolderNamed>& holder() const { return holder_; }
 
  private:
   std::uint64_t seen_up_to_ = 0;
--- a/include/trayrock/internal/decide/program_book.h
+++ b/include/trayrock/internal/decide/program_book.h
@@ -84,8 +84,8 @@
   void apply(const wire::Record& record);
 
   // Decides on a call. Changes nothing.
-  call_decision admit(const wire::CallRequest& request,
-                      const call_terms& terms, std::uint64_t now_ms) const;
+  call_decision admit(const wire::CallRequest& request, const call_terms& terms,
+                      std::uint64_t now_ms) const;
 
   // Whether a program may be opened; the failure's code is zero if so.
   wire::Failure check_open(const wire::ProgramSpec& spec) const;
@@ -117,8 +117,8 @@
                bool give_back);
   void charge(program_state& program, std::uint64_t tokens);
   std::vector<program_state*> chargeable(program_state& program);
-  wire::Failure check_budget(const program_state& program,
-                             std::uint64_t tokens, std::uint64_t now_ms) const;
+  wire::Failure check_budget(const program_state& program, std::uint64_t tokens,
+                             std::uint64_t now_ms) const;
 
   std::unordered_map<std::string, program_state> programs_;
 };
--- a/include/trayrock/internal/decide/routing.h
+++ b/include/trayrock/internal/decide/routing.h
@@ -18,8 +18,8 @@
 struct runner_view {
   std::string endpoint;
   std::uint64_t expected_wait_ms = 0;
-  std::uint64_t report_age_ms = 0;     // how old that report is
-  std::uint64_t sent_since_report = 0; // calls this owner sent since
+  std::uint64_t report_age_ms = 0;      // how old that report is
+  std::uint64_t sent_since_report = 0;  // calls this owner sent since
   std::uint64_t running = 0;
   std::uint64_t slots = 16;
   std::uint64_t prefill_tokens_per_second = 20000;
--- a/include/trayrock/internal/decide/tail_step.h
+++ b/include/trayrock/internal/decide/tail_step.h
@@ -20,19 +20,18 @@
 };
 
 enum class tail_step {
-  nothing_needed,   // no copies were ever made
-  ask_holder,       // (again)
-  ask_owner,        // (again)
-  take_tail,        // what was given is all there is
-  go_on_without,    // both are gone; what was not stored is lost
+  nothing_needed,  // no copies were ever made
+  ask_holder,      // (again)
+  ask_owner,       // (again)
+  take_tail,       // what was given is all there is
+  go_on_without,   // both are gone; what was not stored is lost
 };
 
 inline tail_step next_tail_step(const tail_view& view) {
   if (!view.holder_named) {
     return tail_step::nothing_needed;
   }
-  if (view.holder == tail_answer::given ||
-      view.owner == tail_answer::given) {
+  if (view.holder == tail_answer::given || view.owner == tail_answer::given) {
     return tail_step::take_tail;
   }
   const bool holder_gone =
--- a/include/trayrock/internal/entry/caller_api.h
+++ b/include/trayrock/internal/entry/caller_api.h
@@ -42,8 +42,8 @@
   void chat_in_program(const wire::CallRequest& call, bool stream,
                        const std::string& model, const http_exchange_ptr& out);
   bool known_member(const http_request& request, const http_exchange_ptr& out);
-  wire::Failure fill_spec(const nlohmann::json& body,
-                          const std::string& member, wire::ProgramSpec& spec);
+  wire::Failure fill_spec(const nlohmann::json& body, const std::string& member,
+                          wire::ProgramSpec& spec);
 
   cluster& shared_;
   owner_client& owners_;
--- a/include/trayrock/internal/net/rpc.h
+++ b/include/trayrock/internal/net/rpc.h
@@ -85,14 +85,12 @@
   // Registers a method that takes a parsed message.
   // A body that does not parse is refused and counted, not handed on.
   template <typename request_type>
-  void handle_typed(
-      std::string_view method,
-      std::function<void(request_type&, rpc_reply_ptr)> handler) {
+  void handle_typed(std::string_view method,
+                    std::function<void(request_type&, rpc_reply_ptr)> handler) {
     handle(method, [this, handler = std::move(handler)](
                        std::string_view body, const rpc_reply_ptr& reply) {
       request_type request;
-      if (!request.ParseFromArray(body.data(),
-                                  static_cast<int>(body.size()))) {
+      if (!request.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
         ++counters().garbled;
         reply->finish();
         return;
@@ -162,8 +160,8 @@
     return start(
         peer, method, request, timeout,
         [reply, seen](std::string_view body) {
-          *seen = reply->ParseFromArray(body.data(),
-                                        static_cast<int>(body.size()));
+          *seen =
+              reply->ParseFromArray(body.data(), static_cast<int>(body.size()));
         },
         [reply, seen, done = std::move(done)](std::error_code ended) {
           if (ended) {
--- a/include/trayrock/internal/node/journal.h
+++ b/include/trayrock/internal/node/journal.h
@@ -40,8 +40,7 @@
   using callback = std::function<void()>;
 
   journal(event_loop& loop, platform_client& platform, rpc_pool& pool,
-          metrics_registry& metrics, journal_options options,
-          std::string name);
+          metrics_registry& metrics, journal_options options, std::string name);
   journal(const journal&) = delete;
   journal& operator=(const journal&) = delete;
   ~journal();
--- a/include/trayrock/internal/node/journal_loader.h
+++ b/include/trayrock/internal/node/journal_loader.h
@@ -23,14 +23,13 @@
 class journal_loader {
  public:
   // Records in order, and the holders whose tails were claimed.
-  using done_callback =
-      std::function<void(std::vector<wire::Record>,
-                         std::vector<wire::CopyHolderNamed>)>;
+  using done_callback = std::function<void(std::vector<wire::Record>,
+                                           std::vector<wire::CopyHolderNamed>)>;
 
   journal_loader(event_loop& loop, cluster& shared, rpc_pool& pool,
                  platform_client& platform, metrics_registry& metrics,
-                 std::string successor,
-                 std::vector<wire::JournalRange> sources, done_callback done);
+                 std::string successor, std::vector<wire::JournalRange> sources,
+                 done_callback done);
   journal_loader(const journal_loader&) = delete;
   journal_loader& operator=(const journal_loader&) = delete;
   ~journal_loader();
--- a/include/trayrock/internal/node/owner.h
+++ b/include/trayrock/internal/node/owner.h
@@ -73,8 +73,7 @@
   void open(const wire::OpenRequest& request, const rpc_reply_ptr& reply);
   void call(const wire::CallRequest& request, const rpc_reply_ptr& reply);
   void end(const wire::EndRequest& request, const rpc_reply_ptr& reply);
-  void inspect(const wire::InspectRequest& request,
-               const rpc_reply_ptr& reply);
+  void inspect(const wire::InspectRequest& request, const rpc_reply_ptr& reply);
 
   bool is_here(std::string_view program) const;
   std::uint32_t shard_for(std::string_view program) const;
--- a/include/trayrock/internal/node/shard_keeper.h
+++ b/include/trayrock/internal/node/shard_keeper.h
@@ -28,10 +28,9 @@
 
 class shard_keeper {
  public:
-  shard_keeper(event_loop& loop, const node_settings& settings,
-               cluster& shared, rpc_server& server, rpc_pool& pool,
-               platform_client& platform, metrics_registry& metrics,
-               owner& programs);
+  shard_keeper(event_loop& loop, const node_settings& settings, cluster& shared,
+               rpc_server& server, rpc_pool& pool, platform_client& platform,
+               metrics_registry& metrics, owner& programs);
   shard_keeper(const shard_keeper&) = delete;
   shard_keeper& operator=(const shard_keeper&) = delete;
   ~shard_keeper();
--- a/include/trayrock/internal/platform/platform_client.h
+++ b/include/trayrock/internal/platform/platform_client.h
@@ -63,7 +63,7 @@
 
   // `role` names the process's role to the platform's own counters.
   platform_client(event_loop& loop, const address& where, std::string role,
-                  milliseconds timeout, std::uint64_t calls_per_second);
+                  milliseconds timeout, double calls_per_second);
   platform_client(const platform_client&) = delete;
   platform_client& operator=(const platform_client&) = delete;
   ~platform_client();
@@ -89,6 +89,9 @@
 
   void boxes(callback<std::vector<box>> done);
 
+  // The share of the service's rate that this process keeps to from now on.
+  void set_rate(double calls_per_second);
+
   std::uint64_t calls_made() const { return calls_made_; }
   std::size_t waiting() const { return waiting_.size(); }
 
@@ -108,7 +111,7 @@
   address where_;
   std::string role_;
   milliseconds timeout_;
-  std::uint64_t calls_per_second_;
+  double calls_per_second_;
   double tokens_;
   std::uint64_t refilled_at_us_;
   std::uint64_t calls_made_ = 0;
--- a/include/trayrock/internal/replay/replayer.h
+++ b/include/trayrock/internal/replay/replayer.h
@@ -21,15 +21,15 @@
 
 struct replay_options {
   std::vector<address> entries;
-  std::vector<address> counters;  // stand-ins that count executions
-  double speed = 1;               // of arrivals and pauses
+  std::vector<address> counters;      // stand-ins that count executions
+  double speed = 1;                   // of arrivals and pauses
   std::uint64_t patience_ms = 60000;  // of one call, over all its tries
   bool progress = false;
 };
 
 // Figures of one work class.
 struct class_figures {
-  std::vector<double> program_ms;      // open to end, pauses left out
+  std::vector<double> program_ms;  // open to end, pauses left out
   std::vector<double> first_token_ms;
   std::vector<double> between_tokens_ms;
 };
--- a/include/trayrock/internal/replay/synthetic_answer.h
+++ b/include/trayrock/internal/replay/synthetic_answer.h
@@ -53,8 +53,7 @@
 
 // The plain service's answer to one request.
 inline std::string service_answer(std::string_view request) {
-  return "receipt-" +
-         std::to_string(XXH64(request.data(), request.size(), 0));
+  return "receipt-" + std::to_string(XXH64(request.data(), request.size(), 0));
 }
 
 }  // namespace trayrock::synthetic
--- a/include/trayrock/internal/settings/settings.h
+++ b/include/trayrock/internal/settings/settings.h
@@ -15,17 +15,18 @@
 
 // What every process of the system needs to know.
 struct process_settings {
-  std::string name;       // unique in the installation
-  std::string place;      // data centre
-  address rpc_listen;     // other processes of the system
-  address http_listen;    // callers (entry); probes and metrics
-  address platform;       // the object API
+  std::string name;                // unique in the installation
+  std::string place;               // data centre
+  address rpc_listen;              // other processes of the system
+  address http_listen;             // callers (entry); probes and metrics
+  address platform;                // the object API
   std::vector<std::string> seeds;  // RPC addresses of a few other processes
   std::string log_level = "info";
   std::uint64_t spread_period_ms = 500;
   std::uint64_t suspect_after_ms = 2500;
   std::uint64_t platform_timeout_ms = 1000;
-  std::uint64_t platform_calls_per_second = 50;
+  // Of the whole installation; each process keeps to its share.
+  std::uint64_t platform_calls_per_second = 600;
 };
 
 struct entry_settings {
@@ -39,8 +40,10 @@
 struct node_settings {
   process_settings process;
   std::uint64_t shards = 64;  // fixed at installation
-  std::uint64_t commit_interval_ms = 0;
-  std::uint64_t copy_after_ms = 150;  // 0: the copy is the ordinary path
+  // Journal writes of the whole installation; sets the commit interval.
+  std::uint64_t journal_writes_per_second = 200;
+  std::uint64_t commit_interval_ms = 0;  // at least, whatever the share
+  std::uint64_t copy_after_ms = 0;       // age at which records are copied
   std::uint64_t copy_limit_bytes = 32U << 20;
   std::uint64_t max_programs = 20000;
   std::uint64_t takeovers_per_minute = 6;  // unless the box list confirms
--- a/src/cluster/cluster.cc
+++ b/src/cluster/cluster.cc
@@ -35,9 +35,8 @@
 }
 
 cluster::cluster(event_loop& loop, const process_settings& settings,
-                 rpc_server& server, rpc_pool& pool,
-                 platform_client& platform, metrics_registry& metrics,
-                 process_kind kind)
+                 rpc_server& server, rpc_pool& pool, platform_client& platform,
+                 metrics_registry& metrics, process_kind kind)
     : loop_(loop),
       settings_(settings),
       server_(server),
@@ -55,6 +54,7 @@
 cluster::~cluster() = default;
 
 void cluster::start() {
+  started_ms_ = loop_.now_ms();
   serve();
   beat_ = loop_.every(milliseconds(settings_.spread_period_ms),
                       [this] { exchange(); });
@@ -115,8 +115,8 @@
   const std::uint64_t now = loop_.now_ms();
   for (const wire::Peer& each :
        members_.judge(now, settings_.suspect_after_ms)) {
-    log_warn("node_judged_gone", {{"node", each.node()},
-                                  {"start", each.start()}});
+    log_warn("node_judged_gone",
+             {{"node", each.node()}, {"start", each.start()}});
     if (gone_callback_) {
       gone_callback_(each);
     }
@@ -125,6 +125,7 @@
     send_spread(members_.find(node)->peer.address());
   }
   send_spread(random_peer());
+  share_platform_rate();
   metrics_.set("members", {},
                static_cast<double>(members_.others().size() + 1));
   metrics_.set("config_generation", {},
@@ -132,6 +133,21 @@
   metrics_.set("map_version", {}, static_cast<double>(map_.version()));
 }
 
+// Each process keeps to an equal share of the installation's rate; one that
+// knows nobody yet begins low, so that many that start at once stay within it.
+void cluster::share_platform_rate() {
+  constexpr double least_rate = 2;
+  constexpr std::uint64_t alone_after_ms = 5000;
+  const bool may_be_alone =
+      settings_.seeds.empty() || loop_.now_ms() > started_ms_ + alone_after_ms;
+  if (members_.others().empty() && !may_be_alone) {
+    return;
+  }
+  const auto all = static_cast<double>(settings_.platform_calls_per_second);
+  const auto known = static_cast<double>(members_.others().size() + 1);
+  platform_.set_rate(std::max(least_rate, all / known));
+}
+
 std::string cluster::random_peer() {
   const std::vector<const member_view*> others = members_.others();
   // Seeds stay in the draw, so that halves of a cut find each other again.
@@ -293,8 +309,7 @@
     ++owned[entry.node()];
   }
   const wire::ShardEntry* entry =
-      program.empty() ? nullptr
-                      : map_.find(shard_of(program, map_.shards()));
+      program.empty() ? nullptr : map_.find(shard_of(program, map_.shards()));
   return nlohmann::json{{"owner", entry == nullptr ? "" : entry->node()},
                         {"node", members_.self().node()},
                         {"start", start_id_},
--- a/src/cluster/config_watcher.cc
+++ b/src/cluster/config_watcher.cc
@@ -65,21 +65,20 @@
 void cluster::config_watcher::watch() {
   watching_ = true;
   catch_up();
-  shared_.platform_.watch(
-      std::string(control_prefix), since_, watch_length,
-      [this](result<watch_result> got) {
-        if (!got) {
-          since_ = 0;
-          retry_ = shared_.loop_.after(retry_pause,
-                                       [this] { watching_ = false; });
-          return;
-        }
-        since_ = got.value().revision;
-        watching_ = false;
-        if (shared_.members_.is_config_watcher()) {
-          watch();
-        }
-      });
+  shared_.platform_.watch(std::string(control_prefix), since_, watch_length,
+                          [this](result<watch_result> got) {
+                            if (!got) {
+                              since_ = 0;
+                              retry_ = shared_.loop_.after(
+                                  retry_pause, [this] { watching_ = false; });
+                              return;
+                            }
+                            since_ = got.value().revision;
+                            watching_ = false;
+                            if (shared_.members_.is_config_watcher()) {
+                              watch();
+                            }
+                          });
 }
 
 void cluster::config_watcher::catch_up() {
--- a/src/ctl/apply.cc
+++ b/src/ctl/apply.cc
@@ -174,8 +174,8 @@
   int changed = 0;
   for (const listed_object& each : listed.value().items) {
     const result<stored_object> held = stored.get(each.key);
-    json body = held ? json::parse(held.value().bytes, nullptr, false)
-                     : json(nullptr);
+    json body =
+        held ? json::parse(held.value().bytes, nullptr, false) : json(nullptr);
     if (!body.is_object() || body["spec"].value("node", "") != node) {
       continue;
     }
--- a/src/ctl/ctl_main.cc
+++ b/src/ctl/ctl_main.cc
@@ -22,17 +22,16 @@
 }
 
 void print_status(stored_client& stored, const std::string& name) {
-  const result<stored_object> declared =
-      stored.get("c/config/" + name);
+  const result<stored_object> declared = stored.get("c/config/" + name);
   const result<stored_object> status = stored.get("status/" + name);
   const json body = status ? json::parse(status.value().bytes, nullptr, false)
                            : json::object();
   const bool accepted = body.value("accepted", false);
-  std::printf("%-36s version=%llu observed=%llu %s\n", name.c_str(),
-              static_cast<unsigned long long>(
-                  declared ? declared.value().version : 0),
-              body.value("observed_version", 0ULL),
-              !status ? "pending" : (accepted ? "accepted" : "REFUSED"));
+  std::printf(
+      "%-36s version=%llu observed=%llu %s\n", name.c_str(),
+      static_cast<unsigned long long>(declared ? declared.value().version : 0),
+      body.value("observed_version", 0ULL),
+      !status ? "pending" : (accepted ? "accepted" : "REFUSED"));
   for (const json& each : body.value("faults", json::array())) {
     std::printf("    %s\n", each.get<std::string>().c_str());
   }
@@ -90,8 +89,7 @@
       if (each.key == "status/generation") {
         print_generation(stored);
       } else {
-        print_status(stored,
-                     each.key.substr(std::string("status/").size()));
+        print_status(stored, each.key.substr(std::string("status/").size()));
       }
     }
     std::fflush(stdout);
--- a/src/ctl/stored_client.cc
+++ b/src/ctl/stored_client.cc
@@ -33,9 +33,8 @@
 result<std::uint64_t> stored_client::put(const std::string& key,
                                          const std::string& bytes,
                                          std::uint64_t if_version) {
-  return wait<std::uint64_t>([&](auto done) {
-    client_.put(key, bytes, if_version, std::move(done));
-  });
+  return wait<std::uint64_t>(
+      [&](auto done) { client_.put(key, bytes, if_version, std::move(done)); });
 }
 
 result<bool> stored_client::erase(const std::string& key) {
--- a/src/decide/copy_keeper.cc
+++ b/src/decide/copy_keeper.cc
@@ -74,8 +74,7 @@
 }
 
 void copy_keeper::drop_before(tail& from, std::uint64_t sequence) {
-  while (!from.records.empty() &&
-         from.records.front().sequence() < sequence) {
+  while (!from.records.empty() && from.records.front().sequence() < sequence) {
     const std::size_t bytes = from.records.front().ByteSizeLong();
     from.bytes -= bytes;
     bytes_ -= bytes;
--- a/src/decide/declarations.cc
+++ b/src/decide/declarations.cc
@@ -74,9 +74,8 @@
   }
   made.slots = from.number_or("slots", {1, 100000}, made.slots);
   made.max_queue = from.number_or("max_queue", any_count, made.max_queue);
-  made.prefill_tokens_per_second =
-      from.number_or("prefill_tokens_per_second", some_count,
-                     made.prefill_tokens_per_second);
+  made.prefill_tokens_per_second = from.number_or(
+      "prefill_tokens_per_second", some_count, made.prefill_tokens_per_second);
   made.cache_tokens =
       from.number_or("cache_tokens", any_count, made.cache_tokens);
   made.checks_fencing = from.flag_or("checks_fencing", made.checks_fencing);
@@ -94,8 +93,7 @@
       from.number_or("budget_calls", some_count, made.budget_calls);
   made.budget_wall_ms =
       from.number_or("budget_wall_ms", some_time, made.budget_wall_ms);
-  made.deadline_ms =
-      from.number_or("deadline_ms", some_time, made.deadline_ms);
+  made.deadline_ms = from.number_or("deadline_ms", some_time, made.deadline_ms);
   return made;
 }
 
@@ -172,8 +170,8 @@
     faults.push_back({errc::declaration_unknown_kind, path, from.kind});
     return std::nullopt;
   }
-  const json raw = whole.is_object() ? whole.value("spec", json::object())
-                                     : json::object();
+  const json raw =
+      whole.is_object() ? whole.value("spec", json::object()) : json::object();
   strict_object spec(raw, path, declaration_faults, faults);
   declared_spec made;
   if (from.kind == "Service") {
@@ -254,9 +252,9 @@
     }
     const auto [other, fresh] = runners.emplace(each.runner, name);
     if (!fresh) {
-      faults.push_back({errc::declaration_broken_reference, path + "/runner",
-                        "also the runner of Endpoint \"" + other->second +
-                            "\""});
+      faults.push_back(
+          {errc::declaration_broken_reference, path + "/runner",
+           "also the runner of Endpoint \"" + other->second + "\""});
     }
   }
   for (const auto& [name, each] : whole.programs) {
--- a/src/decide/journal_writer.cc
+++ b/src/decide/journal_writer.cc
@@ -45,8 +45,7 @@
   return actions;
 }
 
-void journal_writer::add_write(std::uint64_t now_ms,
-                               journal_actions& actions) {
+void journal_writer::add_write(std::uint64_t now_ms, journal_actions& actions) {
   if (write_.has_value()) {
     if (write_->state == write_state::uncertain &&
         now_ms >= write_->next_try_ms) {
@@ -77,8 +76,7 @@
   actions.push_back(put_segment{write_->number, write_->bytes});
 }
 
-void journal_writer::add_copy(std::uint64_t now_ms,
-                              journal_actions& actions) {
+void journal_writer::add_copy(std::uint64_t now_ms, journal_actions& actions) {
   if (!holder_is_usable() || copy_under_way_ || now_ms < next_copy_ms_) {
     return;
   }
--- a/src/decide/membership.cc
+++ b/src/decide/membership.cc
@@ -35,8 +35,7 @@
   }
   const bool rises = unknown || restarted || news.beat() > held.peer.beat();
   const bool judged_gone = !unknown && !restarted && news.gone() &&
-                           !held.peer.gone() &&
-                           news.beat() >= held.peer.beat();
+                           !held.peer.gone() && news.beat() >= held.peer.beat();
   if (!rises && !judged_gone) {
     return false;
   }
@@ -119,14 +118,13 @@
   return ring;
 }
 
-std::optional<std::size_t> membership::watch_rank(
-    std::string_view node) const {
+std::optional<std::size_t> membership::watch_rank(std::string_view node) const {
   const std::vector<ring_place> ring = ring_with(node);
-  const auto next = std::upper_bound(
-      ring.begin(), ring.end(), hash_of(node),
-      [](std::uint64_t hash, const ring_place& each) {
-        return hash < each.hash;
-      });
+  const auto next =
+      std::upper_bound(ring.begin(), ring.end(), hash_of(node),
+                       [](std::uint64_t hash, const ring_place& each) {
+                         return hash < each.hash;
+                       });
   const auto first = static_cast<std::size_t>(next - ring.begin());
   for (std::size_t rank = 0; rank < std::min(watchers_a_node, ring.size());
        ++rank) {
--- a/src/decide/program_book.cc
+++ b/src/decide/program_book.cc
@@ -25,8 +25,7 @@
     const google::protobuf::RepeatedPtrField<wire::Message>& right) {
   return std::equal(left.begin(), left.end(), right.begin(), right.end(),
                     [](const wire::Message& a, const wire::Message& b) {
-                      return a.role() == b.role() &&
-                             a.content() == b.content();
+                      return a.role() == b.role() && a.content() == b.content();
                     });
 }
 
@@ -132,8 +131,7 @@
   if (const auto* failure = std::get_if<wire::Failure>(&looked_up)) {
     return refuse_call{*failure};
   }
-  const program_state& program =
-      *std::get<const program_state*>(looked_up);
+  const program_state& program = *std::get<const program_state*>(looked_up);
   wire::CallIntent intent;
   intent.set_program(request.program());
   intent.set_idempotency_key(request.idempotency_key());
@@ -141,9 +139,9 @@
   intent.set_repeatable(terms.repeatable);
   intent.set_max_tokens(terms.max_tokens);
   if (const turn* same = program.find_key(request.idempotency_key())) {
-    const bool differs = !request.whole_history() &&
-                         !same_messages(same->intent.messages(),
-                                        request.messages());
+    const bool differs =
+        !request.whole_history() &&
+        !same_messages(same->intent.messages(), request.messages());
     if (differs) {
       return refused(errc::key_reused);
     }
@@ -165,8 +163,7 @@
                          "next is " + std::to_string(next));
   }
   if (asked > next) {
-    return refused(errc::sequence_in_future,
-                   "next is " + std::to_string(next));
+    return refused(errc::sequence_in_future, "next is " + std::to_string(next));
   }
   if (program.in_call()) {
     return refused(errc::call_in_progress);
@@ -180,10 +177,10 @@
   intent.set_attempt(program.dropped_attempts);
   const std::uint64_t context =
       terms.conversational ? program.context_tokens : 0;
-  intent.set_reserved_tokens(
-      terms.max_tokens == 0
-          ? 0
-          : context + most_tokens(intent.messages()) + terms.max_tokens);
+  intent.set_reserved_tokens(terms.max_tokens == 0
+                                 ? 0
+                                 : context + most_tokens(intent.messages()) +
+                                       terms.max_tokens);
   const wire::Failure over =
       check_budget(program, intent.reserved_tokens(), now_ms);
   if (over.code() != 0) {
@@ -325,8 +322,8 @@
           : open.intent.reserved_tokens();
   charge(*program, spent);
   program->recomputed_tokens += usage.recomputed_tokens();
-  program->attained_tokens += usage.prompt_tokens() - usage.cached_tokens() +
-                              usage.completion_tokens();
+  program->attained_tokens +=
+      usage.prompt_tokens() - usage.cached_tokens() + usage.completion_tokens();
   if (open.intent.service() == program->spec.service() &&
       outcome.ran() == wire::RAN_YES) {
     program->context_tokens =
--- a/src/decide/request_table.cc
+++ b/src/decide/request_table.cc
@@ -67,8 +67,7 @@
 }
 
 void request_table::raise_floor(const std::string& program,
-                                std::uint64_t sequence,
-                                std::uint64_t now_ms) {
+                                std::uint64_t sequence, std::uint64_t now_ms) {
   floor& held = floors_[program];
   held.touched_ms = now_ms;
   if (sequence <= held.sequence) {
@@ -88,8 +87,7 @@
   raise_floor(program, UINT64_MAX, now_ms);
 }
 
-void request_table::expire(std::uint64_t before_ms,
-                           std::uint64_t closed_ms) {
+void request_table::expire(std::uint64_t before_ms, std::uint64_t closed_ms) {
   std::erase_if(entries_, [&](const auto& each) {
     const request_entry& entry = each.second;
     return entry.state != request_state::running &&
--- a/src/entry/call_stream.cc
+++ b/src/entry/call_stream.cc
@@ -24,8 +24,10 @@
 }
 
 json done_json(const wire::CallDone& done) {
-  return {{"sequence", done.sequence()},   {"answer", done.text()},
-          {"attempts", done.attempts()},   {"replayed", done.replayed()},
+  return {{"sequence", done.sequence()},
+          {"answer", done.text()},
+          {"attempts", done.attempts()},
+          {"replayed", done.replayed()},
           {"usage", usage_json(done.usage())}};
 }
 
@@ -69,8 +71,8 @@
     const json choice{{"index", 0},
                       {"delta", {{"content", text}}},
                       {"finish_reason", nullptr}};
-    stream.out->chunk("data: " +
-                      frame(choice, "chat.completion.chunk").dump() + "\n\n");
+    stream.out->chunk("data: " + frame(choice, "chat.completion.chunk").dump() +
+                      "\n\n");
   }
 
   // What was sent cannot be taken back: end without the closing mark.
@@ -122,10 +124,10 @@
 }
 
 owner_client::call_callbacks chat_answer(http_exchange_ptr out,
-                                         std::string program,
-                                         std::string model, bool stream) {
-  auto state = std::make_shared<chat_state>(chat_state{
-      {std::move(out)}, std::move(program), std::move(model), {}});
+                                         std::string program, std::string model,
+                                         bool stream) {
+  auto state = std::make_shared<chat_state>(
+      chat_state{{std::move(out)}, std::move(program), std::move(model), {}});
   owner_client::call_callbacks made;
   made.on_chunk = [state, stream](const wire::Chunk& chunk) {
     if (!stream || state->stream.out->answered()) {
@@ -159,9 +161,8 @@
     if (done.text().size() > state->sent.size() || state->sent.empty()) {
       state->send_text(done.text().substr(state->sent.size()));
     }
-    const json choice{{"index", 0},
-                      {"delta", json::object()},
-                      {"finish_reason", "stop"}};
+    const json choice{
+        {"index", 0}, {"delta", json::object()}, {"finish_reason", "stop"}};
     json last = state->frame(choice, "chat.completion.chunk");
     last["usage"] = usage_json(done.usage());
     out->chunk("data: " + last.dump() + "\n\ndata: [DONE]\n\n");
--- a/src/entry/call_stream.h
+++ b/src/entry/call_stream.h
@@ -18,7 +18,7 @@
 
 // A chat completion, whole or as a stream.
 owner_client::call_callbacks chat_answer(http_exchange_ptr out,
-                                         std::string program,
-                                         std::string model, bool stream);
+                                         std::string program, std::string model,
+                                         bool stream);
 
 }  // namespace trayrock
--- a/src/entry/caller_api.cc
+++ b/src/entry/caller_api.cc
@@ -127,8 +127,7 @@
   return {{"error", error}};
 }
 
-void reply_failure(const http_exchange_ptr& out,
-                   const wire::Failure& failure) {
+void reply_failure(const http_exchange_ptr& out, const wire::Failure& failure) {
   if (failure.retry_after_ms() > 0) {
     const std::uint64_t seconds =
         (failure.retry_after_ms() + ms_per_second - 1) / ms_per_second;
@@ -194,8 +193,7 @@
   return true;
 }
 
-wire::Failure caller_api::fill_spec(const json& body,
-                                    const std::string& member,
+wire::Failure caller_api::fill_spec(const json& body, const std::string& member,
                                     wire::ProgramSpec& spec) {
   std::string template_name;
   std::string service;
@@ -226,8 +224,7 @@
   std::uint64_t wall_ms = limits.budget_wall_ms;
   sound = sound && read_field(body, "class", work_class);
   const json budget = body.value("budget", json::object());
-  sound = sound && budget.is_object() &&
-          read_field(budget, "tokens", tokens) &&
+  sound = sound && budget.is_object() && read_field(budget, "tokens", tokens) &&
           read_field(budget, "calls", calls) &&
           read_field(budget, "wall_ms", wall_ms);
   if (!sound || (work_class != "urgent" && work_class != "normal" &&
@@ -258,9 +255,8 @@
     return;
   }
   wire::OpenRequest open;
-  const wire::Failure failure =
-      fill_spec(body, std::string(request.header(member_header)),
-                *open.mutable_spec());
+  const wire::Failure failure = fill_spec(
+      body, std::string(request.header(member_header)), *open.mutable_spec());
   if (failure.code() != 0) {
     reply_failure(out, failure);
     return;
@@ -377,30 +373,29 @@
   // The first call of a script that knows nothing of programs opens one.
   wire::OpenRequest open;
   json wanted{{"service", model}};
-  const wire::Failure failure =
-      fill_spec(wanted, member, *open.mutable_spec());
+  const wire::Failure failure = fill_spec(wanted, member, *open.mutable_spec());
   if (failure.code() != 0) {
     reply_failure(out, failure);
     return;
   }
-  owners_.open(open, [this, out, call, stream,
-                      model](const wire::OpenReply& reply) {
-    if (reply.failure().code() != 0) {
-      reply_failure(out, reply.failure());
-      return;
-    }
-    wire::CallRequest first = call;
-    first.set_program(reply.spec().id());
-    chat_in_program(first, stream, model, out);
-  });
+  owners_.open(open,
+               [this, out, call, stream, model](const wire::OpenReply& reply) {
+                 if (reply.failure().code() != 0) {
+                   reply_failure(out, reply.failure());
+                   return;
+                 }
+                 wire::CallRequest first = call;
+                 first.set_program(reply.spec().id());
+                 chat_in_program(first, stream, model, out);
+               });
 }
 
 void caller_api::chat_in_program(const wire::CallRequest& call, bool stream,
                                  const std::string& model,
                                  const http_exchange_ptr& out) {
   out->add_header("X-Trayrock-Program", call.program());
-  const std::uint64_t number = owners_.call(
-      call, chat_answer(out, call.program(), model, stream));
+  const std::uint64_t number =
+      owners_.call(call, chat_answer(out, call.program(), model, stream));
   out->on_gone([this, number] { owners_.cancel(number); });
 }
 
--- a/src/entry/entry_main.cc
+++ b/src/entry/entry_main.cc
@@ -14,6 +14,8 @@
 
 constexpr milliseconds drain_check_period{100};
 constexpr milliseconds measure_period{1000};
+// Platform calls a second until the number of processes is known.
+constexpr double first_platform_rate = 10;
 // Checks in a row that must find nothing open before the process ends.
 constexpr int quiet_checks = 10;
 constexpr int checks_before_closing = 10;
@@ -28,7 +30,7 @@
                          milliseconds(settings.idle_timeout_ms)}),
         platform_(loop_, settings.process.platform, "entry",
                   milliseconds(settings.process.platform_timeout_ms),
-                  settings.process.platform_calls_per_second),
+                  first_platform_rate),
         shared_(loop_, settings.process, server_, pool_, platform_, metrics_,
                 process_kind::entry),
         owners_(loop_, shared_, pool_, metrics_,
@@ -36,20 +38,20 @@
         api_(shared_, owners_, metrics_) {}
 
   int run() {
-    callers_.handle([this](const http_request& request,
-                           const http_exchange_ptr& out) {
-      const probe_sources sources{
-          metrics_, [this] { return is_ready(); },
-          [this, &request] {
-            return shared_.status_json(request.parameter("program"));
-          }};
-      if (draining_) {
-        out->add_header("Connection", "close");
-      }
-      if (!answer_probe(request, out, sources)) {
-        api_.serve(request, out);
-      }
-    });
+    callers_.handle(
+        [this](const http_request& request, const http_exchange_ptr& out) {
+          const probe_sources sources{
+              metrics_, [this] { return is_ready(); },
+              [this, &request] {
+                return shared_.status_json(request.parameter("program"));
+              }};
+          if (draining_) {
+            out->add_header("Connection", "close");
+          }
+          if (!answer_probe(request, out, sources)) {
+            api_.serve(request, out);
+          }
+        });
     if (!server_.listen(settings_.process.rpc_listen) ||
         !callers_.listen(settings_.process.http_listen)) {
       std::fprintf(stderr, "cannot listen\n");
@@ -57,11 +59,9 @@
     }
     log_info("entry_started", {{"entry", settings_.process.name}});
     shared_.start();
-    const timer terminate =
-        loop_.on_signal(SIGTERM, [this] { begin_drain(); });
+    const timer terminate = loop_.on_signal(SIGTERM, [this] { begin_drain(); });
     const timer interrupt = loop_.on_signal(SIGINT, [this] { begin_drain(); });
-    const timer measuring =
-        loop_.every(measure_period, [this] { measure(); });
+    const timer measuring = loop_.every(measure_period, [this] { measure(); });
     loop_.run();
     return exit_code_;
   }
--- a/src/entry/owner_client.cc
+++ b/src/entry/owner_client.cc
@@ -137,8 +137,7 @@
             again(what, reply.error() != errc::connect_failed);
             return;
           }
-          const auto code =
-              static_cast<errc>(reply.value().failure().code());
+          const auto code = static_cast<errc>(reply.value().failure().code());
           if (code == errc::shard_moving) {
             again(what, false);
             return;
@@ -165,8 +164,8 @@
 void owner_client::inspect(
     const wire::InspectRequest& request,
     std::function<void(const wire::InspectReply&)> done) {
-  ask<wire::InspectRequest, wire::InspectReply>(
-      "Inspect", request.program(), request, std::move(done));
+  ask<wire::InspectRequest, wire::InspectReply>("Inspect", request.program(),
+                                                request, std::move(done));
 }
 
 std::uint64_t owner_client::call(const wire::CallRequest& request,
--- a/src/log.cc
+++ b/src/log.cc
@@ -29,8 +29,7 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
-void write(log4cplus::LogLevel level, std::string_view event,
-           log_pairs pairs) {
+void write(log4cplus::LogLevel level, std::string_view event, log_pairs pairs) {
   if (!logger().isEnabledFor(level)) {
     return;
   }
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -98,8 +98,8 @@
                                const metric_labels& labels, double sample) {
   auto& held = distributions_[key_of(name, labels)];
   if (held == nullptr) {
-    held = std::make_unique<distribution>(std::string(name),
-                                          label_block(labels));
+    held =
+        std::make_unique<distribution>(std::string(name), label_block(labels));
   }
   held->samples(sample);
 }
--- a/src/net/address.cc
+++ b/src/net/address.cc
@@ -18,8 +18,8 @@
     return errc::settings_out_of_range;
   }
   const std::string_view digits = text.substr(colon + 1);
-  const auto parsed = std::from_chars(
-      digits.data(), digits.data() + digits.size(), made.port_);
+  const auto parsed =
+      std::from_chars(digits.data(), digits.data() + digits.size(), made.port_);
   const bool whole = parsed.ptr == digits.data() + digits.size();
   if (parsed.ec != std::errc() || !whole || made.port_ == 0) {
     return errc::settings_out_of_range;
--- a/src/net/http2_session.cc
+++ b/src/net/http2_session.cc
@@ -25,9 +25,8 @@
 
 }  // namespace
 
-bool message_cutter::add(
-    std::string_view bytes,
-    const std::function<void(std::string_view)>& deliver) {
+bool message_cutter::add(std::string_view bytes,
+                         const std::function<void(std::string_view)>& deliver) {
   held_.append(bytes);
   std::size_t at = 0;
   while (held_.size() - at >= length_bytes) {
@@ -80,8 +79,8 @@
                   std::uint64_t& bytes_in) {
   evbuffer* input = bufferevent_get_input(bev);
   while (evbuffer_get_length(input) > 0) {
-    const auto length = static_cast<std::size_t>(
-        evbuffer_get_contiguous_space(input));
+    const auto length =
+        static_cast<std::size_t>(evbuffer_get_contiguous_space(input));
     const unsigned char* bytes =
         evbuffer_pullup(input, static_cast<ev_ssize_t>(length));
     busy = true;
@@ -130,8 +129,7 @@
 
 void set_no_delay(bufferevent* bev) {
   const int on = 1;
-  setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
-             sizeof(on));
+  setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
 }  // namespace trayrock::internal
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -205,9 +205,8 @@
                              done_callback on_done) {
   auto call = std::make_shared<http_call::state>();
   if (!message.body.empty() && !may_have_body(message.method)) {
-    impl_->loop.post([done = std::move(on_done)] {
-      done(errc::malformed_request);
-    });
+    impl_->loop.post(
+        [done = std::move(on_done)] { done(errc::malformed_request); });
     return {};
   }
   call->client = impl_;
@@ -215,8 +214,7 @@
   call->timeout = timeout;
   call->connection = impl_->take(peer);
   call->on_done = std::move(on_done);
-  call->request =
-      evhttp_request_new(http_call::state::on_complete, call.get());
+  call->request = evhttp_request_new(http_call::state::on_complete, call.get());
   if (on_chunk) {
     call->on_chunk = std::move(on_chunk);
     evhttp_request_set_chunked_cb(call->request, http_call::state::on_body);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -233,8 +233,8 @@
   impl_->http = evhttp_new(loop.base());
   evhttp_set_max_body_size(impl_->http,
                            static_cast<ev_ssize_t>(limits.max_body_bytes));
-  evhttp_set_max_headers_size(
-      impl_->http, static_cast<ev_ssize_t>(limits.max_header_bytes));
+  evhttp_set_max_headers_size(impl_->http,
+                              static_cast<ev_ssize_t>(limits.max_header_bytes));
   evhttp_set_allowed_methods(impl_->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
                                               EVHTTP_REQ_PUT |
                                               EVHTTP_REQ_DELETE);
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -84,9 +84,7 @@
 
 event_loop::~event_loop() { event_base_free(base_); }
 
-void event_loop::run() {
-  event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY);
-}
+void event_loop::run() { event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY); }
 
 void event_loop::stop() { event_base_loopbreak(base_); }
 
--- a/src/net/rpc_client.cc
+++ b/src/net/rpc_client.cc
@@ -78,8 +78,7 @@
     nghttp2_session_callbacks_new(&callbacks);
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
                                                               on_data);
-    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
-                                                           on_close);
+    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, on_close);
     nghttp2_session_client_new(&session, callbacks, this);
     nghttp2_session_callbacks_del(callbacks);
     internal::submit_large_windows(session);
@@ -96,8 +95,8 @@
   }
 
   void flush() {
-    if (!failed && !internal::flush_session(session, bev, busy,
-                                            counters.bytes_out)) {
+    if (!failed &&
+        !internal::flush_session(session, bev, busy, counters.bytes_out)) {
       fail(errc::connection_lost);
     }
   }
@@ -124,10 +123,9 @@
   void start(const std::shared_ptr<rpc_call::state>& call,
              std::string_view method, const std::string& authority) {
     const std::string path = "/" + std::string(method);
-    const std::array headers{header(":method", "POST"),
-                             header(":scheme", "http"),
-                             header(":authority", authority),
-                             header(":path", path)};
+    const std::array headers{
+        header(":method", "POST"), header(":scheme", "http"),
+        header(":authority", authority), header(":path", path)};
     nghttp2_data_provider provider{};
     provider.source.ptr = &call->output;
     provider.read_callback = stream_output::pull;
@@ -179,20 +177,20 @@
     }
     const std::shared_ptr<rpc_call::state> call = found->second;
     me.restart_silence(call);
-    const bool fits = call->cutter.add(
-        {reinterpret_cast<const char*>(bytes), length},
-        [&call](std::string_view body) {
-          call->answered = true;
-          if (call->on_message) {
-            // The callback may drop the call and itself with it.
-            const auto on_message = call->on_message;
-            on_message(body);
-          }
-        });
+    const bool fits =
+        call->cutter.add({reinterpret_cast<const char*>(bytes), length},
+                         [&call](std::string_view body) {
+                           call->answered = true;
+                           if (call->on_message) {
+                             // The callback may drop the call and itself with
+                             // it.
+                             const auto on_message = call->on_message;
+                             on_message(body);
+                           }
+                         });
     if (!fits) {
       ++me.counters.garbled;
-      nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id,
-                                NGHTTP2_CANCEL);
+      nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
     }
     return 0;
   }
@@ -208,8 +206,8 @@
     }
     const std::shared_ptr<rpc_call::state> call = std::move(found->second);
     me.calls.erase(found);
-    const bool whole = error_code == NGHTTP2_NO_ERROR &&
-                       call->cutter.at_boundary();
+    const bool whole =
+        error_code == NGHTTP2_NO_ERROR && call->cutter.at_boundary();
     me.loop.post([call, whole] {
       call->end(whole ? std::error_code()
                       : make_error_code(errc::connection_lost));
@@ -270,8 +268,7 @@
   bool failed = false;
   std::unordered_map<std::int32_t, std::shared_ptr<rpc_call::state>> calls;
   // nghttp2 may still pull from these until their streams close.
-  std::unordered_map<std::int32_t, std::shared_ptr<rpc_call::state>>
-      cancelled;
+  std::unordered_map<std::int32_t, std::shared_ptr<rpc_call::state>> cancelled;
 };
 
 }  // namespace
--- a/src/net/rpc_server.cc
+++ b/src/net/rpc_server.cc
@@ -106,8 +106,7 @@
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
                                                               on_data);
     nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, on_frame);
-    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
-                                                           on_close);
+    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, on_close);
     nghttp2_session_server_new(&session, callbacks, this);
     nghttp2_session_callbacks_del(callbacks);
     internal::submit_large_windows(session);
@@ -159,8 +158,8 @@
   static int on_begin(nghttp2_session*, const nghttp2_frame* frame,
                       void* context) {
     server_connection& me = self(context);
-    auto stream = std::make_shared<server_stream>(
-        me.weak_from_this(), me.limits.max_message_bytes);
+    auto stream = std::make_shared<server_stream>(me.weak_from_this(),
+                                                  me.limits.max_message_bytes);
     stream->id = frame->hd.stream_id;
     me.streams[stream->id] = stream;
     return 0;
@@ -188,16 +187,15 @@
     if (stream == nullptr) {
       return 0;
     }
-    const bool fits = stream->cutter.add(
-        {reinterpret_cast<const char*>(bytes), length},
-        [stream](std::string_view body) {
-          stream->body.assign(body);
-          stream->has_body = true;
-        });
+    const bool fits =
+        stream->cutter.add({reinterpret_cast<const char*>(bytes), length},
+                           [stream](std::string_view body) {
+                             stream->body.assign(body);
+                             stream->has_body = true;
+                           });
     if (!fits) {
       ++me.counters.garbled;
-      nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id,
-                                NGHTTP2_CANCEL);
+      nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
     }
     return 0;
   }
@@ -205,8 +203,8 @@
   static int on_frame(nghttp2_session*, const nghttp2_frame* frame,
                       void* context) {
     server_connection& me = self(context);
-    const bool carries = frame->hd.type == NGHTTP2_DATA ||
-                         frame->hd.type == NGHTTP2_HEADERS;
+    const bool carries =
+        frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
     const bool last = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
     const auto found = me.streams.find(frame->hd.stream_id);
     if (carries && last && found != me.streams.end()) {
--- a/src/node/cache_holds.cc
+++ b/src/node/cache_holds.cc
@@ -103,19 +103,18 @@
   const bool hold = state.wanted;
   state.renew = false;
   state.ordering = true;
-  const std::string target =
-      "/v1/holds?program=" + program +
-      "&fence_group=" + std::string(root_of(program)) +
-      "&fence=" + std::to_string(term_of_(program));
+  const std::string target = "/v1/holds?program=" + program +
+                             "&fence_group=" + std::string(root_of(program)) +
+                             "&fence=" + std::to_string(term_of_(program));
   const http_message order{hold ? "POST" : "DELETE", target, "", {}};
-  state.order = client_.start(
-      state.engine, order, order_timeout, nullptr,
-      [this, program, hold](const result<http_reply>& reply) {
-        loop_.post([this, program, hold,
-                    done = reply && reply.value().status == ok] {
-          answered(program, hold, done);
-        });
-      });
+  state.order =
+      client_.start(state.engine, order, order_timeout, nullptr,
+                    [this, program, hold](const result<http_reply>& reply) {
+                      loop_.post([this, program, hold,
+                                  done = reply && reply.value().status == ok] {
+                        answered(program, hold, done);
+                      });
+                    });
 }
 
 void cache_holds::answered(const std::string& program, bool held, bool done) {
--- a/src/node/journal.cc
+++ b/src/node/journal.cc
@@ -101,8 +101,8 @@
     self.acknowledged(action.up_to);
   }
   void operator()(const step_down& action) const {
-    log_warn("journal_sealed", {{"journal", self.name()},
-                                {"successor", action.successor}});
+    log_warn("journal_sealed",
+             {{"journal", self.name()}, {"successor", action.successor}});
     self.durable_waiters_.clear();
     self.stored_waiters_.clear();
     if (self.on_sealed_) {
--- a/src/node/journal_loader.cc
+++ b/src/node/journal_loader.cc
@@ -19,8 +19,7 @@
 
 journal_loader::journal_loader(event_loop& loop, cluster& shared,
                                rpc_pool& pool, platform_client& platform,
-                               metrics_registry& metrics,
-                               std::string successor,
+                               metrics_registry& metrics, std::string successor,
                                std::vector<wire::JournalRange> sources,
                                done_callback done)
     : loop_(loop),
@@ -50,24 +49,23 @@
 
 void journal_loader::list_segments() {
   std::weak_ptr<bool> alive = alive_;
-  platform_.list(segment_prefix(source().journal()),
-                 [this, alive](result<listing> got) {
-                   if (alive.expired()) {
-                     return;
-                   }
-                   if (!got) {
-                     retry_ = loop_.after(retry_pause,
-                                          [this] { list_segments(); });
-                     return;
-                   }
-                   segments_ = std::move(got.value().items);
-                   std::erase_if(segments_, [this](const listed_object& each) {
-                     const std::uint64_t number = number_of(each);
-                     return number < source().first_segment() ||
-                            number >= source().end_segment();
-                   });
-                   read_segment(0);
-                 });
+  platform_.list(
+      segment_prefix(source().journal()), [this, alive](result<listing> got) {
+        if (alive.expired()) {
+          return;
+        }
+        if (!got) {
+          retry_ = loop_.after(retry_pause, [this] { list_segments(); });
+          return;
+        }
+        segments_ = std::move(got.value().items);
+        std::erase_if(segments_, [this](const listed_object& each) {
+          const std::uint64_t number = number_of(each);
+          return number < source().first_segment() ||
+                 number >= source().end_segment();
+        });
+        read_segment(0);
+      });
 }
 
 void journal_loader::read_segment(std::size_t index) {
@@ -76,23 +74,21 @@
     return;
   }
   std::weak_ptr<bool> alive = alive_;
-  platform_.get(segments_[index].key,
-                [this, alive, index](const result<stored_object>& got) {
-                  if (alive.expired()) {
-                    return;
-                  }
-                  wire::Segment segment;
-                  if (!got || !segment.ParseFromString(got.value().bytes)) {
-                    retry_ = loop_.after(retry_pause, [this, index] {
-                      read_segment(index);
-                    });
-                    return;
-                  }
-                  for (wire::Record& each : reader_.take(segment)) {
-                    records_.push_back(std::move(each));
-                  }
-                  read_segment(index + 1);
-                });
+  platform_.get(segments_[index].key, [this, alive, index](
+                                          const result<stored_object>& got) {
+    if (alive.expired()) {
+      return;
+    }
+    wire::Segment segment;
+    if (!got || !segment.ParseFromString(got.value().bytes)) {
+      retry_ = loop_.after(retry_pause, [this, index] { read_segment(index); });
+      return;
+    }
+    for (wire::Record& each : reader_.take(segment)) {
+      records_.push_back(std::move(each));
+    }
+    read_segment(index + 1);
+  });
 }
 
 void journal_loader::claim_tail() {
@@ -107,10 +103,9 @@
   tail_.holder_named = reader_.holder().has_value();
   tail_.holder_box_gone =
       tail_.holder_named && shared_.box_gone(reader_.holder()->node());
-  tail_.owner_gone =
-      (self && old.start != shared_.start_id()) ||
-      (member != nullptr && old.start < member->peer.start()) ||
-      shared_.box_gone(old.node);
+  tail_.owner_gone = (self && old.start != shared_.start_id()) ||
+                     (member != nullptr && old.start < member->peer.start()) ||
+                     shared_.box_gone(old.node);
   switch (next_tail_step(tail_)) {
     case tail_step::nothing_needed:
       ++at_;
@@ -120,9 +115,9 @@
       ask_holder();
       break;
     case tail_step::ask_owner:
-      ask_old_owner(self ? shared_.members().self().address()
-                         : (member == nullptr ? std::string()
-                                              : member->peer.address()));
+      ask_old_owner(
+          self ? shared_.members().self().address()
+               : (member == nullptr ? std::string() : member->peer.address()));
       break;
     case tail_step::take_tail:
       take_tail();
@@ -153,12 +148,12 @@
 void journal_loader::ask_old_owner(const std::string& address) {
   wire::HandOverTail request;
   request.set_journal(source().journal());
-  call_ = pool_.ask<wire::CopyTail>(
-      address, "HandOverTail", request, claim_timeout,
-      [this](result<wire::CopyTail> tail) {
-        tail_.owner = take_answer(std::move(tail));
-        step_later(tail_.owner);
-      });
+  call_ =
+      pool_.ask<wire::CopyTail>(address, "HandOverTail", request, claim_timeout,
+                                [this](result<wire::CopyTail> tail) {
+                                  tail_.owner = take_answer(std::move(tail));
+                                  step_later(tail_.owner);
+                                });
 }
 
 tail_answer journal_loader::take_answer(result<wire::CopyTail> tail) {
@@ -173,17 +168,16 @@
 }
 
 void journal_loader::step_later(tail_answer answer) {
-  const milliseconds pause = answer == tail_answer::unreachable
-                                 ? retry_pause
-                                 : milliseconds(0);
+  const milliseconds pause =
+      answer == tail_answer::unreachable ? retry_pause : milliseconds(0);
   retry_ = loop_.after(pause, [this] { claim_tail(); });
 }
 
 void journal_loader::take_tail() {
   log_info("tail_taken", {{"journal", source().journal()},
                           {"records", std::to_string(given_.records_size())}});
-  for (wire::Record& each : reader_.take_tail(
-           {given_.records().begin(), given_.records().end()})) {
+  for (wire::Record& each :
+       reader_.take_tail({given_.records().begin(), given_.records().end()})) {
     records_.push_back(std::move(each));
   }
   ++at_;
--- a/src/node/node_main.cc
+++ b/src/node/node_main.cc
@@ -16,6 +16,8 @@
 
 constexpr milliseconds drain_check_period{100};
 constexpr milliseconds measure_period{1000};
+// Platform calls a second until the number of processes is known.
+constexpr double first_platform_rate = 10;
 // Checks in a row that must find nothing left, so that last bytes are out.
 constexpr int quiet_checks = 4;
 
@@ -28,7 +30,7 @@
         probes_(loop_, {}),
         platform_(loop_, settings.process.platform, "node",
                   milliseconds(settings.process.platform_timeout_ms),
-                  settings.process.platform_calls_per_second),
+                  first_platform_rate),
         shared_(loop_, settings.process, server_, pool_, platform_, metrics_,
                 process_kind::node),
         gate_(loop_, shared_, server_, metrics_),
@@ -39,31 +41,29 @@
                 owner_) {}
 
   int run() {
-    probes_.handle([this](const http_request& request,
-                          const http_exchange_ptr& out) {
-      const probe_sources sources{
-          metrics_, [this] { return is_ready(); },
-          [this, &request] {
-            return shared_.status_json(request.parameter("program"));
-          }};
-      if (!answer_probe(request, out, sources)) {
-        out->reply(http_status(errc::unknown_path), "text/plain", "");
-      }
-    });
+    probes_.handle(
+        [this](const http_request& request, const http_exchange_ptr& out) {
+          const probe_sources sources{
+              metrics_, [this] { return is_ready(); },
+              [this, &request] {
+                return shared_.status_json(request.parameter("program"));
+              }};
+          if (!answer_probe(request, out, sources)) {
+            out->reply(http_status(errc::unknown_path), "text/plain", "");
+          }
+        });
     if (!server_.listen(settings_.process.rpc_listen) ||
         !probes_.listen(settings_.process.http_listen)) {
       std::fprintf(stderr, "cannot listen\n");
       return exit_listen;
     }
-    log_info("node_started", {{"node", settings_.process.name},
-                              {"start", shared_.start_id()}});
+    log_info("node_started",
+             {{"node", settings_.process.name}, {"start", shared_.start_id()}});
     keeper_.start();
     shared_.start();
-    const timer terminate =
-        loop_.on_signal(SIGTERM, [this] { begin_drain(); });
+    const timer terminate = loop_.on_signal(SIGTERM, [this] { begin_drain(); });
     const timer interrupt = loop_.on_signal(SIGINT, [this] { begin_drain(); });
-    const timer measuring =
-        loop_.every(measure_period, [this] { measure(); });
+    const timer measuring = loop_.every(measure_period, [this] { measure(); });
     loop_.run();
     return exit_code_;
   }
@@ -108,8 +108,7 @@
 
   void check_drained() {
     const bool work_left = gate_.active() > 0 || owner_.active_calls() > 0;
-    const bool state_left =
-        !keeper_.drained() || keeper_.copies().bytes() > 0;
+    const bool state_left = !keeper_.drained() || keeper_.copies().bytes() > 0;
     const bool empty = !work_left && (!state_left || everyone_leaves());
     quiet_ = empty ? quiet_ + 1 : 0;
     if (quiet_ >= quiet_checks) {
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -43,8 +43,8 @@
         end(request, reply);
       });
   server.handle_typed<wire::InspectRequest>(
-      "Inspect", [this](wire::InspectRequest& request,
-                        const rpc_reply_ptr& reply) {
+      "Inspect",
+      [this](wire::InspectRequest& request, const rpc_reply_ptr& reply) {
         inspect(request, reply);
       });
   housekeeping_ = loop_.every(housekeeping_period, [this] {
@@ -170,13 +170,12 @@
 
 // ---- Requests -------------------------------------------------------------
 
-void owner::open(const wire::OpenRequest& request,
-                 const rpc_reply_ptr& reply) {
+void owner::open(const wire::OpenRequest& request, const rpc_reply_ptr& reply) {
   wire::OpenReply answer;
   const wire::ProgramSpec& spec = request.spec();
   if (!is_here(spec.id())) {
-    *answer.mutable_failure() = make_failure(errc::shard_moving, wire::RAN_NO,
-                                             shard_moving_retry_ms);
+    *answer.mutable_failure() =
+        make_failure(errc::shard_moving, wire::RAN_NO, shard_moving_retry_ms);
   } else if (book_.size() >= limits_.max_programs) {
     constexpr std::uint64_t retry_ms = 2000;
     *answer.mutable_failure() =
@@ -202,8 +201,8 @@
 void owner::end(const wire::EndRequest& request, const rpc_reply_ptr& reply) {
   wire::EndReply answer;
   if (!is_here(request.program())) {
-    *answer.mutable_failure() = make_failure(errc::shard_moving, wire::RAN_NO,
-                                             shard_moving_retry_ms);
+    *answer.mutable_failure() =
+        make_failure(errc::shard_moving, wire::RAN_NO, shard_moving_retry_ms);
     reply->send(answer);
     reply->finish();
     return;
@@ -224,11 +223,11 @@
     constexpr std::uint64_t ms_unknown = 0;
     const std::uint64_t opened = program.spec.opened_at_ms();
     const std::uint64_t now = wall_clock_ms();
-    metrics_.observe("program_ms",
-                     {{"service", program.spec.service()},
-                      {"class", program.spec.work_class()}},
-                     static_cast<double>(now > opened ? now - opened
-                                                      : ms_unknown));
+    metrics_.observe(
+        "program_ms",
+        {{"service", program.spec.service()},
+         {"class", program.spec.work_class()}},
+        static_cast<double>(now > opened ? now - opened : ms_unknown));
   }
   release_at_runners(program);
   wire::Record record;
@@ -244,8 +243,8 @@
                     const rpc_reply_ptr& reply) {
   wire::InspectReply answer;
   if (!is_here(request.program())) {
-    *answer.mutable_failure() = make_failure(errc::shard_moving, wire::RAN_NO,
-                                             shard_moving_retry_ms);
+    *answer.mutable_failure() =
+        make_failure(errc::shard_moving, wire::RAN_NO, shard_moving_retry_ms);
     reply->send(answer);
     reply->finish();
     return;
@@ -285,8 +284,7 @@
   return terms;
 }
 
-void owner::call(const wire::CallRequest& request,
-                 const rpc_reply_ptr& reply) {
+void owner::call(const wire::CallRequest& request, const rpc_reply_ptr& reply) {
   if (!is_here(request.program())) {
     reply->send(moved_event(shared_.map().version()));
     reply->finish();
@@ -295,8 +293,7 @@
   metrics_.add("calls_total");
   const program_state* program = book_.find(request.program());
   const call_terms terms = terms_for(request, program);
-  call_decision decision =
-      book_.admit(request, terms, wall_clock_ms());
+  call_decision decision = book_.admit(request, terms, wall_clock_ms());
   // A settled call whose outcome is not durable yet is still under way.
   const auto running = active_.find(request.program());
   if (running != active_.end() &&
@@ -308,15 +305,14 @@
   }
   if (auto* begin = std::get_if<start_call>(&decision)) {
     if (!shared_.config().services.contains(terms.service)) {
-      decision = refuse_call{make_failure(errc::unknown_service, wire::RAN_NO,
-                                          0, terms.service)};
+      decision = refuse_call{
+          make_failure(errc::unknown_service, wire::RAN_NO, 0, terms.service)};
     } else {
       start(std::move(begin->intent), reply);
       return;
     }
   }
-  if (std::holds_alternative<join_call>(decision) &&
-      running != active_.end()) {
+  if (std::holds_alternative<join_call>(decision) && running != active_.end()) {
     join(running->second, reply);
   } else if (const auto* again = std::get_if<replay_call>(&decision)) {
     replay(program->turns[again->sequence - 1], reply);
@@ -402,8 +398,7 @@
   std::set<std::pair<std::string, std::string>> seen;
   for (const turn& each : program.turns) {
     const member_view* member = shared_.members().find(each.intent.node());
-    const bool self =
-        each.intent.node() == shared_.members().self().node();
+    const bool self = each.intent.node() == shared_.members().self().node();
     if ((member == nullptr && !self) ||
         !seen.emplace(each.intent.node(), each.intent.endpoint()).second) {
       continue;
@@ -414,9 +409,8 @@
     request.set_endpoint(each.intent.endpoint());
     request.set_shard(shard);
     request.set_term(term_for(shard));
-    const std::string address = self
-                                    ? shared_.members().self().address()
-                                    : member->peer.address();
+    const std::string address =
+        self ? shared_.members().self().address() : member->peer.address();
     const std::uint64_t id = ++next_release_;
     releases_[id] = pool_.ask<wire::ReleaseReply>(
         address, "Release", request, release_timeout,
@@ -428,9 +422,8 @@
 
 retry_budget& owner::retries_of(const std::string& service) {
   const auto spec = shared_.config().services.find(service);
-  const std::uint64_t percent = spec == shared_.config().services.end()
-                                    ? 0
-                                    : spec->second.retry_percent;
+  const std::uint64_t percent =
+      spec == shared_.config().services.end() ? 0 : spec->second.retry_percent;
   const auto [place, fresh] = retries_.try_emplace(service, percent);
   place->second.set_percent(percent);
   return place->second;
--- a/src/node/owner_call.cc
+++ b/src/node/owner_call.cc
@@ -62,8 +62,8 @@
     const auto report = reports_.find(name);
     if (report != reports_.end()) {
       view.expected_wait_ms = report->second.load.expected_wait_ms();
-      view.running = report->second.load.running() +
-                     report->second.load.queued();
+      view.running =
+          report->second.load.running() + report->second.load.queued();
       view.report_age_ms = now - report->second.at_ms;
       view.sent_since_report = report->second.sent_since;
     }
@@ -91,10 +91,9 @@
       choose_runner(routing_by_name(policy.routing, policy.cache_weight),
                     wanted, views, random_);
   if (!chosen) {
-    give_up(active,
-            make_failure(errc::no_runner, wire::RAN_NO,
-                         std::max(default_retry_after_ms,
-                                  active->longest_wait_ms)));
+    give_up(active, make_failure(errc::no_runner, wire::RAN_NO,
+                                 std::max(default_retry_after_ms,
+                                          active->longest_wait_ms)));
     return;
   }
   const std::string& endpoint = views[*chosen].endpoint;
@@ -365,8 +364,7 @@
 
 void owner::outcome_unknown(const active_ptr& active,
                             const wire::Failure& failure) {
-  metrics_.add("calls_unknown_total",
-               {{"service", active->intent.service()}});
+  metrics_.add("calls_unknown_total", {{"service", active->intent.service()}});
   log_warn("outcome_unknown",
            {{"program", active->intent.program()},
             {"call", std::to_string(active->intent.sequence())},
--- a/src/node/runner_gate.cc
+++ b/src/node/runner_gate.cc
@@ -81,20 +81,19 @@
       client_(loop),
       table_(shared.start_id()),
       holds_(loop, client_, metrics, [this](const std::string& program) {
-        const std::uint32_t shard =
-            shard_of(program, shared_.map().shards());
+        const std::uint32_t shard = shard_of(program, shared_.map().shards());
         const wire::ShardEntry* entry = shared_.map().find(shard);
         return std::max(table_.term(shard),
                         entry == nullptr ? 0 : entry->term());
       }) {
   server.handle_typed<wire::ExecuteRequest>(
-      "Execute", [this](wire::ExecuteRequest& request,
-                        const rpc_reply_ptr& reply) {
+      "Execute",
+      [this](wire::ExecuteRequest& request, const rpc_reply_ptr& reply) {
         execute(request, reply);
       });
   server.handle_typed<wire::ReleaseRequest>(
-      "Release", [this](wire::ReleaseRequest& request,
-                        const rpc_reply_ptr& reply) {
+      "Release",
+      [this](wire::ReleaseRequest& request, const rpc_reply_ptr& reply) {
         if (table_.accept_term(request.shard(), request.term())) {
           table_.close_program(request.program(), loop_.now_ms());
           holds_.release(request.program());
@@ -110,8 +109,7 @@
                   now - std::min(now, closed_kept_ms));
     drop_orphans();
     shared_.set_loads(loads());
-    metrics_.set("requests_remembered", {},
-                 static_cast<double>(table_.size()));
+    metrics_.set("requests_remembered", {}, static_cast<double>(table_.size()));
   });
 }
 
@@ -310,8 +308,8 @@
   std::size_t begin = 0;
   for (std::size_t end = what.line.find('\n'); end != std::string::npos;
        end = what.line.find('\n', begin)) {
-    take_engine_line(what, std::string_view(what.line).substr(begin,
-                                                              end - begin));
+    take_engine_line(what,
+                     std::string_view(what.line).substr(begin, end - begin));
     begin = end + 1;
   }
   what.line.erase(0, begin);
@@ -385,12 +383,11 @@
   const request_key key = key_of(what.request);
   const json body{{"key", service_key(what.request)},
                   {"messages", messages_json(what.request)}};
-  what.call = client_.start(
-      on.where, {"POST", "/v1/call", body.dump(), {}},
-      milliseconds(on.service.call_timeout_ms), nullptr,
-      [this, key](const result<http_reply>& reply) {
-        service_ended(key, reply);
-      });
+  what.call = client_.start(on.where, {"POST", "/v1/call", body.dump(), {}},
+                            milliseconds(on.service.call_timeout_ms), nullptr,
+                            [this, key](const result<http_reply>& reply) {
+                              service_ended(key, reply);
+                            });
 }
 
 void runner_gate::service_ended(const request_key& key,
--- a/src/node/shard_keeper.cc
+++ b/src/node/shard_keeper.cc
@@ -14,8 +14,6 @@
 constexpr std::uint64_t balance_period_ms = 500;
 constexpr double ms_per_minute = 60000;
 constexpr std::uint64_t segments_a_compaction = 512;
-// What all nodes together may write; docs/CAPACITY.md has the reckoning.
-constexpr std::uint64_t writes_per_second_for_journals = 200;
 constexpr std::uint64_t ms_per_second = 1000;
 constexpr std::string_view stored_map_key = "c/shardmap";
 
@@ -30,9 +28,9 @@
 }  // namespace
 
 shard_keeper::shard_keeper(event_loop& loop, const node_settings& settings,
-                           cluster& shared, rpc_server& server,
-                           rpc_pool& pool, platform_client& platform,
-                           metrics_registry& metrics, owner& programs)
+                           cluster& shared, rpc_server& server, rpc_pool& pool,
+                           platform_client& platform, metrics_registry& metrics,
+                           owner& programs)
     : loop_(loop),
       settings_(settings),
       shared_(shared),
@@ -94,8 +92,8 @@
 // ---- The stored map -------------------------------------------------------
 
 void shard_keeper::change_map(map_change change, map_done done) {
-  platform_.get(std::string(stored_map_key), [this, change, done](
-                                                 result<stored_object> got) {
+  platform_.get(std::string(stored_map_key), [this, change,
+                                              done](result<stored_object> got) {
     wire::ShardMap stored;
     if (!got || !stored.ParseFromString(got.value().bytes)) {
       done(false);
@@ -130,8 +128,7 @@
 
 void shard_keeper::create_map() {
   changing_map_ = true;
-  platform_.get(std::string(stored_map_key), [this](
-                                                 result<stored_object> got) {
+  platform_.get(std::string(stored_map_key), [this](result<stored_object> got) {
     wire::ShardMap stored;
     if (got && stored.ParseFromString(got.value().bytes)) {
       shared_.adopt_map(stored);
@@ -142,9 +139,8 @@
       changing_map_ = false;
       return;
     }
-    const wire::ShardMap first =
-        first_map(static_cast<std::uint32_t>(settings_.shards),
-                  self_as_owner());
+    const wire::ShardMap first = first_map(
+        static_cast<std::uint32_t>(settings_.shards), self_as_owner());
     platform_.put(std::string(stored_map_key), first.SerializeAsString(), 0,
                   [this, first](result<std::uint64_t> put) {
                     changing_map_ = false;
@@ -161,8 +157,7 @@
   std::set<std::uint32_t> lost(owner_.served());
   std::map<std::string, std::set<std::uint32_t>> groups;
   std::map<std::string, std::vector<wire::JournalRange>> sources;
-  for (const std::uint32_t shard :
-       shared_.map().owned_by(journal_->name())) {
+  for (const std::uint32_t shard : shared_.map().owned_by(journal_->name())) {
     lost.erase(shard);
     if (owner_.serves(shard)) {
       continue;
@@ -206,8 +201,8 @@
                           const std::set<std::uint32_t>& shards,
                           std::vector<wire::Record> records,
                           const std::vector<wire::CopyHolderNamed>& claimed) {
-  loop_.post([held = std::shared_ptr<journal_loader>(
-                  std::move(loading_[key]))] {});
+  loop_.post(
+      [held = std::shared_ptr<journal_loader>(std::move(loading_[key]))] {});
   loading_.erase(key);
   std::erase_if(records, [&](const wire::Record& each) {
     return !shards.contains(each.shard());
@@ -366,8 +361,7 @@
   takeover_begun_ms_[journal] = loop_.now_ms();
   metrics_.add("takeovers_total");
   log_info("takeover_begun", {{"journal", journal}});
-  platform_.list(segment_prefix(journal), [this,
-                                           journal](result<listing> got) {
+  platform_.list(segment_prefix(journal), [this, journal](result<listing> got) {
     if (!got) {
       taking_over_.erase(journal);
       return;
@@ -384,28 +378,28 @@
 }
 
 void shard_keeper::seal(const std::string& journal, std::uint64_t number) {
-  platform_.get(
-      segment_key(journal, number),
-      [this, journal, number](const result<stored_object>& got) {
-        wire::Segment found;
-        if (got && found.ParseFromString(got.value().bytes)) {
-          if (found.has_seal()) {
-            sealed(journal, number);
-          } else {
-            seal(journal, number + 1);
-          }
-          return;
-        }
-        if (!got && got.error() != errc::not_found) {
-          taking_over_.erase(journal);
-          return;
-        }
-        wire::Segment made;
-        made.set_writer(journal_->name());
-        made.set_number(number);
-        made.mutable_seal()->set_by(journal_->name());
-        platform_.put(segment_key(journal, number), made.SerializeAsString(),
-                      0, [this, journal, number](result<std::uint64_t> put) {
+  platform_.get(segment_key(journal, number),
+                [this, journal, number](const result<stored_object>& got) {
+                  wire::Segment found;
+                  if (got && found.ParseFromString(got.value().bytes)) {
+                    if (found.has_seal()) {
+                      sealed(journal, number);
+                    } else {
+                      seal(journal, number + 1);
+                    }
+                    return;
+                  }
+                  if (!got && got.error() != errc::not_found) {
+                    taking_over_.erase(journal);
+                    return;
+                  }
+                  wire::Segment made;
+                  made.set_writer(journal_->name());
+                  made.set_number(number);
+                  made.mutable_seal()->set_by(journal_->name());
+                  platform_.put(
+                      segment_key(journal, number), made.SerializeAsString(), 0,
+                      [this, journal, number](result<std::uint64_t> put) {
                         if (put) {
                           sealed(journal, number);
                         } else if (put.error() == errc::version_conflict) {
@@ -414,7 +408,7 @@
                           taking_over_.erase(journal);
                         }
                       });
-      });
+                });
 }
 
 void shard_keeper::sealed(const std::string& journal, std::uint64_t number) {
@@ -454,10 +448,10 @@
   if (owned.empty()) {
     return;
   }
-  const auto least = std::min_element(
-      owned.begin(), owned.end(), [](const auto& left, const auto& right) {
-        return left.second < right.second;
-      });
+  const auto least = std::min_element(owned.begin(), owned.end(),
+                                      [](const auto& left, const auto& right) {
+                                        return left.second < right.second;
+                                      });
   const std::size_t all = shared_.map().shards();
   const std::size_t holders = owned.size() + (leaving ? 0 : 1);
   const std::size_t fair = (all + holders - 1) / holders;
@@ -487,7 +481,8 @@
   if (next.journal.empty()) {
     return;
   }
-  log_info("hand_over", {{"to", to}, {"shards", std::to_string(shards.size())}});
+  log_info("hand_over",
+           {{"to", to}, {"shards", std::to_string(shards.size())}});
   metrics_.add("handovers_total");
   handing_over_ = shards;
   owner_.pause_shards(shards);
@@ -516,10 +511,11 @@
 
 // ---- Journal upkeep -------------------------------------------------------
 
+// All nodes together keep to the rate; docs/CAPACITY.md has the reckoning.
 void shard_keeper::set_commit_interval() {
   const std::uint64_t nodes = shared_.members().live_nodes().size();
   const std::uint64_t fair =
-      nodes * ms_per_second / writes_per_second_for_journals;
+      nodes * ms_per_second / settings_.journal_writes_per_second;
   journal_->set_commit_interval(std::max(settings_.commit_interval_ms, fair));
 }
 
@@ -548,9 +544,8 @@
     const bool elsewhere = peer.place() != shared_.members().self().place();
     constexpr std::uint64_t elsewhere_first = 1ULL << 62;
     const std::string pair = journal_->name() + peer.start();
-    const std::uint64_t score =
-        (elsewhere ? elsewhere_first : 0) +
-        (std::hash<std::string>()(pair) >> 2);
+    const std::uint64_t score = (elsewhere ? elsewhere_first : 0) +
+                                (std::hash<std::string>()(pair) >> 2);
     if (best == nullptr || score > best_score) {
       best = &peer;
       best_score = score;
--- a/src/platform/platform_client.cc
+++ b/src/platform/platform_client.cc
@@ -60,13 +60,13 @@
 
 platform_client::platform_client(event_loop& loop, const address& where,
                                  std::string role, milliseconds timeout,
-                                 std::uint64_t calls_per_second)
+                                 double calls_per_second)
     : loop_(loop),
       where_(where),
       role_(std::move(role)),
       timeout_(timeout),
       calls_per_second_(calls_per_second),
-      tokens_(static_cast<double>(calls_per_second)),
+      tokens_(calls_per_second),
       refilled_at_us_(loop.now_us()),
       client_(loop) {}
 
@@ -76,11 +76,16 @@
   const std::uint64_t now = loop_.now_us();
   const double seconds =
       static_cast<double>(now - refilled_at_us_) / us_per_second;
-  const auto rate = static_cast<double>(calls_per_second_);
-  tokens_ = std::min(rate, tokens_ + seconds * rate);
+  tokens_ = std::min(std::max(1.0, calls_per_second_),
+                     tokens_ + seconds * calls_per_second_);
   refilled_at_us_ = now;
 }
 
+void platform_client::set_rate(double calls_per_second) {
+  refill();
+  calls_per_second_ = calls_per_second;
+}
+
 void platform_client::submit(http_message message, milliseconds timeout,
                              reply_callback done) {
   message.headers["X-Role"] = role_;
@@ -100,8 +105,8 @@
         where_, call.message, call.timeout, nullptr,
         [this, id, done = std::move(call.done)](result<http_reply> reply) {
           // Freed after this callback: evhttp is still inside of it.
-          loop_.post([held = std::make_shared<http_call>(
-                          std::move(running_[id]))] {});
+          loop_.post(
+              [held = std::make_shared<http_call>(std::move(running_[id]))] {});
           running_.erase(id);
           done(checked(std::move(reply)));
         });
@@ -157,77 +162,79 @@
 
 void platform_client::list(const std::string& prefix, callback<listing> done) {
   http_message message{"GET", "/v1/list?prefix=" + prefix, "", {}};
-  submit(std::move(message), timeout_,
-         [done = std::move(done)](result<http_reply> reply) {
-           if (!reply) {
-             done(reply.error());
-             return;
-           }
-           const nlohmann::json body = parse_body(reply.value());
-           if (!body.is_object()) {
-             done(errc::platform_unavailable);
-             return;
-           }
-           listing made;
-           made.revision = body.value("revision", std::uint64_t{0});
-           for (const auto& each : body.value("items", nlohmann::json::array())) {
-             made.items.push_back({each.value("key", ""),
-                                   each.value("version", std::uint64_t{0})});
-           }
-           done(std::move(made));
-         });
+  submit(
+      std::move(message), timeout_,
+      [done = std::move(done)](result<http_reply> reply) {
+        if (!reply) {
+          done(reply.error());
+          return;
+        }
+        const nlohmann::json body = parse_body(reply.value());
+        if (!body.is_object()) {
+          done(errc::platform_unavailable);
+          return;
+        }
+        listing made;
+        made.revision = body.value("revision", std::uint64_t{0});
+        for (const auto& each : body.value("items", nlohmann::json::array())) {
+          made.items.push_back(
+              {each.value("key", ""), each.value("version", std::uint64_t{0})});
+        }
+        done(std::move(made));
+      });
 }
 
 void platform_client::watch(const std::string& prefix, std::uint64_t since,
-                            milliseconds longest,
-                            callback<watch_result> done) {
+                            milliseconds longest, callback<watch_result> done) {
   http_message message{"GET",
                        "/v1/watch?prefix=" + prefix +
                            "&since=" + std::to_string(since) +
                            "&wait_ms=" + std::to_string(longest.count()),
                        "",
                        {}};
-  submit(std::move(message), longest + timeout_,
-         [done = std::move(done)](result<http_reply> reply) {
-           if (!reply) {
-             done(reply.error());
-             return;
-           }
-           const nlohmann::json body = parse_body(reply.value());
-           if (!body.is_object()) {
-             done(errc::platform_unavailable);
-             return;
-           }
-           watch_result made;
-           made.revision = body.value("revision", std::uint64_t{0});
-           for (const auto& each : body.value("events", nlohmann::json::array())) {
-             made.events.push_back({each.value("key", ""),
-                                    each.value("version", std::uint64_t{0}),
-                                    each.value("deleted", false)});
-           }
-           done(std::move(made));
-         });
+  submit(
+      std::move(message), longest + timeout_,
+      [done = std::move(done)](result<http_reply> reply) {
+        if (!reply) {
+          done(reply.error());
+          return;
+        }
+        const nlohmann::json body = parse_body(reply.value());
+        if (!body.is_object()) {
+          done(errc::platform_unavailable);
+          return;
+        }
+        watch_result made;
+        made.revision = body.value("revision", std::uint64_t{0});
+        for (const auto& each : body.value("events", nlohmann::json::array())) {
+          made.events.push_back({each.value("key", ""),
+                                 each.value("version", std::uint64_t{0}),
+                                 each.value("deleted", false)});
+        }
+        done(std::move(made));
+      });
 }
 
 void platform_client::boxes(callback<std::vector<box>> done) {
-  submit({"GET", "/v1/boxes", "", {}}, timeout_,
-         [done = std::move(done)](result<http_reply> reply) {
-           if (!reply) {
-             done(reply.error());
-             return;
-           }
-           const nlohmann::json body = parse_body(reply.value());
-           if (!body.is_object()) {
-             done(errc::platform_unavailable);
-             return;
-           }
-           std::vector<box> made;
-           for (const auto& each : body.value("boxes", nlohmann::json::array())) {
-             made.push_back({each.value("name", ""), each.value("place", ""),
-                             state_of(each.value("state", "gone"))});
-           }
-           done(std::move(made));
-         });
+  submit(
+      {"GET", "/v1/boxes", "", {}}, timeout_,
+      [done = std::move(done)](result<http_reply> reply) {
+        if (!reply) {
+          done(reply.error());
+          return;
+        }
+        const nlohmann::json body = parse_body(reply.value());
+        if (!body.is_object()) {
+          done(errc::platform_unavailable);
+          return;
+        }
+        std::vector<box> made;
+        for (const auto& each : body.value("boxes", nlohmann::json::array())) {
+          made.push_back({each.value("name", ""), each.value("place", ""),
+                          state_of(each.value("state", "gone"))});
+        }
+        done(std::move(made));
+      });
 }
 
 }  // namespace trayrock
--- a/src/replay/replay_main.cc
+++ b/src/replay/replay_main.cc
@@ -35,10 +35,10 @@
 json report_json(const replay_report& report) {
   json classes = json::object();
   for (const auto& [name, each] : report.classes) {
-    classes[name] = {{"program_ms", figures_json(each.program_ms)},
-                     {"first_token_ms", figures_json(each.first_token_ms)},
-                     {"between_tokens_ms",
-                      figures_json(each.between_tokens_ms)}};
+    classes[name] = {
+        {"program_ms", figures_json(each.program_ms)},
+        {"first_token_ms", figures_json(each.first_token_ms)},
+        {"between_tokens_ms", figures_json(each.between_tokens_ms)}};
   }
   json failures = json::object();
   for (const auto& [code, count] : report.failures) {
--- a/src/replay/replayer.cc
+++ b/src/replay/replayer.cc
@@ -140,9 +140,8 @@
     ++whole.report_.tries;
     if (reply) {
       const json body = json::parse(reply.value().body, nullptr, false);
-      const json error =
-          body.is_object() ? body.value("error", json::object())
-                           : json::object();
+      const json error = body.is_object() ? body.value("error", json::object())
+                                          : json::object();
       const std::uint64_t code = error.value("code", std::uint64_t{0});
       ++whole.report_.failures[code];
       constexpr int first_server_error = 500;
@@ -151,8 +150,7 @@
         note("refused for good: " + reply.value().body);
         return false;
       }
-      if (reply.value().header("retry-after").empty() &&
-          code == errc_unknown) {
+      if (reply.value().header("retry-after").empty() && code == errc_unknown) {
         return false;
       }
       ++whole.report_.refusals;
@@ -168,9 +166,8 @@
     if (reply) {
       const json body = json::parse(reply.value().body, nullptr, false);
       if (body.is_object() && body.contains("error")) {
-        return std::max(retry_pause_ms,
-                        body["error"].value("retry_after_ms",
-                                            std::uint64_t{0}));
+        return std::max(retry_pause_ms, body["error"].value("retry_after_ms",
+                                                            std::uint64_t{0}));
       }
     }
     return retry_pause_ms;
@@ -186,8 +183,7 @@
     paused_ms += pause;
     later(pause, [this] {
       ++next_key;
-      call_deadline_ms =
-          whole.loop_.now_ms() + whole.options_.patience_ms;
+      call_deadline_ms = whole.loop_.now_ms() + whole.options_.patience_ms;
       call_begun_us = whole.loop_.now_us();
       last_token_us = 0;
       make_call();
@@ -222,10 +218,11 @@
     streamed.clear();
     line.clear();
     closed = false;
-    send("POST", "/v1/programs/" + id + "/calls", body.dump(),
-         what.name + "-" + std::to_string(next_key),
-         [this](std::string_view bytes) { take_bytes(bytes); },
-         [this](const result<http_reply>& reply) { call_ended(reply); });
+    send(
+        "POST", "/v1/programs/" + id + "/calls", body.dump(),
+        what.name + "-" + std::to_string(next_key),
+        [this](std::string_view bytes) { take_bytes(bytes); },
+        [this](const result<http_reply>& reply) { call_ended(reply); });
   }
 
   void take_bytes(std::string_view bytes) {
@@ -254,8 +251,8 @@
       const std::uint64_t now = whole.loop_.now_us();
       const std::uint64_t since =
           last_token_us == 0 ? call_begun_us : last_token_us;
-      const double took = static_cast<double>(now - since) /
-                          static_cast<double>(us_per_ms);
+      const double took =
+          static_cast<double>(now - since) / static_cast<double>(us_per_ms);
       (last_token_us == 0 ? figures().first_token_ms
                           : figures().between_tokens_ms)
           .push_back(took);
@@ -297,8 +294,8 @@
   void call_failed(const result<http_reply>& reply) {
     const json body = reply ? json::parse(reply.value().body, nullptr, false)
                             : json::object();
-    const json error = body.is_object() ? body.value("error", json::object())
-                                        : json::object();
+    const json error =
+        body.is_object() ? body.value("error", json::object()) : json::object();
     if (error.value("code", 0) == errc_unknown ||
         (is_plain() && error.value("ran", "") == "unknown" &&
          !error.contains("retry_after_ms"))) {
@@ -319,8 +316,8 @@
 
   void answered() {
     const std::string answer = last.value("answer", "");
-    const bool streamed_whole = streamed.empty() || streamed == answer ||
-                                last.value("replayed", false);
+    const bool streamed_whole =
+        streamed.empty() || streamed == answer || last.value("replayed", false);
     if (answer != expected || !streamed_whole) {
       ++whole.report_.mixed;
       note("expected \"" + expected.substr(0, 40) + "\", seen \"" +
@@ -366,8 +363,7 @@
            if (held != json(conversation)) {
              ++whole.report_.lost;
              note("history differs: held " + std::to_string(held.size()) +
-                  " messages, expected " +
-                  std::to_string(conversation.size()));
+                  " messages, expected " + std::to_string(conversation.size()));
            }
            what.vanishes ? finish(true) : end();
          });
@@ -400,12 +396,8 @@
   }
 };
 
-replayer::replayer(event_loop& loop, const trace& what,
-                   replay_options options)
-    : loop_(loop),
-      trace_(what),
-      options_(std::move(options)),
-      client_(loop) {}
+replayer::replayer(event_loop& loop, const trace& what, replay_options options)
+    : loop_(loop), trace_(what), options_(std::move(options)), client_(loop) {}
 
 replayer::~replayer() = default;
 
@@ -418,8 +410,8 @@
   for (const trace_program& each : trace_.programs) {
     auto made = std::make_unique<runner>(*this, each);
     runner* started = made.get();
-    const auto at = static_cast<std::uint64_t>(
-        static_cast<double>(each.at_ms) / options_.speed);
+    const auto at = static_cast<std::uint64_t>(static_cast<double>(each.at_ms) /
+                                               options_.speed);
     started->later(at, [started] { started->begin(); });
     runners_[each.name] = std::move(made);
     ++open_;
--- a/src/replay/trace.cc
+++ b/src/replay/trace.cc
@@ -29,8 +29,10 @@
 }
 
 json program_json(const trace_program& from) {
-  json made{{"program", from.name},      {"at_ms", from.at_ms},
-            {"member", from.member},     {"declared", from.declared},
+  json made{{"program", from.name},
+            {"at_ms", from.at_ms},
+            {"member", from.member},
+            {"declared", from.declared},
             {"class", from.work_class}};
   if (!from.parent.empty()) {
     made["parent"] = from.parent;
@@ -115,8 +117,8 @@
   }
 
   void add_program(trace& made, std::uint64_t index) {
-    const bool caroni = options_.shape == "caroni" ||
-                        (options_.shape == "mixed" && chance(50));
+    const bool caroni =
+        options_.shape == "caroni" || (options_.shape == "mixed" && chance(50));
     trace_program program;
     program.name = "t" + std::to_string(index);
     program.at_ms = draw(0, options_.over_ms);
@@ -164,8 +166,7 @@
     } else if (kind <= 90) {
       program.declared = "quality-talk";
       program.work_class = "normal";
-      add_talk(program, draw(6, 16), {"system", 16000, 22}, 300, 1500, 40,
-               120);
+      add_talk(program, draw(6, 16), {"system", 16000, 22}, 300, 1500, 40, 120);
     } else {
       program.declared = "slips";
       program.work_class = "batch";
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -43,15 +43,14 @@
     }
   }
   made.log_level = top.choice("log_level", log_levels, made.log_level);
-  made.spread_period_ms = top.number_or("spread_period_ms", {50, 60000},
-                                        made.spread_period_ms);
+  made.spread_period_ms =
+      top.number_or("spread_period_ms", {50, 60000}, made.spread_period_ms);
   made.suspect_after_ms =
       top.number_or("suspect_after_ms", some_time_ms, made.suspect_after_ms);
-  made.platform_timeout_ms = top.number_or(
-      "platform_timeout_ms", some_time_ms, made.platform_timeout_ms);
-  made.platform_calls_per_second =
-      top.number_or("platform_calls_per_second", {1, 10000},
-                    made.platform_calls_per_second);
+  made.platform_timeout_ms = top.number_or("platform_timeout_ms", some_time_ms,
+                                           made.platform_timeout_ms);
+  made.platform_calls_per_second = top.number_or(
+      "platform_calls_per_second", {1, 10000}, made.platform_calls_per_second);
   if (made.suspect_after_ms < 2 * made.spread_period_ms) {
     top.add_fault(errc::settings_conflict, "suspect_after_ms",
                   "must be at least twice spread_period_ms");
@@ -66,8 +65,7 @@
 
 }  // namespace
 
-entry_settings read_entry_settings(std::string_view text,
-                                   fault_list& faults) {
+entry_settings read_entry_settings(std::string_view text, fault_list& faults) {
   entry_settings made;
   const nlohmann::json root = parse_json(text, settings_faults, faults);
   if (root.is_null()) {
@@ -75,8 +73,8 @@
   }
   strict_object top(root, "", settings_faults, faults);
   made.process = read_process(top);
-  made.max_body_bytes = top.number_or(
-      "max_body_bytes", {1024, 64 * mebibyte}, made.max_body_bytes);
+  made.max_body_bytes = top.number_or("max_body_bytes", {1024, 64 * mebibyte},
+                                      made.max_body_bytes);
   made.idle_timeout_ms =
       top.number_or("idle_timeout_ms", some_time_ms, made.idle_timeout_ms);
   made.owner_retry_ms =
@@ -96,16 +94,18 @@
   strict_object top(root, "", settings_faults, faults);
   made.process = read_process(top);
   made.shards = top.number_or("shards", {1, 16384}, made.shards);
-  made.commit_interval_ms = top.number_or("commit_interval_ms", {0, 60000},
-                                          made.commit_interval_ms);
+  made.journal_writes_per_second = top.number_or(
+      "journal_writes_per_second", {1, 10000}, made.journal_writes_per_second);
+  made.commit_interval_ms =
+      top.number_or("commit_interval_ms", {0, 60000}, made.commit_interval_ms);
   made.copy_after_ms =
       top.number_or("copy_after_ms", any_time_ms, made.copy_after_ms);
   made.copy_limit_bytes = top.number_or(
       "copy_limit_bytes", {1024, 1024 * mebibyte}, made.copy_limit_bytes);
   made.max_programs =
       top.number_or("max_programs", {1, 10000000}, made.max_programs);
-  made.takeovers_per_minute = top.number_or(
-      "takeovers_per_minute", {1, 1000}, made.takeovers_per_minute);
+  made.takeovers_per_minute = top.number_or("takeovers_per_minute", {1, 1000},
+                                            made.takeovers_per_minute);
   made.resolve_limit_ms =
       top.number_or("resolve_limit_ms", some_time_ms, made.resolve_limit_ms);
   made.drain_limit_ms =
--- a/src/settings/strict_json.cc
+++ b/src/settings/strict_json.cc
@@ -110,17 +110,16 @@
   return number_or(key, range, range.low);
 }
 
-std::uint64_t strict_object::number_or(std::string_view key,
-                                       number_range range,
+std::uint64_t strict_object::number_or(std::string_view key, number_range range,
                                        std::uint64_t fallback) {
   const nlohmann::json* value = find(key);
   if (value == nullptr) {
     return fallback;
   }
   if (!value->is_number_integer()) {
-    add_fault(codes_.wrong_type, key,
-              std::string("expected a whole number, seen ") +
-                  value->type_name());
+    add_fault(
+        codes_.wrong_type, key,
+        std::string("expected a whole number, seen ") + value->type_name());
     return fallback;
   }
   const bool negative =
@@ -163,9 +162,9 @@
     return fallback;
   }
   if (!value->is_boolean()) {
-    add_fault(codes_.wrong_type, key,
-              std::string("expected true or false, seen ") +
-                  value->type_name());
+    add_fault(
+        codes_.wrong_type, key,
+        std::string("expected true or false, seen ") + value->type_name());
     return fallback;
   }
   return value->get<bool>();
--- a/test/at_most_once_test.cc
+++ b/test/at_most_once_test.cc
@@ -56,9 +56,8 @@
     system.wait_end("core");
     const http_answer down = post(system, "entry-1", id, 2);
     system.start("core");
-    wait_until("the service answers", [&] {
-      return system.counts("core").is_object();
-    });
+    wait_until("the service answers",
+               [&] { return system.counts("core").is_object(); });
     const http_answer up = post(system, "entry-1", id, 2);
 
     CPPUNIT_ASSERT_EQUAL(code_unknown, first.error_code());
@@ -91,9 +90,8 @@
     system.kill("core");
     const http_answer refused = post(system, "entry-1", id, 1);
     system.start("core");
-    wait_until("the service answers", [&] {
-      return system.counts("core").is_object();
-    });
+    wait_until("the service answers",
+               [&] { return system.counts("core").is_object(); });
     std::this_thread::sleep_for(std::chrono::seconds(1));
 
     CPPUNIT_ASSERT_EQUAL(std::string("no"), refused.ran());
@@ -108,8 +106,7 @@
     const std::string id = open_owned_elsewhere(system, "box-c");
     set_fault(system, {{"late_ms", 1500}});
     http_answer answer;
-    std::thread caller(
-        [&] { answer = post(system, "entry-1", id, 1); });
+    std::thread caller([&] { answer = post(system, "entry-1", id, 1); });
     wait_until("the call executes",
                [&] { return executions(system, id, 1) == 1; });
     system.kill(system.owner_of(id));
@@ -128,8 +125,7 @@
     const std::string id = open_owned_elsewhere(system, "box-c");
     set_fault(system, {{"late_ms", 20000}});
     http_answer answer;
-    std::thread caller(
-        [&] { answer = post(system, "entry-1", id, 1); });
+    std::thread caller([&] { answer = post(system, "entry-1", id, 1); });
     wait_until("the call executes",
                [&] { return executions(system, id, 1) == 1; });
     system.kill("box-c");
@@ -165,8 +161,7 @@
   static http_answer post(deployment& system, const std::string& entry,
                           const std::string& id, std::uint64_t sequence) {
     return system.call(entry, id, sequence, "t" + std::to_string(sequence),
-                       "transfer " + std::to_string(sequence),
-                       "core-banking");
+                       "transfer " + std::to_string(sequence), "core-banking");
   }
 
   static void set_fault(deployment& system, const json& switches) {
@@ -177,10 +172,9 @@
   static int executions(deployment& system, const std::string& id,
                         int sequence) {
     const json counts = system.counts("core");
-    return counts.is_object()
-               ? counts["executions"].value(
-                     id + "/" + std::to_string(sequence), 0)
-               : 0;
+    return counts.is_object() ? counts["executions"].value(
+                                    id + "/" + std::to_string(sequence), 0)
+                              : 0;
   }
 
   static std::string open_owned_elsewhere(deployment& system,
--- a/test/bad_input_test.cc
+++ b/test/bad_input_test.cc
@@ -84,8 +84,7 @@
   }
 
   static http_answer calls(deployment& system, const std::string& id,
-                           const std::string& body,
-                           const std::string& member) {
+                           const std::string& body, const std::string& member) {
     std::map<std::string, std::string> headers{{"Idempotency-Key", "z"}};
     if (!member.empty()) {
       headers["X-Trayrock-Member"] = member;
@@ -98,8 +97,8 @@
     TRAYROCK_CHECK(answer.status == status && answer.error_code() == code &&
                        answer.ran() == "no",
                    "expected " << status << " with " << code
-                               << " and not run, seen " << answer.status
-                               << ": " << answer.body);
+                               << " and not run, seen " << answer.status << ": "
+                               << answer.body);
   }
 };
 
--- a/test/config_test.cc
+++ b/test/config_test.cc
@@ -49,9 +49,8 @@
     std::string output;
     CPPUNIT_ASSERT_EQUAL(0, apply(system, {}, &output));
     write_member(system, "new", R"({"max_programs": 20})");
-    CPPUNIT_ASSERT_EQUAL(0, apply(system, {"--state", "/dev/null",
-                                           "--overwrite"},
-                                  &output));
+    CPPUNIT_ASSERT_EQUAL(
+        0, apply(system, {"--state", "/dev/null", "--overwrite"}, &output));
     // This operator has not seen the other's change.
     write_member(system, "new", R"({"max_programs": 30})");
     CPPUNIT_ASSERT_EQUAL(1, apply(system, {}, &output));
@@ -170,8 +169,8 @@
   static void write_member(deployment& system, const std::string& name,
                            const std::string& spec) {
     std::ofstream(system.folder() + "/member.json")
-        << R"({"kind": "Member", "name": ")" << name << R"(", "spec": )"
-        << spec << "}";
+        << R"({"kind": "Member", "name": ")" << name << R"(", "spec": )" << spec
+        << "}";
   }
 
   static int apply(deployment& system, std::vector<std::string> more,
@@ -189,11 +188,11 @@
 
   static void get(deployment& system, const std::string& kind,
                   std::string* output) {
-    system.run_tool("trayrockctl",
-                    {"get", "--platform",
-                     "127.0.0.1:" + std::to_string(system.port("platform")),
-                     kind},
-                    output);
+    system.run_tool(
+        "trayrockctl",
+        {"get", "--platform",
+         "127.0.0.1:" + std::to_string(system.port("platform")), kind},
+        output);
   }
 
   static void put_raw(deployment& system, const std::string& key,
@@ -203,8 +202,8 @@
     CPPUNIT_ASSERT_EQUAL(
         200, system
                  .request("platform", "PUT",
-                          "/v1/objects/" + key + "?if_version=" +
-                              held.headers.at("x-version"),
+                          "/v1/objects/" + key +
+                              "?if_version=" + held.headers.at("x-version"),
                           bytes)
                  .status);
   }
--- a/test/deployment.cc
+++ b/test/deployment.cc
@@ -160,8 +160,8 @@
   }
   std::size_t sent = 0;
   while (sent < bytes.size()) {
-    const ssize_t done = send(socket, bytes.data() + sent,
-                              bytes.size() - sent, MSG_NOSIGNAL);
+    const ssize_t done =
+        send(socket, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
     if (done <= 0) {
       break;
     }
@@ -209,14 +209,17 @@
   return ports;
 }
 
-deployment::deployment(const deployment_options& options)
-    : options_(options) {
+deployment::deployment(const deployment_options& options) : options_(options) {
   binaries_ =
       std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
   std::string pattern =
       (std::filesystem::temp_directory_path() / "trayrock-XXXXXX").string();
   folder_ = mkdtemp(pattern.data());
-  std::vector<int> ports = free_ports(40);
+  constexpr std::size_t ports_a_process = 3;
+  constexpr std::size_t other_ports = 20;
+  std::vector<int> ports = free_ports(
+      other_ports + ports_a_process * static_cast<std::size_t>(
+                                          options_.nodes + options_.entries));
   const auto take = [&ports] {
     const int port = ports.back();
     ports.pop_back();
@@ -228,10 +231,15 @@
   process& platform = processes_["platform"];
   platform.http = take();
   platform_control_ = take();
-  platform.command = {binaries_ + "/fake-platform", "--listen",
-                      local(platform.http),         "--control",
-                      local(platform_control_),     "--box-lag-ms",
-                      "100"};
+  platform.command = {binaries_ + "/fake-platform",
+                      "--listen",
+                      local(platform.http),
+                      "--control",
+                      local(platform_control_),
+                      "--box-lag-ms",
+                      "100",
+                      "--answer-ms",
+                      std::to_string(options_.platform_answer_ms)};
   for (int i = 1; i <= options_.nodes; ++i) {
     process& engine = processes_["engine-" + std::to_string(i)];
     engine.http = take();
@@ -246,7 +254,11 @@
     process& core = processes_[name];
     core.http = take();
     core.command = {binaries_ + "/fake-service", "--listen", local(core.http),
-                    "--ledger", folder_ + "/core.ledger"};
+                    "--work-ms", std::to_string(options_.work_ms)};
+    if (!options_.plain_repeatable) {
+      core.command.insert(core.command.end(),
+                          {"--ledger", folder_ + "/core.ledger"});
+    }
   }
   for (const std::string& name : nodes()) {
     processes_[name].http = take();
@@ -270,8 +282,7 @@
 }
 
 void deployment::add_server(const std::string& binary, const std::string& name,
-                            const std::string& place,
-                            const std::string& more) {
+                            const std::string& place, const std::string& more) {
   process& made = processes_[name];
   const std::string path = folder_ + "/" + name + ".json";
   std::ofstream file(path);
@@ -306,7 +317,10 @@
 std::vector<std::string> deployment::nodes() const {
   std::vector<std::string> made;
   for (int i = 0; i < options_.nodes; ++i) {
-    made.push_back(std::string("box-") + static_cast<char>('a' + i));
+    constexpr int letters = 26;
+    const std::string letter(1, static_cast<char>('a' + i % letters));
+    made.push_back("box-" + letter +
+                   (i < letters ? "" : std::to_string(i / letters)));
   }
   return made;
 }
@@ -336,16 +350,16 @@
   add("Service", "assistant", {{"kind", "model"}});
   add("Service", "core-banking",
       {{"kind", "plain"},
-       {"repeatable", false},
+       {"repeatable", options_.plain_repeatable},
        {"call_timeout_ms", options_.call_timeout_ms}});
   int engine = 1;
   for (const std::string& node : nodes()) {
     add("Endpoint", "assistant-" + node,
         {{"service", "assistant"},
          {"node", node},
-         {"runner", "127.0.0.1:" +
-                        std::to_string(port("engine-" +
-                                            std::to_string(engine++)))}});
+         {"runner",
+          "127.0.0.1:" +
+              std::to_string(port("engine-" + std::to_string(engine++)))}});
   }
   std::size_t plain = 0;
   for (const std::string& name : plain_services()) {
@@ -356,9 +370,8 @@
   }
   add("Member", "caroni", json::object());
   add("Member", "batangas", json::object());
-  for (const char* name :
-       {"balance", "loan-talk", "statement", "tally", "quality-talk",
-        "slips"}) {
+  for (const char* name : {"balance", "loan-talk", "statement", "tally",
+                           "quality-talk", "slips"}) {
     add("Program", name, {{"service", "assistant"}});
   }
   add("Policy", "default", json::parse(options_.policy));
@@ -404,8 +417,9 @@
   for (const auto& [name, each] : processes_) {
     start(name);
   }
-  wait_until("platform answers",
-             [this] { return request("platform", "GET", "/v1/boxes").status == 200; });
+  wait_until("platform answers", [this] {
+    return request("platform", "GET", "/v1/boxes").status == 200;
+  });
   for (const std::string& name : nodes()) {
     set_box(name, "live");
   }
@@ -425,12 +439,11 @@
 
 void deployment::apply_declarations() {
   std::string output;
-  const int code =
-      run_tool("trayrockctl",
-               {"apply", "--platform",
-                "127.0.0.1:" + std::to_string(port("platform")), "--state",
-                folder_ + "/state.json", folder_ + "/declarations.json"},
-               &output);
+  const int code = run_tool(
+      "trayrockctl",
+      {"apply", "--platform", "127.0.0.1:" + std::to_string(port("platform")),
+       "--state", folder_ + "/state.json", folder_ + "/declarations.json"},
+      &output);
   TRAYROCK_CHECK(code == 0, "apply ended with " << code << ": " << output);
 }
 
@@ -474,18 +487,16 @@
 }
 
 std::string deployment::open(const std::string& entry, const json& body) {
-  const http_answer answer =
-      request(entry, "POST", "/v1/programs", body.dump(),
-              {{"X-Trayrock-Member", "caroni"}});
+  const http_answer answer = request(entry, "POST", "/v1/programs", body.dump(),
+                                     {{"X-Trayrock-Member", "caroni"}});
   TRAYROCK_CHECK(answer.status == 201,
                  "open gave " << answer.status << ": " << answer.body);
   return answer.parsed().value("id", "");
 }
 
 http_answer deployment::call(const std::string& entry,
-                             const std::string& program,
-                             std::uint64_t sequence, const std::string& key,
-                             const std::string& text,
+                             const std::string& program, std::uint64_t sequence,
+                             const std::string& key, const std::string& text,
                              const std::string& service, int max_tokens) {
   json body{{"sequence", sequence},
             {"messages", {{{"role", "user"}, {"content", text}}}}};
@@ -517,13 +528,11 @@
 }
 
 json deployment::counts(const std::string& stand_in) {
-  const int where = stand_in == "platform" ? platform_control_
-                                           : port(stand_in);
+  const int where = stand_in == "platform" ? platform_control_ : port(stand_in);
   return exchange(where, "GET", "/counts", "", {}, 10).parsed();
 }
 
-double deployment::metric(const std::string& process,
-                          const std::string& name) {
+double deployment::metric(const std::string& process, const std::string& name) {
   const std::string text = request(process, "GET", "/metrics").body;
   const std::size_t at = text.find("trayrock_" + name + " ");
   return at == std::string::npos
--- a/test/deployment.h
+++ b/test/deployment.h
@@ -31,11 +31,14 @@
 struct deployment_options {
   int nodes = 3;
   int entries = 2;
-  std::string node_settings;   // further JSON members, begun with a comma
+  std::string node_settings;  // further JSON members, begun with a comma
   std::string entry_settings;
   std::string policy = R"({"hold_ms": 30000})";
   std::uint64_t call_timeout_ms = 5000;
   int engine_step_ms = 2;
+  int work_ms = 5;  // of the plain service
+  bool plain_repeatable = false;
+  int platform_answer_ms = 2;
   bool engines_check_fencing = false;
   // The nodes before core, core-2 and so on, which share one ledger.
   std::vector<std::string> plain_nodes = {"box-a"};
@@ -61,7 +64,7 @@
   void apply_declarations();
   void wait_ready(const std::string& name, int seconds = 60);
 
-  int port(const std::string& name) const;      // HTTP
+  int port(const std::string& name) const;  // HTTP
   int control_port() const { return platform_control_; }
   int rpc_port(const std::string& name) const;
 
--- a/test/holds_test.cc
+++ b/test/holds_test.cc
@@ -69,8 +69,8 @@
         [&] {
           seen = 0;
           for (int i = 1; i <= 3; ++i) {
-            seen += system.counts("engine-" + std::to_string(i))
-                        .value("holds", 0);
+            seen +=
+                system.counts("engine-" + std::to_string(i)).value("holds", 0);
           }
           return seen == wanted;
         },
--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -85,8 +85,7 @@
  public:
   void refused_connection_is_never_sent() {
     const address nobody =
-        address::parse("127.0.0.1:" + std::to_string(free_ports(1)[0]))
-            .value();
+        address::parse("127.0.0.1:" + std::to_string(free_ports(1)[0])).value();
     CPPUNIT_ASSERT(send(nobody, {"POST", "/", "x", {}}).error() ==
                    errc::connect_failed);
   }
--- a/test/ownership_model_test.cc
+++ b/test/ownership_model_test.cc
@@ -250,9 +250,8 @@
       case tail_step::nothing_needed:
         break;
       case tail_step::take_tail:
-        for (const wire::Record& each :
-             reader.take_tail({given_.records().begin(),
-                               given_.records().end()})) {
+        for (const wire::Record& each : reader.take_tail(
+                 {given_.records().begin(), given_.records().end()})) {
           read.insert(each.sequence());
         }
         break;
@@ -286,8 +285,8 @@
     if (rule_ == left_out::keep_until_durable) {
       keeper_->release("owner");
     }
-    tail_.holder = given_.other_start() ? tail_answer::other_start
-                                        : tail_answer::given;
+    tail_.holder =
+        given_.other_start() ? tail_answer::other_start : tail_answer::given;
   }
 
   void ask_owner() {
@@ -361,8 +360,8 @@
          {left_out::seal, left_out::promise, left_out::keep_until_durable,
           left_out::holder_first}) {
       const int losses = runs_with_loss(rule);
-      TRAYROCK_CHECK(losses > 0, "no loss without rule "
-                                     << static_cast<int>(rule));
+      TRAYROCK_CHECK(losses > 0,
+                     "no loss without rule " << static_cast<int>(rule));
     }
   }
 };
--- a/test/path_test.cc
+++ b/test/path_test.cc
@@ -112,17 +112,17 @@
   static void sub_programs_share_the_budget(deployment& system) {
     const std::string parent = system.open(
         "entry-1", {{"program", "balance"}, {"budget", {{"calls", 2}}}});
-    const std::string child = system.open(
-        "entry-2", {{"program", "balance"}, {"parent", parent}});
-    CPPUNIT_ASSERT_EQUAL(
-        200, system.call("entry-1", parent, 1, "a", "x").status);
+    const std::string child =
+        system.open("entry-2", {{"program", "balance"}, {"parent", parent}});
+    CPPUNIT_ASSERT_EQUAL(200,
+                         system.call("entry-1", parent, 1, "a", "x").status);
     CPPUNIT_ASSERT_EQUAL(200,
                          system.call("entry-2", child, 1, "a", "x").status);
     const http_answer over = system.call("entry-1", parent, 2, "b", "y");
     CPPUNIT_ASSERT_EQUAL(1301, over.error_code());
     CPPUNIT_ASSERT_EQUAL(429, over.status);
-    CPPUNIT_ASSERT_EQUAL(1301,
-                         system.call("entry-1", child, 2, "b", "y").error_code());
+    CPPUNIT_ASSERT_EQUAL(
+        1301, system.call("entry-1", child, 2, "b", "y").error_code());
   }
 };
 
--- a/test/takeover_test.cc
+++ b/test/takeover_test.cc
@@ -52,9 +52,8 @@
         answer = system.call("entry-1", id, 1, "long", "talk", "", 300);
       });
       bool elsewhere = false;
-      wait_until("the call runs", [&] {
-        return executions(system) > 0 || answer.status != 0;
-      });
+      wait_until("the call runs",
+                 [&] { return executions(system) > 0 || answer.status != 0; });
       for (const std::string& node : system.nodes()) {
         elsewhere = elsewhere || (node != owner && running_on(system, node));
       }
@@ -65,9 +64,9 @@
       return elsewhere;
     });
 
-    TRAYROCK_CHECK(answer.status == 200,
-                   "expected the whole answer, seen " << answer.status << " "
-                                                      << answer.body);
+    TRAYROCK_CHECK(answer.status == 200, "expected the whole answer, seen "
+                                             << answer.status << " "
+                                             << answer.body);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1200},
                          answer.parsed().value("answer", "").size());
     CPPUNIT_ASSERT_EQUAL(1, answer.parsed().value("attempts", 0));
@@ -134,15 +133,14 @@
   }
 
   // Calls as a patient caller does: what says "come back" is sent again.
-  static void call_each(deployment& system,
-                        const std::vector<std::string>& ids,
+  static void call_each(deployment& system, const std::vector<std::string>& ids,
                         std::uint64_t sequence) {
     for (const std::string& id : ids) {
       http_answer answer;
       wait_until("call " + std::to_string(sequence) + " of " + id, [&] {
-        answer = system.call("entry-2", id, sequence,
-                             "k" + std::to_string(sequence),
-                             "text " + std::to_string(sequence));
+        answer =
+            system.call("entry-2", id, sequence, "k" + std::to_string(sequence),
+                        "text " + std::to_string(sequence));
         return answer.status != 503 && answer.status != 0 &&
                answer.status != 502;
       });
@@ -155,12 +153,11 @@
                               const std::vector<std::string>& ids,
                               std::size_t calls) {
     for (const std::string& id : ids) {
-      const json held =
-          system
-              .request("entry-1", "GET", "/v1/programs/" + id, "",
-                       {{"X-Trayrock-Member", "caroni"}})
-              .parsed()
-              .value("history", json::array());
+      const json held = system
+                            .request("entry-1", "GET", "/v1/programs/" + id, "",
+                                     {{"X-Trayrock-Member", "caroni"}})
+                            .parsed()
+                            .value("history", json::array());
       CPPUNIT_ASSERT_EQUAL(2 * calls, held.size());
       for (std::size_t i = 0; i < calls; ++i) {
         CPPUNIT_ASSERT_EQUAL("text " + std::to_string(i + 1),
--- a/test/test_support.h
+++ b/test/test_support.h
@@ -9,9 +9,9 @@
 #include <string>
 
 // Checks a condition; the message says what was expected and seen.
-#define TRAYROCK_CHECK(condition, context)                        \
-  do {                                                            \
-    std::ostringstream message;                                   \
-    message << context; /* NOLINT(bugprone-macro-parentheses) */  \
-    CPPUNIT_ASSERT_MESSAGE(message.str(), condition);             \
+#define TRAYROCK_CHECK(condition, context)                       \
+  do {                                                           \
+    std::ostringstream message;                                  \
+    message << context; /* NOLINT(bugprone-macro-parentheses) */ \
+    CPPUNIT_ASSERT_MESSAGE(message.str(), condition);            \
   } while (false)
