Control traffic, watchers' share of the platform, reading for a takeover

Idle control was 12 to 30 KB a second out of a node (spread every 200 ms): watchers' beats carried eight entries of others. Beats of watchers are now brief, the random exchange carries four entries. 2. A configuration change took 7.4 s on 48 nodes (slowest of 6): a watcher had the same small share of the platform's rate as everybody (11 calls a second) and all eight wrote every status. Watchers now share half of the rate, the writer of a generation alone reports what it accepted, and one node reports how far it has come. 3. Sixteen at once now.

Control after the change: not measured yet.

--- a/bench/slopes_bench.cc
+++ b/bench/slopes_bench.cc
@@ -76,6 +76,9 @@
   return sum;
 }
 
+// The default of the settings.
+constexpr int spread_period_ms = 500;
+
 // Processes refresh their own figures once a second.
 void settle() { usleep(2500000); }
 
@@ -195,6 +198,7 @@
   std::vector<sample> reads;
   for (const int nodes : {4, 8, 16, 32, 64}) {
     deployment_options options = fast_options(nodes);
+    options.spread_period_ms = spread_period_ms;
     deployment system(options);
     system.start_all();
     settle();
@@ -230,6 +234,43 @@
   print_fit("platform reads a second, idle, by nodes", "reads/s a node", reads);
 }
 
+// Processor time of entry and nodes together for each token that is passed
+// on, by the length of the answers.
+void stream_tokens() {
+  std::vector<sample> samples;
+  for (const std::uint32_t tokens : {8U, 64U, 256U}) {
+    deployment system(fast_options(2));
+    system.start_all();
+    constexpr std::size_t callers = 16;
+    constexpr std::uint64_t calls = 300;
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < calls; ++i) {
+      ids.push_back(system.open("entry-1", {{"program", "balance"}}));
+    }
+    settle();
+    const auto used = [&] {
+      return sum_over_nodes(system, "cpu_seconds") +
+             system.metric("entry-1", "cpu_seconds");
+    };
+    const double before = used();
+    std::size_t next = 0;
+    load_result load = run_load(
+        local(system.port("entry-1")), callers, calls,
+        [&](std::size_t, std::uint64_t) {
+          http_message made = model_call(ids[next++], 1, "text", tokens);
+          made.headers["Accept"] = "text/event-stream";
+          return made;
+        });
+    settle();
+    constexpr double us_per_second = 1e6;
+    samples.push_back({static_cast<double>(tokens),
+                       us_per_second * (used() - before) /
+                           static_cast<double>(load.latency_ms.size())});
+  }
+  print_fit("processor of entry and nodes for a streamed call, by tokens",
+            "us a token", samples);
+}
+
 using bench_clock = std::chrono::steady_clock;
 
 double ms_since(bench_clock::time_point begun) {
@@ -319,7 +360,7 @@
   std::string only;
   app.add_option("--only", only)
       ->check(CLI::IsMember(
-          {"program", "history", "journal", "control", "config", "takeover"}));
+          {"program", "history", "journal", "control", "config", "takeover", "stream"}));
   CLI11_PARSE(app, argc, argv);
   const auto wanted = [&](const char* name) {
     return only.empty() || only == name;
@@ -336,6 +377,9 @@
   if (wanted("control")) {
     idle_control();
   }
+  if (wanted("stream")) {
+    stream_tokens();
+  }
   if (wanted("config")) {
     configuration_change();
   }
--- a/include/trayrock/internal/cluster/cluster.h
+++ b/include/trayrock/internal/cluster/cluster.h
@@ -64,7 +64,7 @@
   void refresh_map();
 
   // Exchanges versions with one process at once.
-  void tell(const std::string& address) { send_spread(address); }
+  void tell(const std::string& address) { send_spread(address, true); }
 
   // What the process says of itself.
   void set_leaving();
@@ -87,8 +87,8 @@
   class config_watcher;
 
   void exchange();
-  void send_spread(const std::string& address);
-  wire::Spread make_spread();
+  void send_spread(const std::string& address, bool brief);
+  wire::Spread make_spread(bool brief);
   void hear(const wire::Spread& news, const std::string& address);
   void fetch_config(const std::string& address);
   void fetch_map(const std::string& address);
--- a/include/trayrock/internal/node/journal_loader.h
+++ b/include/trayrock/internal/node/journal_loader.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,7 @@
  private:
   void next_source();
   void list_segments();
+  void read_segments();
   void read_segment(std::size_t index);
   void claim_tail();
   void ask_holder();
@@ -57,6 +59,10 @@
   done_callback done_;
   std::size_t at_ = 0;
   std::vector<listed_object> segments_;
+  std::vector<wire::Segment> read_;
+  std::size_t next_read_ = 0;
+  std::size_t reading_ = 0;
+  std::map<std::size_t, timer> retries_;
   journal_reader reader_;
   tail_view tail_;
   wire::CopyTail given_;
--- a/src/cluster/cluster.cc
+++ b/src/cluster/cluster.cc
@@ -2,6 +2,7 @@
 
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
+#include <set>
 
 #include "config_watcher.h"
 #include "trayrock/internal/log.h"
@@ -9,7 +10,7 @@
 namespace trayrock {
 namespace {
 
-constexpr std::size_t entries_a_message = 8;
+constexpr std::size_t entries_a_message = 4;
 constexpr int random_peers_on_news = 3;
 constexpr milliseconds fetch_timeout{2000};
 constexpr milliseconds spread_timeout{1500};
@@ -76,7 +77,7 @@
 void cluster::serve() {
   server_.handle_typed<wire::Spread>(
       "Spread", [this](wire::Spread& news, const rpc_reply_ptr& reply) {
-        reply->send(make_spread());
+        reply->send(make_spread(news.brief()));
         reply->finish();
         hear(news, news.self().address());
       });
@@ -99,10 +100,17 @@
   members_.self().set_map_version(map_.version());
 }
 
-wire::Spread cluster::make_spread() {
+// A brief one carries the versions and this process alone: watchers send it
+// often, and news of others travels with the random exchange.
+wire::Spread cluster::make_spread(bool brief) {
   stamp_versions();
   wire::Spread made;
   *made.mutable_self() = members_.self();
+  made.set_brief(brief);
+  if (brief) {
+    made.mutable_self()->clear_loads();
+    return made;
+  }
   for (wire::Peer& each : members_.news(entries_a_message)) {
     each.clear_loads();
     *made.add_peers() = std::move(each);
@@ -122,9 +130,9 @@
     }
   }
   for (const std::string& node : members_.watched()) {
-    send_spread(members_.find(node)->peer.address());
+    send_spread(members_.find(node)->peer.address(), true);
   }
-  send_spread(random_peer());
+  send_spread(random_peer(), false);
   share_platform_rate();
   metrics_.set("members", {},
                static_cast<double>(members_.others().size() + 1));
@@ -133,8 +141,9 @@
   metrics_.set("map_version", {}, static_cast<double>(map_.version()));
 }
 
-// Each process keeps to an equal share of the installation's rate; one that
-// knows nobody yet begins low, so that many that start at once stay within it.
+// Half of the installation's rate is shared by all processes, the other half
+// by the watchers, who read for everybody. A process that knows nobody yet
+// begins low, so that many that start at once stay within the rate.
 void cluster::share_platform_rate() {
   constexpr double least_rate = 2;
   constexpr std::uint64_t alone_after_ms = 5000;
@@ -143,9 +152,16 @@
   if (members_.others().empty() && !may_be_alone) {
     return;
   }
-  const auto all = static_cast<double>(settings_.platform_calls_per_second);
+  const double half =
+      static_cast<double>(settings_.platform_calls_per_second) / 2;
+  std::set<std::string> places{members_.self().place()};
+  for (const member_view* each : members_.others()) {
+    places.insert(each->peer.place());
+  }
   const auto known = static_cast<double>(members_.others().size() + 1);
-  platform_.set_rate(std::max(least_rate, all / known));
+  const auto watchers = static_cast<double>(2 * places.size());
+  const double extra = members_.is_config_watcher() ? half / watchers : 0;
+  platform_.set_rate(std::max(least_rate, half / known) + extra);
 }
 
 std::string cluster::random_peer() {
@@ -160,13 +176,13 @@
                         : others[random_() % others.size()]->peer.address();
 }
 
-void cluster::send_spread(const std::string& address) {
+void cluster::send_spread(const std::string& address, bool brief) {
   if (address.empty() || address == settings_.rpc_listen.text() ||
       spreads_[address].running()) {
     return;
   }
   spreads_[address] = pool_.ask<wire::Spread>(
-      address, "Spread", make_spread(), spread_timeout,
+      address, "Spread", make_spread(brief), spread_timeout,
       [this, address](const result<wire::Spread>& news) {
         if (news) {
           hear(news.value(), address);
@@ -176,7 +192,7 @@
 
 void cluster::spread_news() {
   for (int i = 0; i < random_peers_on_news; ++i) {
-    send_spread(random_peer());
+    send_spread(random_peer(), false);
   }
 }
 
--- a/src/cluster/config_watcher.cc
+++ b/src/cluster/config_watcher.cc
@@ -26,6 +26,10 @@
   }
 }
 
+std::string status_key(const wire::Declaration& each) {
+  return std::string(status_prefix) + each.kind() + "/" + each.name();
+}
+
 wire::Declaration declare_box(const box& from) {
   const nlohmann::json body{{"kind", "Box"},
                             {"name", from.name},
@@ -59,6 +63,7 @@
     watch();
   }
   report_in_force();
+  retry_statuses();
 }
 
 // One waiting call for configuration, accepted generations and shard map.
@@ -144,6 +149,10 @@
   delta.set_generation(read.number());
   *delta.mutable_changes() = read.changes();
   shared_.adopt_config(delta);
+  // Also when the answer to its own write was lost.
+  if (read.writer() == shared_.start_id_) {
+    report_accepted(read);
+  }
 }
 
 void cluster::config_watcher::read_map() {
@@ -231,7 +240,7 @@
 void cluster::config_watcher::propose() {
   acceptance outcome = accept_changes(shared_.config_, stored_);
   add_box_changes(outcome.generation);
-  report(outcome);
+  report_refused(outcome);
   if (outcome.generation.changes_size() == 0) {
     finish_round(false);
     return;
@@ -282,51 +291,79 @@
       });
 }
 
-void cluster::config_watcher::report(const acceptance& outcome) {
+void cluster::config_watcher::report_refused(const acceptance& outcome) {
   for (const wire::Declaration& each : stored_) {
     const auto refused = outcome.refused.find({each.kind(), each.name()});
-    const bool accepted = refused == outcome.refused.end();
+    if (refused == outcome.refused.end()) {
+      continue;
+    }
     nlohmann::json body{{"observed_version", each.object_version()},
-                        {"accepted", accepted},
+                        {"accepted", false},
                         {"faults", nlohmann::json::array()}};
-    if (accepted) {
-      body["generation"] = outcome.generation.number();
-    } else {
-      for (const fault& one : refused->second) {
-        body["faults"].push_back(describe(one));
-      }
+    for (const fault& one : refused->second) {
+      body["faults"].push_back(describe(one));
     }
-    const std::string key =
-        std::string(status_prefix) + each.kind() + "/" + each.name();
-    write_status(key, body.dump());
+    write_status(status_key(each), body.dump());
+  }
+}
+
+// By the watcher whose generation was stored, once for all of them.
+void cluster::config_watcher::report_accepted(
+    const wire::Generation& generation) {
+  for (const wire::Declaration& each : generation.changes()) {
+    if (each.kind() == "Box" || each.changed_in() != generation.number()) {
+      continue;
+    }
+    const nlohmann::json body{{"observed_version", each.object_version()},
+                              {"accepted", true},
+                              {"generation", generation.number()}};
+    write_status(status_key(each), body.dump());
   }
 }
 
 void cluster::config_watcher::write_status(const std::string& key,
                                            const std::string& body) {
-  if (statuses_[key] == body) {
+  status_line& line = statuses_[key];
+  line.wanted = body;
+  if (line.wanted == line.written || line.writing) {
     return;
   }
-  shared_.platform_.get(key, [this, key, body](result<stored_object> got) {
-    if (got && got.value().bytes == body) {
-      statuses_[key] = body;
-      return;
-    }
-    if (!got && got.error() != errc::not_found) {
-      return;
-    }
-    const std::uint64_t version = got ? got.value().version : 0;
-    shared_.platform_.put(key, body, version,
-                          [this, key, body](result<std::uint64_t> put) {
-                            if (put) {
-                              statuses_[key] = body;
-                            }
-                          });
-  });
+  line.writing = true;
+  const auto ended = [this, key](const std::string& written) {
+    statuses_[key].writing = false;
+    statuses_[key].written = written;
+  };
+  shared_.platform_.get(
+      key, [this, key, body, ended](const result<stored_object>& got) {
+        const bool absent = !got && got.error() == errc::not_found;
+        if (!got && !absent) {
+          ended("");
+          return;
+        }
+        if (got && got.value().bytes == body) {
+          ended(body);
+          return;
+        }
+        shared_.platform_.put(key, body, got ? got.value().version : 0,
+                              [ended, body](const result<std::uint64_t>& put) {
+                                ended(put ? body : std::string());
+                              });
+      });
+}
+
+// What could not be written is tried again.
+void cluster::config_watcher::retry_statuses() {
+  for (const auto& [key, line] : std::map(statuses_)) {
+    write_status(key, line.wanted);
+  }
 }
 
 // One object says how far the newest generation has come.
 void cluster::config_watcher::report_in_force() {
+  // One node for all: the first by name.
+  if (shared_.members_.live_nodes().front() != shared_.members_.self().node()) {
+    return;
+  }
   const std::uint64_t generation = shared_.config_.generation();
   std::uint64_t in_force = 1;
   std::uint64_t all = 1;
--- a/src/cluster/config_watcher.h
+++ b/src/cluster/config_watcher.h
@@ -22,6 +22,12 @@
   config_watcher& operator=(const config_watcher&) = delete;
 
  private:
+  struct status_line {
+    std::string wanted;
+    std::string written;
+    bool writing = false;
+  };
+
   void tick();
   void watch();
   void catch_up();
@@ -35,8 +41,10 @@
   void propose();
   void add_box_changes(wire::Generation& generation);
   void store(wire::Generation generation);
-  void report(const acceptance& outcome);
+  void report_refused(const acceptance& outcome);
+  void report_accepted(const wire::Generation& generation);
   void write_status(const std::string& key, const std::string& body);
+  void retry_statuses();
   void report_in_force();
   void poll_boxes();
   void finish_round(bool again);
@@ -49,7 +57,7 @@
   std::vector<listed_object> to_read_;
   std::vector<wire::Declaration> stored_;
   std::vector<box> boxes_;
-  std::map<std::string, std::string> statuses_;
+  std::map<std::string, status_line> statuses_;
   std::uint64_t reported_in_force_ = 0;
   timer tick_;
   timer box_poll_;
--- a/src/node/journal_loader.cc
+++ b/src/node/journal_loader.cc
@@ -10,6 +10,7 @@
 
 constexpr milliseconds retry_pause{200};
 constexpr milliseconds claim_timeout{2000};
+constexpr std::size_t reads_at_once = 16;
 
 std::uint64_t number_of(const listed_object& segment) {
   return std::stoull(segment.key.substr(segment.key.rfind('/') + 1));
@@ -64,30 +65,46 @@
           return number < source().first_segment() ||
                  number >= source().end_segment();
         });
-        read_segment(0);
+        read_.assign(segments_.size(), wire::Segment());
+        next_read_ = 0;
+        read_segments();
       });
 }
 
-void journal_loader::read_segment(std::size_t index) {
-  if (index == segments_.size()) {
-    claim_tail();
+// Several at once: one after another, a long journal would take as many round
+// trips as it has segments.
+void journal_loader::read_segments() {
+  while (next_read_ < segments_.size() && reading_ < reads_at_once) {
+    ++reading_;
+    read_segment(next_read_++);
+  }
+  if (reading_ > 0) {
     return;
   }
+  for (const wire::Segment& segment : read_) {
+    for (wire::Record& each : reader_.take(segment)) {
+      records_.push_back(std::move(each));
+    }
+  }
+  read_.clear();
+  claim_tail();
+}
+
+void journal_loader::read_segment(std::size_t index) {
   std::weak_ptr<bool> alive = alive_;
   platform_.get(segments_[index].key, [this, alive, index](
                                           const result<stored_object>& got) {
     if (alive.expired()) {
       return;
     }
-    wire::Segment segment;
-    if (!got || !segment.ParseFromString(got.value().bytes)) {
-      retry_ = loop_.after(retry_pause, [this, index] { read_segment(index); });
+    if (!got || !read_[index].ParseFromString(got.value().bytes)) {
+      // Once more, from this one on.
+      retries_[index] =
+          loop_.after(retry_pause, [this, index] { read_segment(index); });
       return;
     }
-    for (wire::Record& each : reader_.take(segment)) {
-      records_.push_back(std::move(each));
-    }
-    read_segment(index + 1);
+    --reading_;
+    read_segments();
   });
 }
 
--- a/test/deployment.cc
+++ b/test/deployment.cc
@@ -300,7 +300,8 @@
        << R"(", "rpc_listen": "127.0.0.1:)" << made.rpc
        << R"(", "http_listen": "127.0.0.1:)" << made.http
        << R"(", "platform": "127.0.0.1:)" << port("platform")
-       << R"(", "spread_period_ms": 200, "suspect_after_ms": 1500,)"
+       << R"(", "suspect_after_ms": 1500, "spread_period_ms": )"
+       << options_.spread_period_ms << ","
        << R"( "seeds": [)";
   bool first = true;
   for (const std::string& node : nodes()) {
--- a/test/deployment.h
+++ b/test/deployment.h
@@ -35,6 +35,7 @@
   std::string entry_settings;
   std::string policy = R"({"hold_ms": 30000})";
   std::uint64_t call_timeout_ms = 5000;
+  int spread_period_ms = 200;
   int engine_step_ms = 2;
   int engine_slots = 16;
   std::uint64_t engine_cache_tokens = 200000;
