--- a/include/trayrock/internal/node/shard_keeper.h
+++ b/include/trayrock/internal/node/shard_keeper.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "trayrock/internal/cluster/cluster.h"
@@ -27,6 +28,9 @@
 
 class journal_loader;
 
+// The platform's key of the shard map.
+constexpr std::string_view stored_map_key = "c/shardmap";
+
 class shard_keeper {
  public:
   shard_keeper(event_loop& loop, const node_settings& settings, cluster& shared,
--- a/include/trayrock/internal/process.h
+++ b/include/trayrock/internal/process.h
@@ -11,6 +11,7 @@
 
 #include "trayrock/internal/metrics.h"
 #include "trayrock/internal/net/http_server.h"
+#include "trayrock/internal/net/rpc.h"
 #include "trayrock/internal/settings/settings.h"
 
 namespace trayrock {
@@ -44,7 +45,9 @@
 bool answer_probe(const http_request& request, const http_exchange_ptr& out,
                   const probe_sources& sources);
 
-// Processor time and memory of this process as metrics.
-void measure_process(metrics_registry& metrics);
+// Processor time and memory of this process, and what its RPC connections
+// carried, as metrics.
+void measure_process(metrics_registry& metrics, rpc_server& server,
+                     rpc_pool& pool);
 
 }  // namespace trayrock
--- a/src/entry/entry_main.cc
+++ b/src/entry/entry_main.cc
@@ -73,15 +73,9 @@
   }
 
   void measure() {
-    measure_process(metrics_);
+    measure_process(metrics_, server_, pool_);
     metrics_.set("open_requests", {},
                  static_cast<double>(callers_.open_exchanges()));
-    metrics_.set("rpc_bytes_in", {},
-                 static_cast<double>(server_.counters().bytes_in +
-                                     pool_.counters().bytes_in));
-    metrics_.set("rpc_bytes_out", {},
-                 static_cast<double>(server_.counters().bytes_out +
-                                     pool_.counters().bytes_out));
   }
 
   // The balancer sees "not ready" first; then nothing new is accepted, and
--- a/src/node/node_main.cc
+++ b/src/node/node_main.cc
@@ -77,16 +77,7 @@
   }
 
   void measure() {
-    measure_process(metrics_);
-    metrics_.set("rpc_bytes_in", {},
-                 static_cast<double>(server_.counters().bytes_in +
-                                     pool_.counters().bytes_in));
-    metrics_.set("rpc_bytes_out", {},
-                 static_cast<double>(server_.counters().bytes_out +
-                                     pool_.counters().bytes_out));
-    metrics_.set("wire_garbled_total", {},
-                 static_cast<double>(server_.counters().garbled +
-                                     pool_.counters().garbled));
+    measure_process(metrics_, server_, pool_);
     metrics_.set("platform_calls_total", {},
                  static_cast<double>(platform_.calls_made()));
   }
--- a/src/platform/platform_client.cc
+++ b/src/platform/platform_client.cc
@@ -45,8 +45,17 @@
   return version;
 }
 
-nlohmann::json parse_body(const http_reply& reply) {
-  return nlohmann::json::parse(reply.body, nullptr, false);
+// The reply's JSON object, or the error that stands for its absence.
+result<nlohmann::json> json_of(const result<http_reply>& reply) {
+  if (!reply) {
+    return reply.error();
+  }
+  nlohmann::json body =
+      nlohmann::json::parse(reply.value().body, nullptr, false);
+  if (!body.is_object()) {
+    return make_error_code(errc::platform_unavailable);
+  }
+  return result<nlohmann::json>(std::move(body));
 }
 
 box_state state_of(const std::string& text) {
@@ -164,16 +173,13 @@
   http_message message{"GET", "/v1/list?prefix=" + prefix, "", {}};
   submit(
       std::move(message), timeout_,
-      [done = std::move(done)](result<http_reply> reply) {
-        if (!reply) {
-          done(reply.error());
-          return;
-        }
-        const nlohmann::json body = parse_body(reply.value());
-        if (!body.is_object()) {
-          done(errc::platform_unavailable);
+      [done = std::move(done)](const result<http_reply>& reply) {
+        const result<nlohmann::json> read = json_of(reply);
+        if (!read) {
+          done(read.error());
           return;
         }
+        const nlohmann::json& body = read.value();
         listing made;
         made.revision = body.value("revision", std::uint64_t{0});
         for (const auto& each : body.value("items", nlohmann::json::array())) {
@@ -194,16 +200,13 @@
                        {}};
   submit(
       std::move(message), longest + timeout_,
-      [done = std::move(done)](result<http_reply> reply) {
-        if (!reply) {
-          done(reply.error());
-          return;
-        }
-        const nlohmann::json body = parse_body(reply.value());
-        if (!body.is_object()) {
-          done(errc::platform_unavailable);
+      [done = std::move(done)](const result<http_reply>& reply) {
+        const result<nlohmann::json> read = json_of(reply);
+        if (!read) {
+          done(read.error());
           return;
         }
+        const nlohmann::json& body = read.value();
         watch_result made;
         made.revision = body.value("revision", std::uint64_t{0});
         for (const auto& each : body.value("events", nlohmann::json::array())) {
@@ -218,16 +221,13 @@
 void platform_client::boxes(callback<std::vector<box>> done) {
   submit(
       {"GET", "/v1/boxes", "", {}}, timeout_,
-      [done = std::move(done)](result<http_reply> reply) {
-        if (!reply) {
-          done(reply.error());
-          return;
-        }
-        const nlohmann::json body = parse_body(reply.value());
-        if (!body.is_object()) {
-          done(errc::platform_unavailable);
+      [done = std::move(done)](const result<http_reply>& reply) {
+        const result<nlohmann::json> read = json_of(reply);
+        if (!read) {
+          done(read.error());
           return;
         }
+        const nlohmann::json& body = read.value();
         std::vector<box> made;
         for (const auto& each : body.value("boxes", nlohmann::json::array())) {
           made.push_back({each.value("name", ""), each.value("place", ""),
--- a/src/process.cc
+++ b/src/process.cc
@@ -65,7 +65,16 @@
   return true;
 }
 
-void measure_process(metrics_registry& metrics) {
+void measure_process(metrics_registry& metrics, rpc_server& server,
+                     rpc_pool& pool) {
+  const rpc_counters& in = server.counters();
+  const rpc_counters& out = pool.counters();
+  metrics.set("rpc_bytes_in", {},
+              static_cast<double>(in.bytes_in + out.bytes_in));
+  metrics.set("rpc_bytes_out", {},
+              static_cast<double>(in.bytes_out + out.bytes_out));
+  metrics.set("wire_garbled_total", {},
+              static_cast<double>(in.garbled + out.garbled));
   rusage used{};
   getrusage(RUSAGE_SELF, &used);
   constexpr double us_per_second = 1e6;
--- a/test/takeover_test.cc
+++ b/test/takeover_test.cc
@@ -127,6 +127,7 @@
  private:
   static std::vector<std::string> open_some(deployment& system, int count) {
     std::vector<std::string> ids;
+    ids.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
       ids.push_back(system.open("entry-1", {{"program", "balance"}}));
     }
