--- a/bench/slopes_bench.cc
+++ b/bench/slopes_bench.cc
@@ -225,7 +225,7 @@
   }
   print_fit(
       "idle control bytes a second out of a node, by nodes "
-      "(spread every 200 ms)",
+      "(spread every 500 ms)",
       "bytes/s a node", bytes);
   print_fit(
       "idle processor of a node in percent of a core, by nodes "
