--- a/include/trayrock/internal/decide/membership.h
+++ b/include/trayrock/internal/decide/membership.h
@@ -46,13 +46,13 @@
   std::vector<const member_view*> others() const;
 
   // Nodes (not entries) that are not gone, with this one; sorted by name.
-  const std::vector<std::string>& live_nodes() const;
+  std::vector<std::string> live_nodes() const;
 
   const member_view* find(std::string_view node) const;
 
   // The processes that this one watches: it is among their next two nodes on
   // the ring of names.
-  const std::vector<std::string>& watched() const;
+  std::vector<std::string> watched() const;
 
   // This process's place among a node's watchers: 0 first, 1 second; nothing
   // when it is none.
@@ -72,18 +72,8 @@
   };
   std::vector<ring_place> ring_with(std::string_view extra) const;
 
-  // What follows from who is up; worked out anew when that has changed, not
-  // at each of the many questions a second.
-  struct derived {
-    std::vector<std::string> live_nodes;
-    std::vector<std::string> watched;
-  };
-  const derived& current() const;
-  void changed() { derived_.reset(); }
-
   wire::Peer self_;
   std::map<std::string, member_view, std::less<>> members_;
-  mutable std::optional<derived> derived_;
   std::vector<std::string> fresh_;
   std::string turn_;
   std::uint64_t judged_ms_ = 0;
--- a/src/decide/membership.cc
+++ b/src/decide/membership.cc
@@ -46,7 +46,6 @@
   }
   const bool notable = unknown || restarted || came_back || judged_gone;
   if (notable) {
-    changed();
     fresh_.push_back(news.node());
   }
   return notable;
@@ -64,11 +63,10 @@
     }
     return newly_gone;
   }
-  for (const std::string& name : std::vector<std::string>(watched())) {
+  for (const std::string& name : watched()) {
     member_view& each = members_.find(name)->second;
     if (each.progress_ms + suspect_after_ms < now_ms) {
       each.peer.set_gone(true);
-      changed();
       fresh_.push_back(name);
       newly_gone.push_back(each.peer);
     }
@@ -86,43 +84,18 @@
   return made;
 }
 
-const membership::derived& membership::current() const {
-  if (derived_.has_value()) {
-    return *derived_;
-  }
-  derived_.emplace();
-  std::vector<std::string>& live = derived_->live_nodes;
+std::vector<std::string> membership::live_nodes() const {
+  std::vector<std::string> made;
   if (!self_.entry()) {
-    live.push_back(self_.node());
+    made.push_back(self_.node());
   }
   for (const auto& [name, each] : members_) {
     if (!each.peer.gone() && !each.peer.entry()) {
-      live.push_back(name);
-    }
-  }
-  std::sort(live.begin(), live.end());
-  if (self_.entry()) {
-    return *derived_;
-  }
-  const std::vector<ring_place> ring = ring_with("");
-  for (std::size_t i = 0; i < ring.size(); ++i) {
-    for (std::size_t step = 1; step <= watchers_a_node; ++step) {
-      const bool mine = ring[(i + step) % ring.size()].node == self_.node();
-      if (mine && ring[i].node != self_.node()) {
-        derived_->watched.push_back(ring[i].node);
-        break;
-      }
+      made.push_back(name);
     }
   }
-  return *derived_;
-}
-
-const std::vector<std::string>& membership::live_nodes() const {
-  return current().live_nodes;
-}
-
-const std::vector<std::string>& membership::watched() const {
-  return current().watched;
+  std::sort(made.begin(), made.end());
+  return made;
 }
 
 const member_view* membership::find(std::string_view node) const {
@@ -133,9 +106,9 @@
 std::vector<membership::ring_place> membership::ring_with(
     std::string_view extra) const {
   std::vector<ring_place> ring;
-  for (const std::string& each : live_nodes()) {
+  for (std::string& each : live_nodes()) {
     if (each != extra) {
-      ring.push_back({hash_of(each), each});
+      ring.push_back({hash_of(each), std::move(each)});
     }
   }
   std::sort(ring.begin(), ring.end(),
@@ -162,6 +135,25 @@
   return std::nullopt;
 }
 
+std::vector<std::string> membership::watched() const {
+  std::vector<std::string> made;
+  if (self_.entry()) {
+    return made;
+  }
+  const std::vector<ring_place> ring = ring_with("");
+  const std::size_t size = ring.size();
+  for (std::size_t i = 0; i < size; ++i) {
+    for (std::size_t step = 1; step <= watchers_a_node; ++step) {
+      const bool mine = ring[(i + step) % size].node == self_.node();
+      if (mine && ring[i].node != self_.node()) {
+        made.push_back(ring[i].node);
+        break;
+      }
+    }
+  }
+  return made;
+}
+
 bool membership::is_config_watcher() const {
   if (self_.entry()) {
     return false;
