A chain of turns is read from several voters when no single one holds it all

A voter that had been without power missed some turns and another voter the rest, so that each had a gap in the chain and said "missing" of the whole; two such answers made a denial. Ruled out: the write of the turn (acknowledged by two voters, 4 ms), the group (epoch unchanged), the cache of the gateway (another gateway asked).

Change: a store says which turn it is missing and sends what lies behind it; the client goes on from there at the other voters. Only the turn that is looked for can be denied, by a read quorum that does not hold it.

--- a/include/trayrock/internal/decide/store_membership.h
+++ b/include/trayrock/internal/decide/store_membership.h
@@ -36,7 +36,7 @@
   std::map<std::string, peer_view> peers;  // by the id in the group
   std::set<std::string> retiring_boxes;
   std::uint64_t retiring_ms = 0;  // how long this store's box has been asked to
-  bool change_pending = false;  // a change of the group is under way
+  bool change_pending = false;    // a change of the group is under way
 };
 
 struct do_nothing {};
--- a/include/trayrock/internal/gateway/chain_cache.h
+++ b/include/trayrock/internal/gateway/chain_cache.h
@@ -20,8 +20,7 @@
   explicit chain_cache(std::size_t max_bytes) : max_bytes_(max_bytes) {}
 
   // Keeps a text until the given time of the caller's steady clock.
-  void put(const std::string& attempt, text_ptr text,
-           std::uint64_t until_ms);
+  void put(const std::string& attempt, text_ptr text, std::uint64_t until_ms);
 
   // The text, or nullptr.
   text_ptr find(const std::string& attempt, std::uint64_t now_ms);
--- a/include/trayrock/internal/gateway/request_facts.h
+++ b/include/trayrock/internal/gateway/request_facts.h
@@ -25,21 +25,21 @@
   std::uint64_t prompt_tokens = 0;
   std::uint64_t most_output_tokens = 0;
   std::vector<prompt_part> prompt;  // in order
-  std::string previous_turn;  // attempt that this turn goes on from
-  std::string object;         // what the request is about, for locality
+  std::string previous_turn;        // attempt that this turn goes on from
+  std::string object;               // what the request is about, for locality
 };
 
 struct answer_facts {
-  std::string attempt;      // of the request that it answers; may be empty
-  bool sealed = false;      // carries the endpoint's authentication code
+  std::string attempt;        // of the request that it answers; may be empty
+  bool sealed = false;        // carries the endpoint's authentication code
   bool not_executed = false;  // the endpoint says that it did not run it
-  bool encoded = false;     // the body is not the endpoint's own bytes
+  bool encoded = false;       // the body is not the endpoint's own bytes
 };
 
 // What the gateway adds for the endpoint.
 struct endpoint_directions {
   std::chrono::milliseconds time_left{0};
-  std::string instance;  // the life of the endpoint that is meant
+  std::string instance;        // the life of the endpoint that is meant
   std::optional<int> urgency;  // 0 (first) to 9
 };
 
--- a/include/trayrock/internal/records/record_book.h
+++ b/include/trayrock/internal/records/record_book.h
@@ -9,13 +9,12 @@
 //   record_book book;
 //   if (book.add(record, now)) write_to_disk(record);
 //   book.usage("program-1");
-//   book.chain("attempt-3");   // the text, or nothing: no such turn
+//   book.chain("attempt-3").text;
 #pragma once
 
 #include <cstdint>
 #include <deque>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -29,6 +28,15 @@
 // The name of a record on disk and between stores: its kind and its attempt.
 std::string record_key(const records::Record& record);
 
+// The inputs and outputs of a turn and of those before it, oldest first.
+struct turn_chain {
+  bool found = false;  // the turn itself is held
+  std::string text;
+  // The newest turn before it that is not held; empty if the chain is whole.
+  // The text then begins behind that turn.
+  std::string gap;
+};
+
 class record_book {
  public:
   using record_ptr = std::shared_ptr<const records::Record>;
@@ -43,9 +51,7 @@
 
   bool has_turn(std::string_view attempt) const;
 
-  // The inputs and outputs of the turn and of those before it, oldest first;
-  // nothing if any of them is missing.
-  std::optional<std::string> chain(std::string_view attempt) const;
+  turn_chain chain(std::string_view attempt) const;
 
   // All turns of a program.
   std::vector<turn_usage> usage(std::string_view program) const;
--- a/include/trayrock/internal/records/record_client.h
+++ b/include/trayrock/internal/records/record_client.h
@@ -26,8 +26,8 @@
 
 struct reserved_turn {
   program_usage usage;
-  bool chain_found = false;  // false: f+1 voters say that there is none
-  std::string text;          // of the chain, if it was asked for
+  bool chain_found = false;  // false: enough voters say that there is none
+  std::string text;          // of the chain, oldest turn first
 };
 
 class record_client {
@@ -47,11 +47,11 @@
   bool has_group() const { return !group_.voters().empty(); }
   const records::Group& group() const { return group_; }
 
-  // Makes the reservation durable (if it names a program) and looks for the
-  // chain of `previous` (if it is not empty); `need_text` asks for its text.
-  // Errors: errc::history_unavailable.
+  // Makes the reservation durable (if it names a program) and reads the chain
+  // of `previous` (if it is not empty), from several voters if no single one
+  // holds all of it. Errors: errc::history_unavailable.
   void reserve(const records::Reservation& reservation,
-               const std::string& previous, bool need_text, milliseconds limit,
+               const std::string& previous, milliseconds limit,
                reserve_callback done);
 
   // Makes a record durable. Errors: errc::not_durable.
--- a/include/trayrock/internal/records/record_disk.h
+++ b/include/trayrock/internal/records/record_disk.h
@@ -30,8 +30,8 @@
 
 class record_disk {
  public:
-  using visitor = std::function<void(std::string_view key,
-                                     std::string_view value)>;
+  using visitor =
+      std::function<void(std::string_view key, std::string_view value)>;
   using done_callback = std::function<void(std::error_code)>;
 
   // Errors: errc::disk_failed. A disk that cannot be read as one of ours is
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -47,7 +47,9 @@
   void on_repair(repair_handler handler) { repair_ = std::move(handler); }
 
   // Told when a group with a newer epoch was heard of.
-  void on_group(std::function<void()> changed) { changed_ = std::move(changed); }
+  void on_group(std::function<void()> changed) {
+    changed_ = std::move(changed);
+  }
 
  private:
   void read_disk();
@@ -55,6 +57,8 @@
   void write(const records::WriteRequest& request, const rpc_reply_ptr& reply);
   void answer_write(const records::WriteRequest& request,
                     records::Outcome outcome, const rpc_reply_ptr& reply);
+  void add_chain(const records::WriteRequest& request,
+                 records::WriteReply& answer) const;
   void pull(const records::PullRequest& request, const rpc_reply_ptr& reply);
   void fence(const records::FenceRequest& request, const rpc_reply_ptr& reply);
   void expire();
--- a/include/trayrock/internal/records/store_membership_driver.h
+++ b/include/trayrock/internal/records/store_membership_driver.h
@@ -40,7 +40,7 @@
     std::uint64_t log = 0;
     std::uint64_t position = 0;
     bool read_to_end = false;
-    bool fenced = false;          // for the present epoch
+    bool fenced = false;  // for the present epoch
     bool read_since_fence = false;
     bool pull_began_fenced = false;
     rpc_call pulling;
@@ -55,7 +55,8 @@
   void pulled(const std::string& id, result<records::PullReply> answer);
   void fence(peer& voter);
   void finish_joining();
-  void repair(const records::RepairRequest& request, const rpc_reply_ptr& reply);
+  void repair(const records::RepairRequest& request,
+              const rpc_reply_ptr& reply);
   membership_view view() const;
   void act(const do_nothing&) {}
   void act(const become_learner&);
--- a/src/decide/store_membership.cc
+++ b/src/decide/store_membership.cc
@@ -57,10 +57,9 @@
 std::optional<take_place> find_place(const membership_view& view) {
   for (const records::Store& each : view.group.voters()) {
     const peer_view* peer = view_of(view, each.id());
-    const bool replaced =
-        each.address() == view.self.address() ||
-        (peer != nullptr && !peer->id_at_address.empty() &&
-         peer->id_at_address != each.id());
+    const bool replaced = each.address() == view.self.address() ||
+                          (peer != nullptr && !peer->id_at_address.empty() &&
+                           peer->id_at_address != each.id());
     if (replaced) {
       return take_place{each.id(), "disk_lost"};
     }
--- a/src/gateway/configuration.cc
+++ b/src/gateway/configuration.cc
@@ -13,8 +13,7 @@
     if (each.host != host || !path.starts_with(each.path_prefix)) {
       continue;
     }
-    if (best == nullptr ||
-        each.path_prefix.size() > best->path_prefix.size()) {
+    if (best == nullptr || each.path_prefix.size() > best->path_prefix.size()) {
       best = &each;
     }
   }
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -27,8 +27,7 @@
 }
 
 double load_of(const endpoint_state& at) {
-  const double latency =
-      at.latency_ms > 0 ? at.latency_ms : assumed_latency_ms;
+  const double latency = at.latency_ms > 0 ? at.latency_ms : assumed_latency_ms;
   return (at.in_flight + 1) * latency / at.record.capacity;
 }
 
@@ -121,22 +120,21 @@
   if (candidates.empty()) {
     return nullptr;
   }
-  const state_ptr& least = *std::min_element(
-      candidates.begin(), candidates.end(),
-      [](const state_ptr& left, const state_ptr& right) {
-        return load_of(*left) < load_of(*right);
-      });
+  const state_ptr& least =
+      *std::min_element(candidates.begin(), candidates.end(),
+                        [](const state_ptr& left, const state_ptr& right) {
+                          return load_of(*left) < load_of(*right);
+                        });
   if (wanted.key.empty()) {
     return least;
   }
-  const state_ptr& preferred = *std::max_element(
-      candidates.begin(), candidates.end(),
-      [&](const state_ptr& left, const state_ptr& right) {
-        return weight_of(wanted.key, left->record.id) <
-               weight_of(wanted.key, right->record.id);
-      });
-  const double allowed =
-      least->in_flight * (1 + slack_share) + slack_requests;
+  const state_ptr& preferred =
+      *std::max_element(candidates.begin(), candidates.end(),
+                        [&](const state_ptr& left, const state_ptr& right) {
+                          return weight_of(wanted.key, left->record.id) <
+                                 weight_of(wanted.key, right->record.id);
+                        });
+  const double allowed = least->in_flight * (1 + slack_share) + slack_requests;
   return preferred->in_flight > allowed ? least : preferred;
 }
 
@@ -147,10 +145,10 @@
   at.in_flight -= at.in_flight > 0 ? 1 : 0;
   if (outcome == attempt_outcome::answered) {
     at.failures_in_row = 0;
-    at.latency_ms = at.latency_ms == 0
-                        ? latency_ms
-                        : at.latency_ms + latency_weight *
-                                              (latency_ms - at.latency_ms);
+    at.latency_ms =
+        at.latency_ms == 0
+            ? latency_ms
+            : at.latency_ms + latency_weight * (latency_ms - at.latency_ms);
     return;
   }
   if (outcome == attempt_outcome::refused) {
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -41,10 +41,14 @@
                          watch_wait),
         records_(loop_, rpc_, settings.service.data_centre, metrics_),
         chains_(chain_cache_bytes),
-        parts_{loop_,   pool_,
-               records_, endpoints_,
-               chains_, metrics_,
-               settings.service.data_centre, [this] { return configuration_; }},
+        parts_{loop_,
+               pool_,
+               records_,
+               endpoints_,
+               chains_,
+               metrics_,
+               settings.service.data_centre,
+               [this] { return configuration_; }},
         clients_(
             loop_, [this] { return limits(); },
             [this](http1_request request, http1_exchange_ptr out) {
@@ -84,8 +88,8 @@
     const timer reload = loop_.on_signal(SIGHUP, [] {
       log_info("reload", {{"outcome", "no setting can change while running"}});
     });
-    const timer sweeping = loop_.every(
-        sweep_period, [this] { endpoints_.sweep(loop_.now_ms()); });
+    const timer sweeping =
+        loop_.every(sweep_period, [this] { endpoints_.sweep(loop_.now_ms()); });
     loop_.run();
     log_info("gateway_stopped", {{"gateway", settings_.service.name}});
     return exit_code_;
@@ -206,8 +210,8 @@
       checking_ = loop_.every(drain_check_period, [this] { check_drained(); });
     });
     const milliseconds limit(settings_.service.stop_limit_ms);
-    last_moment_ = loop_.after(
-        std::max(limit - stop_margin, balancer_notice), [this] {
+    last_moment_ =
+        loop_.after(std::max(limit - stop_margin, balancer_notice), [this] {
           log_warn("drain_unfinished",
                    {{"open", std::to_string(clients_.open_requests())}});
           exit_code_ = exit_unfinished;
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -117,7 +117,7 @@
     }
     const milliseconds limit = std::min(history_limit, time_left());
     parts_.records.reserve(
-        reservation, asked, true, limit,
+        reservation, asked, limit,
         [self = shared_from_this(), asked](result<reserved_turn> made) {
           self->reserve_done(std::move(made), !asked.empty());
         });
@@ -140,8 +140,8 @@
       return;
     }
     if (asked_chain) {
-      chain_text_ = std::make_shared<const std::string>(
-          std::move(made.value().text));
+      chain_text_ =
+          std::make_shared<const std::string>(std::move(made.value().text));
       parts_.chains.put(facts_.previous_turn, chain_text_, retained_until());
     }
     if (has_budget() && !budget_holds(made.value().usage)) {
@@ -190,14 +190,14 @@
     made.set_program(facts_.program);
     made.set_attempt(facts_.attempt);
     made.set_tokens(tokens);
-    parts_.records.keep(std::move(record), settle_limit,
-                        [attempt = facts_.attempt](std::error_code failed) {
-                          if (failed) {
-                            log_warn("settlement_lost",
-                                     {{"request", attempt},
-                                      {"cause", failed.message()}});
-                          }
-                        });
+    parts_.records.keep(
+        std::move(record), settle_limit,
+        [attempt = facts_.attempt](std::error_code failed) {
+          if (failed) {
+            log_warn("settlement_lost",
+                     {{"request", attempt}, {"cause", failed.message()}});
+          }
+        });
   }
 
   std::uint64_t tokens_per_event() const {
@@ -207,7 +207,8 @@
     return engine ? found->second.engine->tokens_per_event : 1;
   }
 
-  // ---- Sending ---------------------------------------------------------------
+  // ---- Sending
+  // ---------------------------------------------------------------
 
   std::string_view placement_key() const {
     return facts_.program.empty() ? std::string_view(facts_.attempt)
@@ -289,7 +290,8 @@
     });
   }
 
-  // ---- The endpoint's answer -------------------------------------------------
+  // ---- The endpoint's answer
+  // -------------------------------------------------
 
   bool take_head(const http1_answer_head& head) {
     answer_ = platform::decode_answer(head);
@@ -383,16 +385,16 @@
         static_cast<double>(parts_.loop.now_us() - sent_at_us_) / us_per_ms;
     endpoint_directory::end(*endpoint_, outcome, ms, parts_.loop.now_ms());
     if (outcome != attempt_outcome::answered) {
-      log_info("attempt_failed",
-               {{"request", facts_.attempt},
-                {"endpoint", endpoint_->record.id},
-                {"outcome", outcome == attempt_outcome::refused ? "not_executed"
-                            : outcome == attempt_outcome::unreachable
-                                ? "never_sent"
-                                : "unknown"},
-                {"status", std::to_string(head_.status)},
-                {"ms", std::to_string(static_cast<long>(ms))},
-                {"in_flight", std::to_string(endpoint_->in_flight)}});
+      log_info(
+          "attempt_failed",
+          {{"request", facts_.attempt},
+           {"endpoint", endpoint_->record.id},
+           {"outcome", outcome == attempt_outcome::refused ? "not_executed"
+                       : outcome == attempt_outcome::unreachable ? "never_sent"
+                                                                 : "unknown"},
+           {"status", std::to_string(head_.status)},
+           {"ms", std::to_string(static_cast<long>(ms))},
+           {"in_flight", std::to_string(endpoint_->in_flight)}});
     }
   }
 
@@ -441,8 +443,7 @@
     turn.set_input(request_.body);
     turn.set_output(events_.data());
     turn.set_tokens(events_.whole_events() * tokens_per_event());
-    turn.set_retention_s(
-        static_cast<std::uint32_t>(route_->retention.count()));
+    turn.set_retention_s(static_cast<std::uint32_t>(route_->retention.count()));
     settled_ = true;
     keeping_ = true;
     const std::uint64_t began = elapsed_us();
@@ -475,7 +476,8 @@
     out_->finish();
   }
 
-  // ---- Ends ------------------------------------------------------------------
+  // ---- Ends
+  // ------------------------------------------------------------------
 
   void client_gone() {
     if (ended_) {
@@ -547,8 +549,8 @@
     attempt_guard_.cancel();
     const auto ms = [](std::uint64_t us) { return std::to_string(us / 1000); };
     const std::string kind = route_ == nullptr ? "none" : route_->name;
-    parts_.metrics.add("requests_total", {{"route", kind},
-                                          {"outcome", std::string(outcome)}});
+    parts_.metrics.add("requests_total",
+                       {{"route", kind}, {"outcome", std::string(outcome)}});
     constexpr double us_per_ms = 1000;
     parts_.metrics.observe("request_ms", {{"route", kind}},
                            static_cast<double>(elapsed_us()) / us_per_ms);
@@ -615,8 +617,8 @@
 
 void serve_request(const gateway_parts& parts, http1_request request,
                    http1_exchange_ptr out) {
-  const auto flow = std::make_shared<request_flow>(parts, std::move(request),
-                                                   std::move(out));
+  const auto flow =
+      std::make_shared<request_flow>(parts, std::move(request), std::move(out));
   flow->start();
 }
 
--- a/src/net/http1_client.cc
+++ b/src/net/http1_client.cc
@@ -38,8 +38,7 @@
   unsigned seconds = 0;
   std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
   constexpr double ms_per_second = 1000;
-  return milliseconds(
-      static_cast<long>(seconds * ms_per_second * idle_share));
+  return milliseconds(static_cast<long>(seconds * ms_per_second * idle_share));
 }
 
 class client_connection;
@@ -257,8 +256,8 @@
   if (me.interim_) {
     return 0;
   }
-  me.head_.has_length =
-      (parser->flags & F_CHUNKED) != 0 || me.head_.headers.has("Content-Length");
+  me.head_.has_length = (parser->flags & F_CHUNKED) != 0 ||
+                        me.head_.headers.has("Content-Length");
   if (me.head_.headers.has("Transfer-Encoding") &&
       me.head_.headers.has("Content-Length")) {
     return -1;
@@ -441,13 +440,13 @@
   call.observer = std::move(observer);
   // The handle must not close a connection that has gone on to another call.
   std::weak_ptr<http1_call::canceller> weak = handle.held_;
-  call.observer.on_end = [weak, tell = std::move(call.observer.on_end)](
-                             http1_end how) {
-    if (const auto held = weak.lock()) {
-      held->ended = true;
-    }
-    tell(how);
-  };
+  call.observer.on_end =
+      [weak, tell = std::move(call.observer.on_end)](http1_end how) {
+        if (const auto held = weak.lock()) {
+          held->ended = true;
+        }
+        tell(how);
+      };
   const std::string key = key_of(peer, owner);
   auto& held = impl_->peers[key];
   if (!held.idle.empty()) {
--- a/src/net/http1_server.cc
+++ b/src/net/http1_server.cc
@@ -137,8 +137,8 @@
   std::size_t header_bytes_ = 0;
   bool last_was_value_ = false;
   bool whole_ = false;
-  bool reading_ = false;   // a request has begun and is not whole
-  bool serving_ = false;   // a request is being answered
+  bool reading_ = false;  // a request has begun and is not whole
+  bool serving_ = false;  // a request is being answered
   bool closing_ = false;
   bool keep_alive_ = true;
   bool old_client_ = false;
@@ -177,8 +177,8 @@
     }
     begun_ = true;
     chunked_ = !connection->old_client();
-    std::string out = head(status, headers,
-                           connection->closes_after_answer() || !chunked_);
+    std::string out =
+        head(status, headers, connection->closes_after_answer() || !chunked_);
     out += chunked_ ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
     connection->send(out);
   }
@@ -326,7 +326,8 @@
   me.keep_alive_ = http_should_keep_alive(parser) != 0;
   me.old_client_ = parser->http_major < 1 ||
                    (parser->http_major == 1 && parser->http_minor == 0);
-  me.request_.method = http_method_str(static_cast<enum http_method>(parser->method));
+  me.request_.method =
+      http_method_str(static_cast<enum http_method>(parser->method));
   me.head_request_ = parser->method == HTTP_HEAD;
   const bool chunked = me.request_.headers.has("Transfer-Encoding");
   const bool sized = me.request_.headers.has("Content-Length");
@@ -382,10 +383,9 @@
     }
     evbuffer_iovec piece{};
     evbuffer_peek(input, -1, nullptr, &piece, 1);
-    const std::size_t used =
-        http_parser_execute(&parser_, &parser_settings(),
-                            static_cast<const char*>(piece.iov_base),
-                            piece.iov_len);
+    const std::size_t used = http_parser_execute(
+        &parser_, &parser_settings(), static_cast<const char*>(piece.iov_base),
+        piece.iov_len);
     evbuffer_drain(input, used);
     if (whole_) {
       dispatch();
@@ -429,9 +429,10 @@
 // Answers a request that was not handed on.
 void server_connection::refuse(int status) {
   reading_ = false;
-  const std::string out = "HTTP/1.1 " + std::to_string(status) + " " +
-                          http_status_str(static_cast<enum http_status>(status)) +
-                          "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+  const std::string out =
+      "HTTP/1.1 " + std::to_string(status) + " " +
+      http_status_str(static_cast<enum http_status>(status)) +
+      "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
   send(out);
   if (server_.refused) {
     server_.refused(status);
--- a/src/records/record_book.cc
+++ b/src/records/record_book.cc
@@ -14,9 +14,9 @@
 // times.
 constexpr std::uint64_t expiry_margin_ms = 60000;
 constexpr std::uint64_t ms_per_second = 1000;
-// Chains longer than this are taken as damaged: 360 turns are the most that
-// the capacity page reckons with.
-constexpr int longest_chain = 4096;
+// Longer chains are cut: 360 turns are the most that the capacity page reckons
+// with, and a damaged record must not make an endless one.
+constexpr std::size_t longest_chain = 4096;
 
 std::string key_of(char kind, std::string_view attempt) {
   return std::string(1, kind) + "/" + std::string(attempt);
@@ -43,8 +43,7 @@
   if (key.empty() || by_key_.contains(key)) {
     return false;
   }
-  const auto held =
-      std::make_shared<const records::Record>(std::move(record));
+  const auto held = std::make_shared<const records::Record>(std::move(record));
   by_key_.emplace(key, held);
   bytes_ += held->ByteSizeLong();
   log_.push_back({next_position_++, now_ms, held});
@@ -82,22 +81,24 @@
   return by_key_.contains(key_of(turn_prefix, attempt));
 }
 
-std::optional<std::string> record_book::chain(std::string_view attempt) const {
+turn_chain record_book::chain(std::string_view attempt) const {
   std::vector<const records::Turn*> turns;
+  turn_chain made;
   std::string next(attempt);
-  while (!next.empty()) {
-    const auto found = by_key_.find(key_of(turn_prefix, next));
-    if (found == by_key_.end() || turns.size() >= longest_chain) {
-      return std::nullopt;
+  while (!next.empty() && turns.size() < longest_chain) {
+    const auto held = by_key_.find(key_of(turn_prefix, next));
+    if (held == by_key_.end()) {
+      made.gap = next;
+      break;
     }
-    turns.push_back(&found->second->turn());
+    turns.push_back(&held->second->turn());
     next = turns.back()->previous();
   }
-  std::string text;
+  made.found = !turns.empty();
   for (auto turn = turns.rbegin(); turn != turns.rend(); ++turn) {
-    text.append((*turn)->input()).append((*turn)->output());
+    made.text.append((*turn)->input()).append((*turn)->output());
   }
-  return text;
+  return made;
 }
 
 std::vector<turn_usage> record_book::usage(std::string_view program) const {
@@ -113,11 +114,11 @@
 
 std::vector<record_book::numbered_record> record_book::after(
     std::uint64_t position, std::size_t max_bytes) const {
-  const auto first = std::upper_bound(
-      log_.begin(), log_.end(), position,
-      [](std::uint64_t at, const numbered_record& each) {
-        return at < each.position;
-      });
+  const auto first =
+      std::upper_bound(log_.begin(), log_.end(), position,
+                       [](std::uint64_t at, const numbered_record& each) {
+                         return at < each.position;
+                       });
   std::vector<numbered_record> found;
   std::size_t bytes = 0;
   for (auto each = first; each != log_.end() && bytes < max_bytes; ++each) {
--- a/src/records/record_client.cc
+++ b/src/records/record_client.cc
@@ -24,16 +24,18 @@
   record_client& client;
   records::Group group;
   records::WriteRequest request;
-  bool need_text = false;
   reserve_callback reserved;
   done_callback kept;
 
   std::set<std::string> acknowledged;
+  // Of the turn that is looked for now, `request.chain_of`: the voters that
+  // do not hold it, and those that do and may send its text.
   std::set<std::string> chain_missing;
-  std::set<std::string> chain_found;
+  std::set<std::string> chain_holders;
+  std::string text_asked_at;
+  std::string text_behind;  // of the turns that were found already
   bool has_text = false;
   bool done = false;
-  std::string text_asked_at;
   reserved_turn found;
   std::map<std::string, rpc_call> calls;
   std::map<std::string, timer> retries;
@@ -50,19 +52,24 @@
     retries.clear();
     acknowledged.clear();
     chain_missing.clear();
+    chain_holders.clear();
     text_asked_at.clear();
     if (group.voters().empty()) {
       return;  // begun once a group is known
     }
-    const std::string nearest = nearest_voter();
-    for (const records::Store& each : group.voters()) {
-      send(each, need_text && each.id() == nearest);
-    }
+    ask_voters();
     for (const records::Store& each : group.learners()) {
       copy_to_learner(each);
     }
   }
 
+  void ask_voters() {
+    const std::string nearest = nearest_voter();
+    for (const records::Store& each : group.voters()) {
+      send(each, needs_chain() && each.id() == nearest);
+    }
+  }
+
   std::string nearest_voter() const {
     for (const records::Store& each : group.voters()) {
       if (each.data_centre() == client.data_centre_) {
@@ -113,8 +120,7 @@
     retries[id] = client.loop_.after(retry_pause, [weak, id] {
       const auto held = weak.lock();
       const records::Store* to =
-          held == nullptr ? nullptr
-                          : find_store(held->group.voters(), id);
+          held == nullptr ? nullptr : find_store(held->group.voters(), id);
       if (to != nullptr && !held->done) {
         held->send(*to, held->text_asked_at == id);
       }
@@ -142,9 +148,10 @@
     switch (reply.outcome()) {
       case records::OUTCOME_OK:
         take(id, reply);
+        take_chain(id, reply);
         break;
       case records::OUTCOME_CATCHING_UP:
-        take_text(reply);
+        take_chain(id, reply);
         retry(id);
         break;
       case records::OUTCOME_STALE_EPOCH:
@@ -165,34 +172,50 @@
       found.usage.add(
           {each.attempt(), each.reserved(), each.settled(), each.used()});
     }
-    if (reply.chain() == records::CHAIN_MISSING) {
-      chain_missing.insert(id);
-    }
-    take_text(reply);
-    if (reply.chain() == records::CHAIN_FOUND && !reply.text_included()) {
-      chain_found.insert(id);
-    }
   }
 
-  void take_text(const records::WriteReply& reply) {
-    if (reply.chain() != records::CHAIN_FOUND) {
+  // What a voter says of the chain counts for the turn that is looked for now.
+  void take_chain(const std::string& id, const records::WriteReply& reply) {
+    if (has_text || !needs_chain() || reply.chain_of() != request.chain_of()) {
+      return;
+    }
+    if (text_asked_at == id) {
+      text_asked_at.clear();
+    }
+    if (reply.chain() == records::CHAIN_MISSING) {
+      // A store that is catching up can not say what there is not.
+      if (reply.outcome() == records::OUTCOME_OK) {
+        chain_missing.insert(id);
+      }
       return;
     }
-    found.chain_found = true;
-    if (reply.text_included()) {
-      found.text = reply.text();
+    if (!reply.text_included()) {
+      chain_holders.insert(id);
+      return;
+    }
+    text_behind.insert(0, reply.text());
+    if (reply.chain() == records::CHAIN_FOUND) {
+      found.chain_found = true;
+      found.text = std::move(text_behind);
       has_text = true;
+      return;
     }
+    // Go on with the turns before the gap, which other voters hold.
+    request.set_chain_of(reply.chain_gap());
+    chain_missing.clear();
+    chain_holders.clear();
+    ask_voters();
   }
 
-  // Asks another voter that has the chain for its text.
+  // Asks another voter that has the turn for its text.
   void ask_text() {
-    if (done || has_text || !need_text) {
+    if (done || has_text || !needs_chain()) {
       return;
     }
-    for (const std::string& id : chain_found) {
+    for (const std::string& id : chain_holders) {
       const records::Store* to = find_store(group.voters(), id);
       if (to != nullptr && id != text_asked_at) {
+        chain_holders.erase(id);
         send(*to, true);
         return;
       }
@@ -201,17 +224,15 @@
   }
 
   bool chain_settled() {
-    if (!needs_chain()) {
+    if (!needs_chain() || has_text) {
       return true;
     }
-    if (found.chain_found) {
-      if (need_text && !has_text && text_asked_at.empty()) {
-        ask_text();
-      }
-      return !need_text || has_text;
+    if (text_asked_at.empty()) {
+      ask_text();
     }
     const auto voters = static_cast<std::size_t>(group.voters_size());
-    return chain_missing.size() >= read_quorum(voters, group.tolerated());
+    return chain_holders.empty() && text_asked_at.empty() &&
+           chain_missing.size() >= read_quorum(voters, group.tolerated());
   }
 
   void settle() {
@@ -294,14 +315,13 @@
 }
 
 void record_client::reserve(const records::Reservation& reservation,
-                            const std::string& previous, bool need_text,
-                            milliseconds limit, reserve_callback done) {
+                            const std::string& previous, milliseconds limit,
+                            reserve_callback done) {
   auto made = std::make_shared<operation>(*this);
   if (!reservation.program().empty()) {
     *made->request.mutable_record()->mutable_reservation() = reservation;
   }
   made->request.set_chain_of(previous);
-  made->need_text = need_text && !previous.empty();
   made->reserved = std::move(done);
   begin(made, limit);
 }
--- a/src/records/record_disk.cc
+++ b/src/records/record_disk.cc
@@ -47,8 +47,7 @@
 
 leveldb::DB* open_database(const std::string& folder) {
   leveldb::DB* opened = nullptr;
-  leveldb::Status status =
-      leveldb::DB::Open(disk_options(), folder, &opened);
+  leveldb::Status status = leveldb::DB::Open(disk_options(), folder, &opened);
   if (!status.ok()) {
     log_error("disk_unreadable", {{"folder", folder},
                                   {"cause", status.ToString()},
@@ -217,8 +216,7 @@
           {each->value().data(), each->value().size()});
   }
   if (!each->status().ok()) {
-    log_error("disk_read_incomplete",
-              {{"cause", each->status().ToString()}});
+    log_error("disk_read_incomplete", {{"cause", each->status().ToString()}});
   }
 }
 
@@ -244,8 +242,7 @@
 
 milliseconds record_disk::oldest_wait() const {
   const std::scoped_lock lock(impl_->guard);
-  const auto& oldest =
-      impl_->writing.empty() ? impl_->waiting : impl_->writing;
+  const auto& oldest = impl_->writing.empty() ? impl_->waiting : impl_->writing;
   if (oldest.empty()) {
     return milliseconds(0);
   }
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -137,8 +137,8 @@
                    : judge_write(state_, request.store(), request.epoch());
   metrics_.add("record_writes_total",
                {{"outcome", records::Outcome_Name(outcome)}});
-  const bool taken = outcome == records::OUTCOME_OK ||
-                     outcome == records::OUTCOME_CATCHING_UP;
+  const bool taken =
+      outcome == records::OUTCOME_OK || outcome == records::OUTCOME_CATCHING_UP;
   if (!taken || !request.has_record()) {
     answer_write(request, outcome, reply);
     return;
@@ -185,17 +185,26 @@
     }
   }
   if (!request.chain_of().empty()) {
-    std::optional<std::string> text = book_.chain(request.chain_of());
-    answer.set_chain(text ? records::CHAIN_FOUND : records::CHAIN_MISSING);
-    if (text && request.send_chain()) {
-      answer.set_text(std::move(*text));
-      answer.set_text_included(true);
-    }
+    add_chain(request, answer);
   }
   reply->send(answer);
   reply->finish();
 }
 
+void record_server::add_chain(const records::WriteRequest& request,
+                              records::WriteReply& answer) const {
+  turn_chain chain = book_.chain(request.chain_of());
+  answer.set_chain_of(request.chain_of());
+  answer.set_chain(!chain.found        ? records::CHAIN_MISSING
+                   : chain.gap.empty() ? records::CHAIN_FOUND
+                                       : records::CHAIN_PARTIAL);
+  answer.set_chain_gap(chain.gap);
+  if (chain.found && request.send_chain()) {
+    answer.set_text(std::move(chain.text));
+    answer.set_text_included(true);
+  }
+}
+
 void record_server::pull(const records::PullRequest& request,
                          const rpc_reply_ptr& reply) {
   records::PullReply answer;
--- a/src/records/store_main.cc
+++ b/src/records/store_main.cc
@@ -49,8 +49,8 @@
     log_error("listen_failed", {{"store", settings.service.name}});
     return exit_listen;
   }
-  log_info("store_started", {{"box", settings.service.box},
-                             {"version", TRAYROCK_VERSION}});
+  log_info("store_started",
+           {{"box", settings.service.box}, {"version", TRAYROCK_VERSION}});
   server.start([&membership] { membership.start(); });
   const timer terminate = loop.on_signal(SIGTERM, [&loop] { loop.stop(); });
   const timer reload = loop.on_signal(SIGHUP, [] {
@@ -65,8 +65,8 @@
 
 int main(int argc, char** argv) {
   int exit_code = exit_done;
-  const auto arguments = read_arguments(
-      argc, argv, "Record store of trayrock", exit_code);
+  const auto arguments =
+      read_arguments(argc, argv, "Record store of trayrock", exit_code);
   if (!arguments) {
     return exit_code;
   }
--- a/src/records/store_membership_driver.cc
+++ b/src/records/store_membership_driver.cc
@@ -40,13 +40,11 @@
   started_ms_ = loop_.now_ms();
   registry_.watch_group(
       [this](const records::Group& group) { server_.adopt(group, nullptr); });
-  registry_.watch_retirements([this](const std::set<std::string>& boxes) {
-    take_retirements(boxes);
-  });
+  registry_.watch_retirements(
+      [this](const std::set<std::string>& boxes) { take_retirements(boxes); });
   server_.on_repair(
-      [this](const records::RepairRequest& request, const rpc_reply_ptr& reply) {
-        repair(request, reply);
-      });
+      [this](const records::RepairRequest& request,
+             const rpc_reply_ptr& reply) { repair(request, reply); });
   ticking_ = loop_.every(tick_period, [this] { tick(); });
 }
 
@@ -61,8 +59,8 @@
   const std::uint64_t now = loop_.now_ms();
   for (auto& [id, each] : peers_) {
     const bool settled = voter && state.counts() && retiring_.empty();
-    const std::uint64_t since = now - std::max(each.answered_ms,
-                                               each.first_asked_ms);
+    const std::uint64_t since =
+        now - std::max(each.answered_ms, each.first_asked_ms);
     if (settled) {
       continue;  // a counting voter has nothing to learn
     }
@@ -111,11 +109,9 @@
 void store_membership_driver::create_group_of(
     std::vector<records::Store> announced) {
   const std::size_t wanted = full_group(settings_.tolerated);
-  const bool waited =
-      loop_.now_ms() - started_ms_ >= announcement_wait_ms;
-  const bool enough =
-      announced.size() >= wanted ||
-      (waited && announced.size() > settings_.tolerated);
+  const bool waited = loop_.now_ms() - started_ms_ >= announcement_wait_ms;
+  const bool enough = announced.size() >= wanted ||
+                      (waited && announced.size() > settings_.tolerated);
   if (!enough) {
     return;
   }
@@ -131,8 +127,7 @@
   std::set<std::string> chosen;
   for (const bool spread : {true, false}) {
     for (const records::Store& each : announced) {
-      const bool full =
-          static_cast<std::size_t>(group.voters_size()) >= wanted;
+      const bool full = static_cast<std::size_t>(group.voters_size()) >= wanted;
       if (full || chosen.contains(each.id()) ||
           (spread && data_centres.contains(each.data_centre()))) {
         continue;
@@ -168,8 +163,7 @@
     return id != own && (is_voter(group, id) ||
                          find_store(group.previous_voters(), id) != nullptr);
   };
-  std::erase_if(peers_,
-                [&](const auto& held) { return !wanted(held.first); });
+  std::erase_if(peers_, [&](const auto& held) { return !wanted(held.first); });
   for (const auto* stores : {&group.voters(), &group.previous_voters()}) {
     for (const records::Store& each : *stores) {
       if (wanted(each.id()) && !peers_.contains(each.id())) {
@@ -211,9 +205,8 @@
     server_.adopt(answer.value().group(), nullptr);
   }
   const records::PullReply reply = std::move(answer.value());
-  server_.take(reply, [this, id, log = reply.log(),
-                       position = reply.position(), more = reply.more(),
-                       counts = reply.counts()] {
+  server_.take(reply, [this, id, log = reply.log(), position = reply.position(),
+                       more = reply.more(), counts = reply.counts()] {
     const auto held = peers_.find(id);
     if (held == peers_.end()) {
       return;
@@ -248,8 +241,8 @@
           return;
         }
         const records::FenceReply& reply = answer.value();
-        found->second.fenced = reply.store() == id && reply.counts() &&
-                               reply.epoch() >= epoch;
+        found->second.fenced =
+            reply.store() == id && reply.counts() && reply.epoch() >= epoch;
         found->second.pull_began_fenced = false;
         if (found->second.fenced) {
           pull(found->second);
@@ -291,8 +284,7 @@
   const std::uint64_t now = loop_.now_ms();
   made.retiring_ms = retiring_since_ms_ == 0 ? 0 : now - retiring_since_ms_;
   for (const auto& [id, each] : peers_) {
-    const std::uint64_t heard =
-        std::max(each.answered_ms, each.first_asked_ms);
+    const std::uint64_t heard = std::max(each.answered_ms, each.first_asked_ms);
     made.peers[id] = {now - heard, each.read_to_end, each.counts,
                       each.id_at_address};
   }
@@ -305,12 +297,11 @@
                                      std::string_view cause,
                                      const std::string& leaving) {
   changing_ = true;
-  log_info("group_change_proposed",
-           {{"store", settings_.self.id()},
-            {"action", std::string(what)},
-            {"cause", std::string(cause)},
-            {"leaving", leaving},
-            {"epoch", std::to_string(group.epoch())}});
+  log_info("group_change_proposed", {{"store", settings_.self.id()},
+                                     {"action", std::string(what)},
+                                     {"cause", std::string(cause)},
+                                     {"leaving", leaving},
+                                     {"epoch", std::to_string(group.epoch())}});
   registry_.change_group(group, [this](std::error_code failed) {
     changing_ = false;
     if (failed) {
--- a/src/settings/service_settings.cc
+++ b/src/settings/service_settings.cc
@@ -50,8 +50,8 @@
   strict_object top(root, "", settings_faults, faults);
   made.service = read_service(top);
   made.data_folder = top.text("data_folder");
-  made.tolerated_losses = top.number_or("tolerated_losses", losses_range,
-                                        made.tolerated_losses);
+  made.tolerated_losses =
+      top.number_or("tolerated_losses", losses_range, made.tolerated_losses);
   made.first_start = top.flag_or("first_start", made.first_start);
   top.close();
   return made;
