Spare stores hold nothing until they are needed; watches pause after changes

Change: after changes a watch waits 350 ms (endpoints) or 100 ms (configuration) before it asks again. A spare store only asks whether the voters live; it becomes a learner when there is a place to take. It reads one voter in full and of the others only the keys, then what is missing.

Found on the way by record_stores_test: the dead voter at the store's own address was taken as the source to wait for; the source has to have answered.

--- a/include/trayrock/internal/decide/store_membership.h
+++ b/include/trayrock/internal/decide/store_membership.h
@@ -1,10 +1,11 @@
 // What a record store does next about its place in the group.
 //
 // No I/O and no clock: the store's view goes in, one action comes out. A store
-// that is no voter becomes a learner, reads what the voters hold, and takes
-// the place of a voter that has lost its disk, is to be retired, or has been
-// silent for long; or joins a group that lacks a voter. A voter that is to be
-// retired waits for a successor and leaves without one if none is there.
+// that is no voter holds nothing until a voter has lost its disk, is to be
+// retired, or has been silent for long, or the group lacks a voter. Then it
+// becomes a learner, reads what the voters hold, and takes that place. A voter
+// that is to be retired waits for a successor and leaves without one if none
+// is there.
 //
 // Example:
 //   const membership_action next = next_membership_action(view);
--- a/include/trayrock/internal/records/record_book.h
+++ b/include/trayrock/internal/records/record_book.h
@@ -60,6 +60,11 @@
   std::vector<numbered_record> after(std::uint64_t position,
                                      std::size_t max_bytes) const;
 
+  bool has(const std::string& key) const { return by_key_.contains(key); }
+
+  // The record of a key, or nullptr.
+  record_ptr find(const std::string& key) const;
+
   // The position of the newest record.
   std::uint64_t position() const { return next_position_ - 1; }
 
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -60,6 +60,10 @@
   void add_chain(const records::WriteRequest& request,
                  records::WriteReply& answer) const;
   void pull(const records::PullRequest& request, const rpc_reply_ptr& reply);
+  void add_records_behind(const records::PullRequest& request,
+                          records::PullReply& answer) const;
+  void add_named_records(const records::PullRequest& request,
+                         records::PullReply& answer) const;
   void fence(const records::FenceRequest& request, const rpc_reply_ptr& reply);
   void expire();
 
--- a/include/trayrock/internal/records/store_membership_driver.h
+++ b/include/trayrock/internal/records/store_membership_driver.h
@@ -51,8 +51,14 @@
   void create_group();
   void create_group_of(std::vector<records::Store> announced);
   void refresh_peers();
+  bool reads_records() const;
+  records::PullKind pull_kind(const peer& from);
   void pull(peer& from);
-  void pulled(const std::string& id, result<records::PullReply> answer);
+  void pulled(const std::string& id, records::PullKind kind,
+              result<records::PullReply> answer);
+  void take_pulled(const std::string& id, const records::PullReply& reply);
+  void fetch_missing(peer& from, const records::PullReply& listed);
+  void read_up_to(const std::string& id, const records::PullReply& reply);
   void fence(peer& voter);
   void finish_joining();
   void repair(const records::RepairRequest& request,
@@ -75,6 +81,9 @@
   membership_settings settings_;
   std::map<std::string, peer> peers_;
   std::uint64_t peers_epoch_ = 0;
+  // The voter whose records are read in full; of the others only what is
+  // still missing.
+  std::string full_source_;
   std::set<std::string> retiring_;
   std::uint64_t retiring_since_ms_ = 0;
   bool announced_ = false;
--- a/src/decide/store_membership.cc
+++ b/src/decide/store_membership.cc
@@ -106,14 +106,17 @@
     return every_voter_counts(view) ? membership_action(finish_retirement{})
                                     : membership_action(do_nothing{});
   }
+  const std::optional<take_place> place = find_place(view);
+  if (!place) {
+    return do_nothing{};  // a spare store costs nothing until it is needed
+  }
   if (!is_learner(view.group, view.self.id())) {
     return become_learner{};
   }
   if (!has_read_enough(view) || voter_is_catching_up(view)) {
     return do_nothing{};
   }
-  const std::optional<take_place> place = find_place(view);
-  return place ? membership_action(*place) : membership_action(do_nothing{});
+  return *place;
 }
 
 }  // namespace trayrock
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -19,6 +19,11 @@
 // How long one watch of the platform waits. A watch whose connection has gone
 // silent is noticed a second later.
 constexpr milliseconds watch_wait{4000};
+// Pauses between watches after changes. Endpoints register and leave in
+// numbers, and may be sent to for two seconds after they say that they leave;
+// a configuration has two seconds to be in force.
+constexpr milliseconds endpoints_pause{350};
+constexpr milliseconds configuration_pause{100};
 constexpr milliseconds sweep_period{250};
 // After SIGTERM the balancer asks once a second and needs two misses; until
 // then new connections still come. It may also go on sending them, when too
@@ -38,9 +43,9 @@
         platform_(loop_, settings.service.platform, metrics_),
         registry_(loop_, platform_),
         configurations_(loop_, platform_, platform::kind_configuration,
-                        watch_wait),
+                        watch_wait, configuration_pause),
         endpoints_watch_(loop_, platform_, platform::kind_endpoints,
-                         watch_wait),
+                         watch_wait, endpoints_pause),
         records_(loop_, rpc_, settings.service.data_centre, metrics_),
         chains_(chain_cache_bytes),
         parts_{loop_,
--- a/src/records/record_book.cc
+++ b/src/records/record_book.cc
@@ -128,6 +128,11 @@
   return found;
 }
 
+record_book::record_ptr record_book::find(const std::string& key) const {
+  const auto held = by_key_.find(key);
+  return held == by_key_.end() ? nullptr : held->second;
+}
+
 std::vector<std::string> record_book::expire(std::uint64_t now_ms) {
   const std::uint64_t kept_ms =
       longest_retention_s_ * ms_per_second + expiry_margin_ms;
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -12,6 +12,8 @@
 
 constexpr std::string_view state_key = "m/state";
 constexpr std::size_t pull_bytes = 256U << 10;
+// A key is about a twentieth of a record.
+constexpr std::size_t key_pull_bytes = 4U << 20;
 constexpr milliseconds expiry_period{5000};
 
 std::string new_id() {
@@ -215,18 +217,49 @@
   answer.set_epoch(state_.group().epoch());
   *answer.mutable_group() = state_.group();
   answer.set_log(log_);
+  switch (request.kind()) {
+    case records::PULL_RECORDS:
+    case records::PULL_KEYS:
+      add_records_behind(request, answer);
+      break;
+    case records::PULL_NAMED:
+      add_named_records(request, answer);
+      break;
+    default:
+      break;
+  }
+  reply->send(answer);
+  reply->finish();
+}
+
+void record_server::add_records_behind(const records::PullRequest& request,
+                                       records::PullReply& answer) const {
   const std::uint64_t from = request.log() == log_ ? request.after() : 0;
   const std::uint64_t now = loop_.now_ms();
+  const bool keys_only = request.kind() == records::PULL_KEYS;
   answer.set_position(from);
-  for (const auto& each : book_.after(from, pull_bytes)) {
-    records::PulledRecord& pulled = *answer.add_records();
-    *pulled.mutable_record() = *each.record;
-    pulled.set_age_ms(now - each.added_at_ms);
+  for (const auto& each :
+       book_.after(from, keys_only ? key_pull_bytes : pull_bytes)) {
+    if (keys_only) {
+      answer.add_keys(record_key(*each.record));
+    } else {
+      records::PulledRecord& pulled = *answer.add_records();
+      *pulled.mutable_record() = *each.record;
+      pulled.set_age_ms(now - each.added_at_ms);
+    }
     answer.set_position(each.position);
   }
   answer.set_more(answer.position() < book_.position());
-  reply->send(answer);
-  reply->finish();
+}
+
+void record_server::add_named_records(const records::PullRequest& request,
+                                      records::PullReply& answer) const {
+  for (const std::string& key : request.keys()) {
+    const record_book::record_ptr held = book_.find(key);
+    if (held != nullptr) {
+      *answer.add_records()->mutable_record() = *held;
+    }
+  }
 }
 
 void record_server::take(const records::PullReply& pulled,
--- a/src/records/store_membership_driver.cc
+++ b/src/records/store_membership_driver.cc
@@ -13,6 +13,8 @@
 // at every tick.
 constexpr std::uint64_t calm_pull_period_ms = 400;
 constexpr milliseconds call_limit{700};
+// Records that are asked for by name in one call.
+constexpr int most_named_records = 200;
 // Stores that start together have announced themselves by then.
 constexpr std::uint64_t announcement_wait_ms = 2500;
 // Pause after a change of the group that did not succeed.
@@ -64,9 +66,10 @@
     if (settled) {
       continue;  // a counting voter has nothing to learn
     }
-    if (!each.pulling.running() &&
-        (!each.read_to_end || (voter && !state.counts()) ||
-         since >= calm_pull_period_ms || each.answered_ms == 0)) {
+    const bool behind = reads_records() && !each.read_to_end;
+    const bool joining = voter && !state.counts();
+    const bool due = since >= calm_pull_period_ms || each.answered_ms == 0;
+    if (!each.pulling.running() && (behind || joining || due)) {
       pull(each);
     }
   }
@@ -175,54 +178,137 @@
   }
 }
 
+// A spare store only asks whether the voters live.
+bool store_membership_driver::reads_records() const {
+  const records::StoreState& state = server_.state();
+  const bool joining = is_voter(state.group(), state.id()) && !state.counts();
+  return joining || is_learner(state.group(), state.id());
+}
+
+// An empty store reads one voter in full, and of the others, after that, only
+// what is missing.
+records::PullKind store_membership_driver::pull_kind(const peer& from) {
+  if (!reads_records() || from.id_at_address != from.store.id()) {
+    return records::PULL_STATE;
+  }
+  if (full_source_.empty() && server_.book().size() == 0) {
+    full_source_ = from.store.id();
+  }
+  if (from.store.id() == full_source_) {
+    return records::PULL_RECORDS;
+  }
+  const auto source = peers_.find(full_source_);
+  const bool source_is_read =
+      source == peers_.end() || source->second.read_to_end ||
+      source->second.id_at_address != full_source_ ||
+      loop_.now_ms() - source->second.answered_ms >= calm_pull_period_ms;
+  return source_is_read ? records::PULL_KEYS : records::PULL_STATE;
+}
+
 void store_membership_driver::pull(peer& from) {
+  const records::PullKind kind = pull_kind(from);
   records::PullRequest request;
   request.set_log(from.log);
   request.set_after(from.position);
+  request.set_kind(kind);
   from.pull_began_fenced = from.fenced;
   const std::string id = from.store.id();
   from.pulling = pool_.ask<records::PullReply>(
       from.store.address(), "Pull", request, call_limit,
-      [this, id](result<records::PullReply> answer) {
-        pulled(id, std::move(answer));
+      [this, id, kind](result<records::PullReply> answer) {
+        pulled(id, kind, std::move(answer));
       });
 }
 
 void store_membership_driver::pulled(const std::string& id,
+                                     records::PullKind kind,
                                      result<records::PullReply> answer) {
   const auto found = peers_.find(id);
   if (found == peers_.end() || !answer) {
     return;
   }
-  found->second.answered_ms = loop_.now_ms();
-  found->second.id_at_address = answer.value().store();
-  if (answer.value().store() != id) {
-    found->second.counts = false;
-    found->second.read_to_end = false;
+  peer& from = found->second;
+  const records::PullReply& reply = answer.value();
+  from.answered_ms = loop_.now_ms();
+  from.id_at_address = reply.store();
+  from.counts = reply.counts() && reply.store() == id;
+  if (reply.store() != id) {
+    from.read_to_end = false;
     return;
   }
-  if (answer.value().group().epoch() > server_.state().group().epoch()) {
-    server_.adopt(answer.value().group(), nullptr);
+  if (reply.group().epoch() > server_.state().group().epoch()) {
+    server_.adopt(reply.group(), nullptr);
   }
-  const records::PullReply reply = std::move(answer.value());
-  server_.take(reply, [this, id, log = reply.log(), position = reply.position(),
-                       more = reply.more(), counts = reply.counts()] {
-    const auto held = peers_.find(id);
-    if (held == peers_.end()) {
-      return;
-    }
-    peer& each = held->second;
-    each.log = log;
-    each.position = position;
-    each.counts = counts;
-    each.read_to_end = !more;
-    if (!more && each.fenced && each.pull_began_fenced) {
-      each.read_since_fence = true;
+  if (kind == records::PULL_KEYS) {
+    fetch_missing(from, reply);
+  } else if (kind == records::PULL_RECORDS) {
+    take_pulled(id, reply);
+  }
+}
+
+// Asks for the records of the listed keys that this store does not hold.
+void store_membership_driver::fetch_missing(peer& from,
+                                            const records::PullReply& listed) {
+  records::PullRequest request;
+  request.set_kind(records::PULL_NAMED);
+  bool all_asked = true;
+  for (const std::string& key : listed.keys()) {
+    if (server_.book().has(key)) {
+      continue;
     }
-    if (more) {
-      pull(each);
+    if (request.keys_size() == most_named_records) {
+      all_asked = false;
+      break;
     }
-  });
+    request.add_keys(key);
+  }
+  const std::string id = from.store.id();
+  if (request.keys_size() == 0) {
+    read_up_to(id, listed);
+    return;
+  }
+  records::PullReply reached = listed;
+  from.pulling = pool_.ask<records::PullReply>(
+      from.store.address(), "Pull", request, call_limit,
+      [this, id, reached = std::move(reached),
+       all_asked](const result<records::PullReply>& answer) {
+        if (!answer || answer.value().store() != id) {
+          return;
+        }
+        server_.take(answer.value(), [this, id, reached, all_asked] {
+          if (all_asked) {
+            read_up_to(id, reached);
+          }
+        });
+      });
+}
+
+void store_membership_driver::take_pulled(const std::string& id,
+                                          const records::PullReply& reply) {
+  records::PullReply reached;
+  reached.set_log(reply.log());
+  reached.set_position(reply.position());
+  reached.set_more(reply.more());
+  server_.take(reply, [this, id, reached] { read_up_to(id, reached); });
+}
+
+// Everything up to the position is on this store's disk.
+void store_membership_driver::read_up_to(const std::string& id,
+                                         const records::PullReply& reply) {
+  const auto held = peers_.find(id);
+  if (held == peers_.end()) {
+    return;
+  }
+  peer& from = held->second;
+  from.log = reply.log();
+  from.position = reply.position();
+  from.read_to_end = !reply.more();
+  if (!reply.more() && from.fenced && from.pull_began_fenced) {
+    from.read_since_fence = true;
+  }
+  if (reply.more()) {
+    pull(from);
+  }
 }
 
 // ---- Taking a voter's place ------------------------------------------------
