A turn goes to the endpoint of the turn before; else close and connected ones

Cause: placement by rendezvous hashing over all data centres sent two thirds of the turns to another data centre, and plain calls opened a connection to every endpoint from every gateway.

Change: a turn's record names its endpoint; the next turn prefers it, from the cache or from the store's answer. Otherwise the least loaded endpoint, where another data centre counts 1.5 and a new connection 1.25 times.

--- a/include/trayrock/internal/gateway/chain_cache.h
+++ b/include/trayrock/internal/gateway/chain_cache.h
@@ -15,22 +15,26 @@
 
 class chain_cache {
  public:
-  using text_ptr = std::shared_ptr<const std::string>;
+  struct chain {
+    std::string text;
+    std::string endpoint;  // that made the newest turn's output
+  };
+  using chain_ptr = std::shared_ptr<const chain>;
 
   explicit chain_cache(std::size_t max_bytes) : max_bytes_(max_bytes) {}
 
-  // Keeps a text until the given time of the caller's steady clock.
-  void put(const std::string& attempt, text_ptr text, std::uint64_t until_ms);
+  // Keeps a chain until the given time of the caller's steady clock.
+  void put(const std::string& attempt, chain_ptr held, std::uint64_t until_ms);
 
-  // The text, or nullptr.
-  text_ptr find(const std::string& attempt, std::uint64_t now_ms);
+  // The chain, or nullptr.
+  chain_ptr find(const std::string& attempt, std::uint64_t now_ms);
 
   std::size_t bytes() const { return bytes_; }
 
  private:
   struct entry {
     std::string attempt;
-    text_ptr text;
+    chain_ptr held;
     std::uint64_t until_ms = 0;
   };
   using entry_list = std::list<entry>;
--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -3,12 +3,14 @@
 //
 // No I/O; the caller gives the time. The platform's records say which
 // endpoints there are; what requests see says which to leave alone for a
-// while. Requests of one program go to one endpoint, chosen by rendezvous
-// hashing so that every gateway chooses the same without talking, unless that
-// endpoint has much more to do than its share.
+// while. A turn goes to the endpoint that made the turn before, whose cache
+// holds its prompt, unless that one has much more to do than others. Else the
+// least loaded endpoint is taken, where those of the same data centre and
+// those to which a connection is open count as less loaded.
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -39,8 +41,9 @@
 
 struct endpoint_choice {
   std::string_view service;
-  std::string_view key;  // what should stay together; empty: nothing
+  std::string_view preferred;  // endpoint with the prompt in its cache, if any
   std::string_view data_centre;
+  std::function<bool(const endpoint&)> connected;
   const std::set<std::string>* excluded = nullptr;
 };
 
--- a/include/trayrock/internal/net/http1_client.h
+++ b/include/trayrock/internal/net/http1_client.h
@@ -74,6 +74,9 @@
   // Closes the idle connections of a peer's life.
   void forget(const std::string& peer, std::string_view owner);
 
+  // True when a request to the peer would need no new connection.
+  bool has_idle(const std::string& peer, std::string_view owner) const;
+
   void on_connect(connect_observer observer);
 
   // Connections to the peer, idle ones included.
--- a/include/trayrock/internal/records/record_book.h
+++ b/include/trayrock/internal/records/record_book.h
@@ -35,6 +35,7 @@
   // The newest turn before it that is not held; empty if the chain is whole.
   // The text then begins behind that turn.
   std::string gap;
+  std::string endpoint;  // that made the turn's output
 };
 
 class record_book {
--- a/include/trayrock/internal/records/record_client.h
+++ b/include/trayrock/internal/records/record_client.h
@@ -28,6 +28,7 @@
   program_usage usage;
   bool chain_found = false;  // false: enough voters say that there is none
   std::string text;          // of the chain, oldest turn first
+  std::string endpoint;      // that made the newest turn's output
 };
 
 class record_client {
--- a/src/gateway/chain_cache.cc
+++ b/src/gateway/chain_cache.cc
@@ -4,22 +4,22 @@
 
 namespace trayrock {
 
-void chain_cache::put(const std::string& attempt, text_ptr text,
+void chain_cache::put(const std::string& attempt, chain_ptr held,
                       std::uint64_t until_ms) {
-  const auto held = by_attempt_.find(attempt);
-  if (held != by_attempt_.end()) {
-    erase(held->second);
+  const auto before = by_attempt_.find(attempt);
+  if (before != by_attempt_.end()) {
+    erase(before->second);
   }
-  bytes_ += text->size();
-  entries_.push_front({attempt, std::move(text), until_ms});
+  bytes_ += held->text.size();
+  entries_.push_front({attempt, std::move(held), until_ms});
   by_attempt_[attempt] = entries_.begin();
   while (bytes_ > max_bytes_ && !entries_.empty()) {
     erase(std::prev(entries_.end()));
   }
 }
 
-chain_cache::text_ptr chain_cache::find(const std::string& attempt,
-                                        std::uint64_t now_ms) {
+chain_cache::chain_ptr chain_cache::find(const std::string& attempt,
+                                         std::uint64_t now_ms) {
   const auto held = by_attempt_.find(attempt);
   if (held == by_attempt_.end()) {
     return nullptr;
@@ -29,11 +29,11 @@
     return nullptr;
   }
   entries_.splice(entries_.begin(), entries_, held->second);
-  return entries_.front().text;
+  return entries_.front().held;
 }
 
 void chain_cache::erase(entry_list::iterator at) {
-  bytes_ -= at->text->size();
+  bytes_ -= at->held->text.size();
   by_attempt_.erase(at->attempt);
   entries_.erase(at);
 }
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -1,7 +1,5 @@
 #include "trayrock/internal/gateway/endpoint_directory.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 namespace trayrock {
@@ -18,17 +16,24 @@
 // The preferred endpoint may have this many more requests of this gateway
 // than the least loaded one, before the latter takes over.
 constexpr double slack_share = 0.25;
-constexpr std::uint32_t slack_requests = 3;
+constexpr std::uint32_t slack_requests = 6;
 constexpr double assumed_latency_ms = 100;
 
-std::uint64_t weight_of(std::string_view key, const std::string& id) {
-  const std::uint64_t seed = XXH3_64bits(id.data(), id.size());
-  return XXH3_64bits_withSeed(key.data(), key.size(), seed);
-}
+// What a request to another data centre, or on a new connection, costs in
+// time and money, as a share of the load of a request that is close.
+constexpr double elsewhere_factor = 1.5;
+constexpr double unconnected_factor = 1.25;
 
-double load_of(const endpoint_state& at) {
+double load_of(const endpoint_state& at, const endpoint_choice& wanted) {
   const double latency = at.latency_ms > 0 ? at.latency_ms : assumed_latency_ms;
-  return (at.in_flight + 1) * latency / at.record.capacity;
+  double load = (at.in_flight + 1) * latency / at.record.capacity;
+  if (at.record.data_centre != wanted.data_centre) {
+    load *= elsewhere_factor;
+  }
+  if (wanted.connected && !wanted.connected(at.record)) {
+    load *= unconnected_factor;
+  }
+  return load;
 }
 
 }  // namespace
@@ -120,22 +125,23 @@
   if (candidates.empty()) {
     return nullptr;
   }
-  const state_ptr& least =
-      *std::min_element(candidates.begin(), candidates.end(),
-                        [](const state_ptr& left, const state_ptr& right) {
-                          return load_of(*left) < load_of(*right);
-                        });
-  if (wanted.key.empty()) {
-    return least;
+  std::size_t least = 0;
+  double least_load = load_of(*candidates[0], wanted);
+  const state_ptr* preferred = nullptr;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const double load = load_of(*candidates[i], wanted);
+    if (load < least_load) {
+      least = i;
+      least_load = load;
+    }
+    if (candidates[i]->record.id == wanted.preferred) {
+      preferred = &candidates[i];
+    }
   }
-  const state_ptr& preferred =
-      *std::max_element(candidates.begin(), candidates.end(),
-                        [&](const state_ptr& left, const state_ptr& right) {
-                          return weight_of(wanted.key, left->record.id) <
-                                 weight_of(wanted.key, right->record.id);
-                        });
-  const double allowed = least->in_flight * (1 + slack_share) + slack_requests;
-  return preferred->in_flight > allowed ? least : preferred;
+  const double allowed =
+      candidates[least]->in_flight * (1 + slack_share) + slack_requests;
+  const bool keep = preferred != nullptr && (*preferred)->in_flight <= allowed;
+  return keep ? *preferred : candidates[least];
 }
 
 void endpoint_directory::begin(endpoint_state& at) { ++at.in_flight; }
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -107,10 +107,9 @@
       reservation.set_tokens(facts_.most_output_tokens);
       reserved_ = true;
     }
-    chain_text_ =
-        parts_.chains.find(facts_.previous_turn, parts_.loop.now_ms());
+    chain_ = parts_.chains.find(facts_.previous_turn, parts_.loop.now_ms());
     const std::string asked =
-        chain_text_ == nullptr ? facts_.previous_turn : std::string();
+        chain_ == nullptr ? facts_.previous_turn : std::string();
     if (!has_budget() && asked.empty()) {
       send_next();
       return;
@@ -140,9 +139,9 @@
       return;
     }
     if (asked_chain) {
-      chain_text_ =
-          std::make_shared<const std::string>(std::move(made.value().text));
-      parts_.chains.put(facts_.previous_turn, chain_text_, retained_until());
+      chain_ = std::make_shared<const chain_cache::chain>(chain_cache::chain{
+          std::move(made.value().text), std::move(made.value().endpoint)});
+      parts_.chains.put(facts_.previous_turn, chain_, retained_until());
     }
     if (has_budget() && !budget_holds(made.value().usage)) {
       return;
@@ -227,12 +226,15 @@
       deadline_passed();
       return;
     }
-    const bool stays_together = route_->kind == repetition::stream;
     endpoint_choice wanted;
     wanted.service = service_;
-    wanted.key = stays_together ? placement_key() : std::string_view();
+    wanted.preferred =
+        chain_ == nullptr ? std::string_view() : chain_->endpoint;
     wanted.data_centre = parts_.data_centre;
     wanted.excluded = &tried_;
+    wanted.connected = [this](const endpoint& each) {
+      return parts_.pool.has_idle(each.address, each.id);
+    };
     endpoint_ = parts_.endpoints.choose(wanted, parts_.loop.now_ms());
     if (endpoint_ == nullptr) {
       give_up(tried_.empty() ? errc::no_runner : errc::endpoints_full);
@@ -257,8 +259,8 @@
     directions.time_left = time_left();
     directions.instance = endpoint_->record.id;
     http1_request made = platform::endpoint_request(request_, directions);
-    if (chain_text_ != nullptr) {
-      made.body = *chain_text_ + request_.body;
+    if (chain_ != nullptr) {
+      made.body = chain_->text + request_.body;
     }
     return made;
   }
@@ -443,6 +445,7 @@
     turn.set_input(request_.body);
     turn.set_output(events_.data());
     turn.set_tokens(events_.whole_events() * tokens_per_event());
+    turn.set_endpoint(endpoint_->record.id);
     turn.set_retention_s(static_cast<std::uint32_t>(route_->retention.count()));
     settled_ = true;
     keeping_ = true;
@@ -457,12 +460,13 @@
 
   void turn_kept(std::error_code failed) {
     if (!failed) {
-      auto text = std::make_shared<std::string>();
-      if (chain_text_ != nullptr) {
-        *text = *chain_text_;
+      auto grown = std::make_shared<chain_cache::chain>();
+      if (chain_ != nullptr) {
+        grown->text = chain_->text;
       }
-      text->append(request_.body).append(events_.data());
-      parts_.chains.put(facts_.attempt, text, retained_until());
+      grown->text.append(request_.body).append(events_.data());
+      grown->endpoint = endpoint_->record.id;
+      parts_.chains.put(facts_.attempt, grown, retained_until());
     }
     if (ended_) {
       return;
@@ -584,7 +588,7 @@
   std::string_view service_;
   milliseconds hold_{0};
 
-  chain_cache::text_ptr chain_text_;
+  chain_cache::chain_ptr chain_;
   bool reserved_ = false;
   bool settled_ = false;
   bool keeping_ = false;
--- a/src/net/http1_client.cc
+++ b/src/net/http1_client.cc
@@ -487,6 +487,12 @@
   }
 }
 
+bool http1_pool::has_idle(const std::string& peer,
+                          std::string_view owner) const {
+  const auto found = impl_->peers.find(key_of(peer, owner));
+  return found != impl_->peers.end() && !found->second.idle.empty();
+}
+
 void http1_pool::on_connect(connect_observer observer) {
   impl_->connected = std::move(observer);
 }
--- a/src/records/record_book.cc
+++ b/src/records/record_book.cc
@@ -95,6 +95,7 @@
     next = turns.back()->previous();
   }
   made.found = !turns.empty();
+  made.endpoint = made.found ? turns.front()->endpoint() : std::string();
   for (auto turn = turns.rbegin(); turn != turns.rend(); ++turn) {
     made.text.append((*turn)->input()).append((*turn)->output());
   }
--- a/src/records/record_client.cc
+++ b/src/records/record_client.cc
@@ -193,6 +193,9 @@
       chain_holders.insert(id);
       return;
     }
+    if (text_behind.empty()) {
+      found.endpoint = reply.chain_endpoint();
+    }
     text_behind.insert(0, reply.text());
     if (reply.chain() == records::CHAIN_FOUND) {
       found.chain_found = true;
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -203,6 +203,7 @@
                    : chain.gap.empty() ? records::CHAIN_FOUND
                                        : records::CHAIN_PARTIAL);
   answer.set_chain_gap(chain.gap);
+  answer.set_chain_endpoint(chain.endpoint);
   if (chain.found && request.send_chain()) {
     answer.set_text(std::move(chain.text));
     answer.set_text_included(true);
