Gateways relay for each other to record stores that one cannot reach

Ruled out: readiness alone, since clients keep their connections.

A store's call that has not been answered after 120 ms, or has failed, also goes by another gateway; for two seconds after that the calls to that store go by relays at once. Records are immutable, so that a call that arrives twice is harmless.

Test: stores_out_of_reach_are_reached_by_a_relay; it failed first with a finding of its own (a refused connection was retried every 60 ms, so that the relay's turn never came), mended here. Six more cases hold the client's quorums, epochs and restarts.

--- a/include/trayrock/internal/records/record_client.h
+++ b/include/trayrock/internal/records/record_client.h
@@ -13,6 +13,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -31,6 +32,12 @@
   std::string endpoint;      // that made the newest turn's output
 };
 
+// Ways around a store that cannot be reached directly.
+struct relay_source {
+  std::function<std::string()> pick;  // address of a relay; empty: none
+  std::function<void(const std::string&)> failed;
+};
+
 class record_client {
  public:
   using reserve_callback = std::function<void(result<reserved_turn>)>;
@@ -42,6 +49,9 @@
   record_client& operator=(const record_client&) = delete;
   ~record_client();
 
+  // Calls to a store that does not answer at once also go by a relay.
+  void use_relays(relay_source relays) { relays_ = std::move(relays); }
+
   // Takes a group unless a newer one is known.
   void adopt(const records::Group& group);
 
@@ -63,12 +73,17 @@
  private:
   friend struct operation;
   void begin(const std::shared_ptr<operation>& made, milliseconds limit);
+  bool goes_by_relay(const std::string& store) const;
+  void note_answer(const std::string& store, bool relayed);
 
   event_loop& loop_;
   rpc_pool& pool_;
   std::string data_centre_;
   metrics_registry& metrics_;
   records::Group group_;
+  relay_source relays_;
+  // Until when the calls to a store go by a relay at once.
+  std::map<std::string, std::uint64_t> relayed_until_ms_;
   std::set<std::shared_ptr<operation>> running_;
 };
 
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -5,6 +5,7 @@
 #include "platform/collection_watcher.h"
 #include "platform/documents.h"
 #include "platform/group_registry.h"
+#include "trayrock/internal/gateway/peer_relays.h"
 #include "trayrock/internal/gateway/request_flow.h"
 #include "trayrock/internal/log.h"
 #include "trayrock/internal/process.h"
@@ -46,6 +47,11 @@
                         watch_wait, configuration_pause),
         endpoints_watch_(loop_, platform_, platform::kind_endpoints, watch_wait,
                          endpoints_pause),
+        gateways_(platform_),
+        relays_(loop_, gateways_,
+                {settings.service.name, settings.service.rpc_listen.text(),
+                 settings.service.data_centre}),
+        peers_(loop_, {}),
         records_(loop_, rpc_, settings.service.data_centre, metrics_),
         chains_(chain_cache_bytes),
         parts_{loop_,
@@ -75,7 +81,8 @@
   int run() {
     const bool listening = clients_.listen(settings_.http_listen) &&
                            readiness_.listen(settings_.ready_listen) &&
-                           figures_.listen(settings_.service.metrics_listen);
+                           figures_.listen(settings_.service.metrics_listen) &&
+                           peers_.listen(settings_.service.rpc_listen);
     if (!listening) {
       log_error("listen_failed", {{"gateway", settings_.service.name}});
       return exit_listen;
@@ -90,6 +97,11 @@
     pool_.on_connect([this](std::string_view) {
       metrics_.add("endpoint_connections_total");
     });
+    serve_relays(peers_, rpc_);
+    records_.use_relays(
+        {[this] { return relays_.pick(); },
+         [this](const std::string& address) { relays_.failed(address); }});
+    relays_.start();
     watch_platform();
     const timer terminate = loop_.on_signal(SIGTERM, [this] { begin_drain(); });
     const timer reload = loop_.on_signal(SIGHUP, [] {
@@ -243,6 +255,9 @@
   platform::group_registry registry_;
   platform::collection_watcher configurations_;
   platform::collection_watcher endpoints_watch_;
+  platform::gateway_registry gateways_;
+  peer_relays relays_;
+  rpc_server peers_;
   record_client records_;
   endpoint_directory endpoints_;
   chain_cache chains_;
--- a/src/records/record_client.cc
+++ b/src/records/record_client.cc
@@ -12,6 +12,11 @@
 // A voter that does not answer a call within this time is asked again.
 constexpr milliseconds call_limit{600};
 constexpr milliseconds retry_pause{60};
+// A store that has not answered by then is asked by a relay as well. Answers
+// take 2 to 10 ms, a busy disk some tens.
+constexpr milliseconds direct_patience{120};
+// Calls to a store that only a relay reached go by relays this long.
+constexpr std::uint64_t relay_spell_ms = 2000;
 // A chain's text is asked for at a second voter when the first is this late.
 constexpr milliseconds text_patience{60};
 
@@ -38,6 +43,8 @@
   bool done = false;
   reserved_turn found;
   std::map<std::string, rpc_call> calls;
+  std::map<std::string, rpc_call> relayed;
+  std::map<std::string, timer> patience;
   std::map<std::string, timer> retries;
   timer limit;
   timer text_guard;
@@ -49,6 +56,8 @@
     group = client.group_;
     request.set_epoch(group.epoch());
     calls.clear();
+    relayed.clear();
+    patience.clear();
     retries.clear();
     acknowledged.clear();
     chain_missing.clear();
@@ -87,15 +96,71 @@
       text_asked_at = to.id();
       text_guard = client.loop_.after(text_patience, [this] { ask_text(); });
     }
-    const std::weak_ptr<operation> weak = weak_from_this();
     const std::string id = to.id();
+    relayed.erase(id);
+    if (client.goes_by_relay(id) && send_by_relay(to, asked)) {
+      return;
+    }
+    const std::weak_ptr<operation> weak = weak_from_this();
     calls[id] = client.pool_.ask<records::WriteReply>(
         to.address(), "Write", asked, call_limit,
-        [weak, id](result<records::WriteReply> answer) {
+        [weak, to, asked](result<records::WriteReply> answer) {
+          if (const auto held = weak.lock()) {
+            held->direct_answered(to, asked, std::move(answer));
+          }
+        });
+    if (client.relays_.pick) {
+      patience[id] = client.loop_.after(direct_patience, [weak, to, asked] {
+        if (const auto held = weak.lock()) {
+          held->send_by_relay(to, asked);
+        }
+      });
+    }
+  }
+
+  void direct_answered(const records::Store& to,
+                       const records::WriteRequest& asked,
+                       result<records::WriteReply> answer) {
+    const std::string& id = to.id();
+    patience.erase(id);
+    if (answer) {
+      client.note_answer(id, false);
+    } else if (relayed.contains(id) || send_by_relay(to, asked)) {
+      return;  // the relay's answer decides
+    }
+    answered(id, std::move(answer));
+  }
+
+  // The call goes by another gateway, which may reach the store.
+  bool send_by_relay(const records::Store& to,
+                     const records::WriteRequest& asked) {
+    const std::string via = client.relays_.pick ? client.relays_.pick() : "";
+    if (done || via.empty()) {
+      return false;
+    }
+    records::RelayRequest request;
+    request.set_address(to.address());
+    *request.mutable_write() = asked;
+    client.metrics_.add("relayed_record_calls_total");
+    const std::weak_ptr<operation> weak = weak_from_this();
+    relayed[to.id()] = client.pool_.ask<records::WriteReply>(
+        via, "Relay", request, call_limit,
+        [weak, id = to.id(), via](result<records::WriteReply> answer) {
           if (const auto held = weak.lock()) {
-            held->answered(id, std::move(answer));
+            held->relay_answered(id, via, std::move(answer));
           }
         });
+    return true;
+  }
+
+  void relay_answered(const std::string& id, const std::string& via,
+                      result<records::WriteReply> answer) {
+    if (answer) {
+      client.note_answer(id, true);
+    } else if (answer.error() != errc::wire_garbled) {
+      client.relays_.failed(via);  // an empty answer: the store is the cause
+    }
+    answered(id, std::move(answer));
   }
 
   void copy_to_learner(const records::Store& to) {
@@ -256,6 +321,7 @@
     done = true;
     limit.cancel();
     text_guard.cancel();
+    patience.clear();
     retries.clear();
     const auto keep = shared_from_this();
     // The calls that are still under way reach their voters all the same.
@@ -305,6 +371,26 @@
   }
 }
 
+bool record_client::goes_by_relay(const std::string& store) const {
+  const auto held = relayed_until_ms_.find(store);
+  return held != relayed_until_ms_.end() && held->second > loop_.now_ms();
+}
+
+void record_client::note_answer(const std::string& store, bool relayed) {
+  if (!relayed) {
+    relayed_until_ms_.erase(store);
+    return;
+  }
+  if (!relayed_until_ms_.contains(store)) {
+    log_warn("dependency_lost",
+             {{"dependency", "store"}, {"store", store}, {"way", "relay"}});
+  }
+  std::uint64_t& until = relayed_until_ms_[store];
+  if (until <= loop_.now_ms()) {
+    until = loop_.now_ms() + relay_spell_ms;
+  }
+}
+
 void record_client::begin(const std::shared_ptr<operation>& made,
                           milliseconds limit) {
   running_.insert(made);
--- /dev/null
+++ b/test/record_client_test.cc
@@ -0,0 +1,271 @@
+// The client of the record stores against stores in the same process.
+#include <filesystem>
+#include <optional>
+
+#include "deployment.h"
+#include "test_support.h"
+#include "trayrock/internal/records/record_client.h"
+#include "trayrock/internal/records/record_server.h"
+
+namespace trayrock::testing {
+namespace {
+
+constexpr milliseconds patient{5000};
+constexpr milliseconds longest_run{10000};
+
+std::string local(int port) { return "127.0.0.1:" + std::to_string(port); }
+
+// One store with a disk and a port of its own.
+struct store {
+  store(event_loop& loop, const std::string& folder_in, int port_in)
+      : folder(folder_in),
+        port(port_in),
+        disk(std::move(record_disk::open(loop, folder).value())),
+        rpc(loop, {}),
+        server(loop, rpc, *disk, metrics) {
+    CPPUNIT_ASSERT(rpc.listen(address::parse(local(port)).value()));
+    server.start([] {});
+  }
+
+  std::string folder;
+  int port;
+  metrics_registry metrics;
+  std::unique_ptr<record_disk> disk;
+  rpc_server rpc;
+  record_server server;
+};
+
+records::Record turn(const std::string& attempt, const std::string& previous,
+                     const std::string& text) {
+  records::Record made;
+  made.mutable_turn()->set_attempt(attempt);
+  made.mutable_turn()->set_previous(previous);
+  made.mutable_turn()->set_program("program");
+  made.mutable_turn()->set_input(text);
+  made.mutable_turn()->set_tokens(5);
+  made.mutable_turn()->set_retention_s(60);
+  return made;
+}
+
+records::Reservation reservation(const std::string& attempt,
+                                 std::uint64_t tokens) {
+  records::Reservation made;
+  made.set_program("program");
+  made.set_attempt(attempt);
+  made.set_tokens(tokens);
+  return made;
+}
+
+class record_client_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(record_client_test);
+  CPPUNIT_TEST(two_of_three_stores_make_a_record_durable);
+  CPPUNIT_TEST(one_of_three_stores_does_not);
+  CPPUNIT_TEST(reservations_see_each_other);
+  CPPUNIT_TEST(unknown_turn_needs_two_denials);
+  CPPUNIT_TEST(operation_goes_on_in_the_next_epoch);
+  CPPUNIT_TEST(stores_out_of_reach_are_reached_by_a_relay);
+  CPPUNIT_TEST(records_survive_a_restart_of_the_stores);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "trayrock-XXXXXX").string();
+    folder_ = mkdtemp(pattern.data());
+    loop_ = std::make_unique<event_loop>();
+    ports_ = free_ports(6);
+    pool_ = std::make_unique<rpc_pool>(*loop_, rpc_limits{});
+    client_ = std::make_unique<record_client>(*loop_, *pool_, "dc-0", metrics_);
+  }
+
+  void tearDown() override {
+    client_.reset();
+    pool_.reset();
+    stores_.clear();
+    loop_.reset();
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+  }
+
+  void two_of_three_stores_make_a_record_durable() {
+    start_group();
+    stores_[2].reset();
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
+    CPPUNIT_ASSERT_EQUAL(std::string("one"), read("t1").text);
+  }
+
+  void one_of_three_stores_does_not() {
+    start_group();
+    stores_[1].reset();
+    stores_[2].reset();
+    const std::error_code failed =
+        keep(turn("t1", "", "one"), milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(make_error_code(errc::not_durable), failed);
+  }
+
+  void reservations_see_each_other() {
+    start_group();
+    std::optional<result<reserved_turn>> first;
+    std::optional<result<reserved_turn>> second;
+    client_->reserve(reservation("a1", 60), "", patient,
+                     [&](result<reserved_turn> made) { first = made; });
+    client_->reserve(reservation("a2", 60), "", patient,
+                     [&](result<reserved_turn> made) {
+                       second = made;
+                       loop_->stop();
+                     });
+    run();
+    CPPUNIT_ASSERT(first && first->has_value());
+    CPPUNIT_ASSERT(second && second->has_value());
+    const auto fits = [](const result<reserved_turn>& made,
+                         const std::string& attempt) {
+      return made.value().usage.decide(attempt, 60, 100) ==
+             budget_verdict::fits;
+    };
+    TRAYROCK_CHECK(!(fits(*first, "a1") && fits(*second, "a2")),
+                   "expected at most one of two to fit");
+  }
+
+  void unknown_turn_needs_two_denials() {
+    start_group();
+    CPPUNIT_ASSERT(!read("t1").chain_found);
+    stores_[1].reset();
+    stores_[2].reset();
+    std::optional<result<reserved_turn>> answer;
+    client_->reserve({}, "t1", milliseconds(300),
+                     [&](result<reserved_turn> made) {
+                       answer = made;
+                       loop_->stop();
+                     });
+    run();
+    CPPUNIT_ASSERT(answer.has_value());
+    CPPUNIT_ASSERT_EQUAL(make_error_code(errc::history_unavailable),
+                         answer->error());
+  }
+
+  void operation_goes_on_in_the_next_epoch() {
+    start_group();
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one ")));
+    records::Group next = client_->group();
+    next.set_epoch(2);
+    for (const auto& each : stores_) {
+      each->server.adopt(next, nullptr);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t2", "t1", "two")));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, client_->group().epoch());
+    CPPUNIT_ASSERT_EQUAL(std::string("one two"), read("t2").text);
+  }
+
+  // Found on days of the users' bench: a gateway that was cut off from the
+  // stores, but not from other gateways, refused every turn.
+  void stores_out_of_reach_are_reached_by_a_relay() {
+    start_group();
+    records::Group seen = client_->group();
+    std::map<std::string, std::string> real;
+    for (records::Store& each : *seen.mutable_voters()) {
+      const std::string nowhere = local(ports_[3]);
+      real[nowhere + each.id()] = each.address();
+      each.set_address(nowhere);
+    }
+    rpc_server relay(*loop_, {});
+    relay.handle_typed<records::RelayRequest>(
+        "Relay", [&](records::RelayRequest& request,
+                     const rpc_reply_ptr& reply) {
+          auto call = std::make_shared<rpc_call>();
+          *call = pool_->ask<records::WriteReply>(
+              real.at(request.address() + request.write().store()), "Write",
+              request.write(), patient,
+              [reply, call](const result<records::WriteReply>& answer) {
+                reply->send(answer.value());
+                reply->finish();
+              });
+        });
+    CPPUNIT_ASSERT(relay.listen(address::parse(local(ports_[4])).value()));
+    record_client cut(*loop_, *pool_, "dc-0", metrics_);
+    cut.use_relays({[&] { return local(ports_[4]); },
+                    [](const std::string&) {}});
+    cut.adopt(seen);
+    std::optional<std::error_code> kept;
+    cut.keep(turn("t1", "", "one"), patient, [&](std::error_code failed) {
+      kept = failed;
+      loop_->stop();
+    });
+    run();
+    CPPUNIT_ASSERT(kept.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), *kept);
+  }
+
+  void records_survive_a_restart_of_the_stores() {
+    start_group();
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
+    for (auto& each : stores_) {
+      const std::string folder = each->folder;
+      const int port = each->port;
+      each.reset();
+      each = std::make_unique<store>(*loop_, folder, port);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("one"), read("t1").text);
+  }
+
+ private:
+  void start_group() {
+    records::Group group;
+    group.set_epoch(1);
+    group.set_tolerated(1);
+    for (int i = 0; i < 3; ++i) {
+      stores_.push_back(std::make_unique<store>(
+          *loop_, folder_ + "/" + std::to_string(i), ports_[i]));
+      records::Store& voter = *group.add_voters();
+      voter.set_id(stores_.back()->server.state().id());
+      voter.set_address(local(ports_[i]));
+      voter.set_data_centre("dc-" + std::to_string(i));
+    }
+    for (const auto& each : stores_) {
+      each->server.adopt(group, nullptr);
+      each->server.set_counts(true);
+    }
+    client_->adopt(group);
+  }
+
+  void run() {
+    const timer guard = loop_->after(longest_run, [this] { loop_->stop(); });
+    loop_->run();
+  }
+
+  std::error_code keep(const records::Record& record,
+                       milliseconds limit = patient) {
+    std::optional<std::error_code> kept;
+    client_->keep(record, limit, [&](std::error_code failed) {
+      kept = failed;
+      loop_->stop();
+    });
+    run();
+    CPPUNIT_ASSERT(kept.has_value());
+    return *kept;
+  }
+
+  reserved_turn read(const std::string& attempt) {
+    std::optional<result<reserved_turn>> answer;
+    client_->reserve({}, attempt, patient, [&](result<reserved_turn> made) {
+      answer = made;
+      loop_->stop();
+    });
+    run();
+    CPPUNIT_ASSERT(answer.has_value());
+    CPPUNIT_ASSERT(answer->has_value());
+    return answer->value();
+  }
+
+  std::string folder_;
+  std::vector<int> ports_;
+  std::unique_ptr<event_loop> loop_;
+  metrics_registry metrics_;
+  std::unique_ptr<rpc_pool> pool_;
+  std::unique_ptr<record_client> client_;
+  std::vector<std::unique_ptr<store>> stores_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(record_client_test);
+
+}  // namespace
+}  // namespace trayrock::testing
