Record stores keep texts on disk; memory holds only what decisions need

Change: the book keeps a row of about 80 bytes an attempt by a 128-bit hash of its name; texts are in memory until they are durable and then read from LevelDB, through files read by pread in place of mapped ones. The cache of chains is 1.5 MB.

--- a/include/trayrock/internal/decide/token_budget.h
+++ b/include/trayrock/internal/decide/token_budget.h
@@ -19,7 +19,7 @@
 namespace trayrock {
 
 struct turn_usage {
-  std::string attempt;
+  std::string attempt;  // any name; the same one for the same attempt
   std::uint64_t reserved = 0;
   bool settled = false;
   std::uint64_t used = 0;
--- a/include/trayrock/internal/records/record_disk.h
+++ b/include/trayrock/internal/records/record_disk.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -46,6 +47,9 @@
   // Visits everything on the disk, in order of the keys.
   void read_all(const visitor& visit) const;
 
+  // The value of a key, if it is on the disk.
+  std::optional<std::string> read(const std::string& key) const;
+
   // Makes the changes durable, after all earlier ones.
   void write(std::vector<disk_change> changes, done_callback done);
 
--- /dev/null
+++ b/include/trayrock/internal/records/record_id.h
@@ -0,0 +1,34 @@
+// Short names of attempts and programs inside the record stores.
+//
+// Clients name attempts and programs as they like. The stores keep a 128-bit
+// hash of each name, so that what they hold in memory stays small; the names
+// themselves are in the records on disk.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace trayrock {
+
+struct record_id {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+
+  auto operator<=>(const record_id&) const = default;
+};
+
+struct record_id_hash {
+  std::size_t operator()(const record_id& id) const { return id.low; }
+};
+
+record_id id_of(std::string_view name);
+
+// The sixteen bytes of an id, as they travel between processes.
+std::string bytes_of(const record_id& id);
+
+// The id of the sixteen bytes; all zero for anything else.
+record_id id_from_bytes(std::string_view bytes);
+
+}  // namespace trayrock
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -8,6 +8,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <span>
 #include <string>
 
 #include "trayrock/internal/metrics.h"
@@ -53,6 +55,8 @@
 
  private:
   void read_disk();
+  std::optional<records::Record> read_record(const std::string& key) const;
+  void note_durable(std::span<const std::string> keys);
   void save_state(std::function<void()> durable);
   void write(const records::WriteRequest& request, const rpc_reply_ptr& reply);
   void answer_write(const records::WriteRequest& request,
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -15,8 +15,9 @@
 
 using namespace trayrock;
 
-// Memory for the texts of recent chains.
-constexpr std::size_t chain_cache_bytes = 6U << 20;
+// Memory for the texts of recent chains. The next turn comes within about a
+// second; at 30 turns a second of 10 KB that is 300 KB.
+constexpr std::size_t chain_cache_bytes = 3U << 19;
 // How long one watch of the platform waits. A watch whose connection has gone
 // silent is noticed a second later.
 constexpr milliseconds watch_wait{4000};
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -7,6 +7,7 @@
 #include "platform/messages.h"
 #include "trayrock/internal/decide/event_stream.h"
 #include "trayrock/internal/log.h"
+#include "trayrock/internal/records/record_id.h"
 
 namespace trayrock {
 namespace {
@@ -150,8 +151,9 @@
   }
 
   bool budget_holds(const program_usage& usage) {
-    const budget_verdict verdict = usage.decide(
-        facts_.attempt, facts_.most_output_tokens, *facts_.token_budget);
+    const budget_verdict verdict =
+        usage.decide(bytes_of(id_of(facts_.attempt)), facts_.most_output_tokens,
+                     *facts_.token_budget);
     if (verdict == budget_verdict::fits) {
       return true;
     }
--- a/src/log.cc
+++ b/src/log.cc
@@ -44,6 +44,7 @@
 
 void start_logging(std::string_view process, std::string_view level) {
   static log4cplus::Initializer initializer;
+  log4cplus::setThreadPoolSize(0);  // nothing here is logged asynchronously
   log4cplus::SharedAppenderPtr appender(
       new log4cplus::ConsoleAppender(true, true));
   const std::string pattern =
--- a/src/records/record_book.cc
+++ b/src/records/record_book.cc
@@ -5,9 +5,9 @@
 namespace trayrock {
 namespace {
 
-constexpr char reservation_prefix = 'r';
-constexpr char settlement_prefix = 's';
-constexpr char turn_prefix = 't';
+constexpr char reservation_kind = 'r';
+constexpr char settlement_kind = 's';
+constexpr char turn_kind = 't';
 
 // Records are kept beyond the retention, since a program may come back at its
 // end and go on for a while, and since clocks of stores start at different
@@ -18,165 +18,197 @@
 // with, and a damaged record must not make an endless one.
 constexpr std::size_t longest_chain = 4096;
 
-std::string key_of(char kind, std::string_view attempt) {
-  return std::string(1, kind) + "/" + std::string(attempt);
-}
-
-}  // namespace
+// What names a record: its kind and its attempt.
+struct record_name {
+  char kind = 0;
+  record_id attempt;
+};
 
-std::string record_key(const records::Record& record) {
+record_name name_of(const records::Record& record) {
   switch (record.kind_case()) {
     case records::Record::kReservation:
-      return key_of(reservation_prefix, record.reservation().attempt());
+      return {reservation_kind, id_of(record.reservation().attempt())};
     case records::Record::kSettlement:
-      return key_of(settlement_prefix, record.settlement().attempt());
+      return {settlement_kind, id_of(record.settlement().attempt())};
     case records::Record::kTurn:
-      return key_of(turn_prefix, record.turn().attempt());
+      return {turn_kind, id_of(record.turn().attempt())};
     case records::Record::KIND_NOT_SET:
       break;
   }
   return {};
 }
 
-bool record_book::add(records::Record record, std::uint64_t now_ms) {
-  const std::string key = record_key(record);
-  if (key.empty() || by_key_.contains(key)) {
+std::uint8_t bit_of(char kind) {
+  constexpr std::uint8_t reservation_bit = 1;
+  constexpr std::uint8_t settlement_bit = 2;
+  constexpr std::uint8_t turn_bit = 4;
+  return kind == reservation_kind  ? reservation_bit
+         : kind == settlement_kind ? settlement_bit
+                                   : turn_bit;
+}
+
+std::string key_of(char kind, const record_id& attempt) {
+  return std::string(1, kind) + bytes_of(attempt);
+}
+
+}  // namespace
+
+std::string record_key(const records::Record& record) {
+  const record_name name = name_of(record);
+  return name.kind == 0 ? std::string() : key_of(name.kind, name.attempt);
+}
+
+bool record_book::add(const records::Record& record, std::uint64_t now_ms) {
+  const record_name name = name_of(record);
+  if (name.kind == 0) {
+    return false;
+  }
+  attempt_state& state = attempts_[name.attempt];
+  if ((state.kinds & bit_of(name.kind)) != 0) {
     return false;
   }
-  const auto held = std::make_shared<const records::Record>(std::move(record));
-  by_key_.emplace(key, held);
-  bytes_ += held->ByteSizeLong();
-  log_.push_back({next_position_++, now_ms, held});
-  apply(*held);
+  state.kinds |= bit_of(name.kind);
+  log_.push_back({name.attempt, now_ms, static_cast<std::uint64_t>(name.kind)});
+  pending_.emplace(key_of(name.kind, name.attempt), record);
+  apply(record, state);
   return true;
 }
 
-void record_book::apply(const records::Record& record) {
+void record_book::apply(const records::Record& record, attempt_state& state) {
   if (record.has_reservation()) {
     const records::Reservation& made = record.reservation();
-    turn_usage& turn = programs_[made.program()].turns[made.attempt()];
-    turn.attempt = made.attempt();
-    turn.reserved = std::max(turn.reserved, made.tokens());
+    state.reserved = static_cast<std::uint32_t>(made.tokens());
+    note_program(made.program(), id_of(made.attempt()), state);
   } else if (record.has_settlement()) {
     const records::Settlement& made = record.settlement();
-    settle(made.program(), made.attempt(), made.tokens());
-  } else if (record.has_turn()) {
+    state.settled = true;
+    state.used =
+        std::max(state.used, static_cast<std::uint32_t>(made.tokens()));
+    note_program(made.program(), id_of(made.attempt()), state);
+  } else {
     const records::Turn& made = record.turn();
     longest_retention_s_ = std::max(longest_retention_s_, made.retention_s());
     if (!made.program().empty()) {
-      settle(made.program(), made.attempt(), made.tokens());
+      state.settled = true;
+      state.used =
+          std::max(state.used, static_cast<std::uint32_t>(made.tokens()));
+      note_program(made.program(), id_of(made.attempt()), state);
     }
   }
 }
 
-void record_book::settle(const std::string& program, const std::string& attempt,
-                         std::uint64_t used) {
-  turn_usage& turn = programs_[program].turns[attempt];
-  turn.attempt = attempt;
-  turn.settled = true;
-  turn.used = std::max(turn.used, used);
+void record_book::note_program(const std::string& program,
+                               const record_id& attempt, attempt_state& state) {
+  if (state.program != record_id{}) {
+    return;
+  }
+  state.program = id_of(program);
+  programs_[state.program].push_back(attempt);
+}
+
+bool record_book::has(const std::string& key) const {
+  if (key.empty()) {
+    return false;
+  }
+  const auto found =
+      attempts_.find(id_from_bytes(std::string_view(key).substr(1)));
+  return found != attempts_.end() &&
+         (found->second.kinds & bit_of(key.front())) != 0;
 }
 
-bool record_book::has_turn(std::string_view attempt) const {
-  return by_key_.contains(key_of(turn_prefix, attempt));
+std::optional<records::Record> record_book::find(const std::string& key) const {
+  const auto waiting = pending_.find(key);
+  if (waiting != pending_.end()) {
+    return waiting->second;
+  }
+  return has(key) ? read_disk_(key) : std::nullopt;
 }
 
 turn_chain record_book::chain(std::string_view attempt) const {
-  std::vector<const records::Turn*> turns;
+  std::vector<records::Record> turns;
   turn_chain made;
   std::string next(attempt);
   while (!next.empty() && turns.size() < longest_chain) {
-    const auto held = by_key_.find(key_of(turn_prefix, next));
-    if (held == by_key_.end()) {
+    std::optional<records::Record> held = find(key_of(turn_kind, id_of(next)));
+    if (!held || held->turn().attempt() != next) {
       made.gap = next;
       break;
     }
-    turns.push_back(&held->second->turn());
-    next = turns.back()->previous();
+    next = held->turn().previous();
+    turns.push_back(std::move(*held));
   }
   made.found = !turns.empty();
-  made.endpoint = made.found ? turns.front()->endpoint() : std::string();
-  for (auto turn = turns.rbegin(); turn != turns.rend(); ++turn) {
-    made.text.append((*turn)->input()).append((*turn)->output());
+  made.endpoint = made.found ? turns.front().turn().endpoint() : std::string();
+  for (auto each = turns.rbegin(); each != turns.rend(); ++each) {
+    made.text.append(each->turn().input()).append(each->turn().output());
   }
   return made;
 }
 
 std::vector<turn_usage> record_book::usage(std::string_view program) const {
   std::vector<turn_usage> found;
-  const auto held = programs_.find(std::string(program));
-  if (held != programs_.end()) {
-    for (const auto& [attempt, turn] : held->second.turns) {
-      found.push_back(turn);
+  const auto held = programs_.find(id_of(program));
+  if (held == programs_.end()) {
+    return found;
+  }
+  for (const record_id& attempt : held->second) {
+    const auto state = attempts_.find(attempt);
+    if (state != attempts_.end()) {
+      found.push_back({bytes_of(attempt), state->second.reserved,
+                       state->second.settled, state->second.used});
     }
   }
   return found;
 }
 
-std::vector<record_book::numbered_record> record_book::after(
-    std::uint64_t position, std::size_t max_bytes) const {
-  const auto first =
-      std::upper_bound(log_.begin(), log_.end(), position,
-                       [](std::uint64_t at, const numbered_record& each) {
-                         return at < each.position;
-                       });
-  std::vector<numbered_record> found;
-  std::size_t bytes = 0;
-  for (auto each = first; each != log_.end() && bytes < max_bytes; ++each) {
-    bytes += each->record->ByteSizeLong();
-    found.push_back(*each);
+std::vector<record_book::numbered_key> record_book::after(
+    std::uint64_t position, std::size_t most) const {
+  std::vector<numbered_key> found;
+  const std::uint64_t first =
+      position < first_position_ ? 0 : position - first_position_ + 1;
+  for (std::uint64_t i = first; i < log_.size() && found.size() < most; ++i) {
+    const log_entry& each = log_[i];
+    found.push_back({first_position_ + i, each.added_at_ms,
+                     key_of(static_cast<char>(each.kind), each.attempt)});
   }
   return found;
 }
 
-record_book::record_ptr record_book::find(const std::string& key) const {
-  const auto held = by_key_.find(key);
-  return held == by_key_.end() ? nullptr : held->second;
-}
-
 std::vector<std::string> record_book::expire(std::uint64_t now_ms) {
   const std::uint64_t kept_ms =
       longest_retention_s_ * ms_per_second + expiry_margin_ms;
   std::vector<std::string> gone;
   while (longest_retention_s_ > 0 && !log_.empty() &&
          log_.front().added_at_ms + kept_ms < now_ms) {
-    const record_ptr record = log_.front().record;
+    const log_entry oldest = log_.front();
     log_.pop_front();
-    gone.push_back(record_key(*record));
-    by_key_.erase(gone.back());
-    bytes_ -= record->ByteSizeLong();
-    drop(*record);
+    ++first_position_;
+    gone.push_back(key_of(static_cast<char>(oldest.kind), oldest.attempt));
+    drop(oldest);
   }
   return gone;
 }
 
-// A program's usage goes when the last of its records has gone.
-void record_book::drop(const records::Record& record) {
-  std::string program;
-  std::string attempt;
-  if (record.has_reservation()) {
-    program = record.reservation().program();
-    attempt = record.reservation().attempt();
-  } else if (record.has_settlement()) {
-    program = record.settlement().program();
-    attempt = record.settlement().attempt();
-  } else {
-    program = record.turn().program();
-    attempt = record.turn().attempt();
-  }
-  if (by_key_.contains(key_of(settlement_prefix, attempt)) ||
-      by_key_.contains(key_of(turn_prefix, attempt)) ||
-      by_key_.contains(key_of(reservation_prefix, attempt))) {
+// An attempt goes with the last of its records, a program with the last of
+// its attempts.
+void record_book::drop(const log_entry& entry) {
+  const auto found = attempts_.find(entry.attempt);
+  if (found == attempts_.end()) {
     return;
   }
-  const auto found = programs_.find(program);
-  if (found == programs_.end()) {
+  const char kind = static_cast<char>(entry.kind);
+  found->second.kinds &= static_cast<std::uint8_t>(~bit_of(kind));
+  if (found->second.kinds != 0) {
     return;
   }
-  found->second.turns.erase(attempt);
-  if (found->second.turns.empty()) {
-    programs_.erase(found);
+  const auto program = programs_.find(found->second.program);
+  if (program != programs_.end()) {
+    std::erase(program->second, entry.attempt);
+    if (program->second.empty()) {
+      programs_.erase(program);
+    }
   }
+  attempts_.erase(found);
 }
 
 }  // namespace trayrock
--- a/src/records/record_disk.cc
+++ b/src/records/record_disk.cc
@@ -3,12 +3,16 @@
 #include <event2/event.h>
 #include <event2/util.h>
 #include <fcntl.h>
+#include <leveldb/cache.h>
 #include <leveldb/db.h>
+#include <leveldb/env.h>
 #include <leveldb/write_batch.h>
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <condition_variable>
+#include <cstring>
 #include <filesystem>
 #include <mutex>
 #include <thread>
@@ -20,11 +24,65 @@
 namespace {
 
 // Two buffers of this size are the most memory that unsorted writes take.
-constexpr std::size_t write_buffer_bytes = 2U << 20;
+constexpr std::size_t write_buffer_bytes = 1U << 20;
+constexpr std::size_t block_cache_bytes = 1U << 20;
 constexpr int open_files = 64;
 
+// A file read by pread. LevelDB's own maps files into memory, where they count
+// as the process's.
+class plain_file final : public leveldb::RandomAccessFile {
+ public:
+  plain_file(std::string name, int file)
+      : name_(std::move(name)), file_(file) {}
+  plain_file(const plain_file&) = delete;
+  plain_file& operator=(const plain_file&) = delete;
+  ~plain_file() override { close(file_); }
+
+  leveldb::Status Read(std::uint64_t offset, std::size_t length,
+                       leveldb::Slice* result, char* scratch) const override {
+    const ssize_t got =
+        pread(file_, scratch, length, static_cast<off_t>(offset));
+    if (got < 0) {
+      return leveldb::Status::IOError(name_, std::strerror(errno));
+    }
+    *result = leveldb::Slice(scratch, static_cast<std::size_t>(got));
+    return leveldb::Status::OK();
+  }
+
+ private:
+  std::string name_;
+  int file_;
+};
+
+class plain_file_env final : public leveldb::EnvWrapper {
+ public:
+  plain_file_env() : leveldb::EnvWrapper(leveldb::Env::Default()) {}
+
+  leveldb::Status NewRandomAccessFile(
+      const std::string& name, leveldb::RandomAccessFile** made) override {
+    const int file = ::open(name.c_str(), O_RDONLY | O_CLOEXEC);
+    if (file < 0) {
+      return leveldb::Status::IOError(name, std::strerror(errno));
+    }
+    *made = new plain_file(name, file);
+    return leveldb::Status::OK();
+  }
+};
+
+leveldb::Env* disk_env() {
+  static plain_file_env env;
+  return &env;
+}
+
+leveldb::Cache* disk_cache() {
+  static leveldb::Cache* cache = leveldb::NewLRUCache(block_cache_bytes);
+  return cache;
+}
+
 leveldb::Options disk_options() {
   leveldb::Options options;
+  options.env = disk_env();
+  options.block_cache = disk_cache();
   options.create_if_missing = true;
   options.paranoid_checks = false;
   options.write_buffer_size = write_buffer_bytes;
@@ -158,7 +216,7 @@
   static void on_finished(evutil_socket_t socket, short, void* context) {
     auto* self = static_cast<impl*>(context);
     std::array<char, 64> signals{};
-    while (read(socket, signals.data(), signals.size()) > 0) {
+    while (::read(socket, signals.data(), signals.size()) > 0) {
     }
     std::vector<std::pair<done_callback, bool>> ended;
     {
@@ -220,6 +278,19 @@
   }
 }
 
+std::optional<std::string> record_disk::read(const std::string& key) const {
+  std::string value;
+  const leveldb::Status status =
+      impl_->database->Get(leveldb::ReadOptions(), key, &value);
+  if (status.ok()) {
+    return value;
+  }
+  if (!status.IsNotFound()) {
+    log_error("disk_read_failed", {{"cause", status.ToString()}});
+  }
+  return std::nullopt;
+}
+
 void record_disk::write(std::vector<disk_change> changes, done_callback done) {
   {
     const std::scoped_lock lock(impl_->guard);
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -12,8 +12,8 @@
 
 constexpr std::string_view state_key = "m/state";
 constexpr std::size_t pull_bytes = 256U << 10;
-// A key is about a twentieth of a record.
-constexpr std::size_t key_pull_bytes = 4U << 20;
+// Records, or keys, that one answer looks at.
+constexpr std::size_t most_pulled = 5000;
 constexpr milliseconds expiry_period{5000};
 
 std::string new_id() {
@@ -33,6 +33,7 @@
       server_(server),
       disk_(disk),
       metrics_(metrics),
+      book_([this](const std::string& key) { return read_record(key); }),
       log_(new_log()) {
   read_disk();
 }
@@ -47,10 +48,11 @@
       return;
     }
     records::Record record;
-    if (!record.ParseFromArray(value.data(), size) ||
-        !book_.add(std::move(record), now)) {
+    if (!record.ParseFromArray(value.data(), size) || !book_.add(record, now)) {
       ++unreadable;
+      return;
     }
+    book_.durable(std::string(key));
   });
   log_info("disk_read", {{"store", state_.id()},
                          {"records", std::to_string(book_.size())},
@@ -59,6 +61,23 @@
                          {"counts", state_.counts() ? "yes" : "no"}});
 }
 
+std::optional<records::Record> record_server::read_record(
+    const std::string& key) const {
+  const std::optional<std::string> bytes = disk_.read(key);
+  records::Record record;
+  if (!bytes || !record.ParseFromString(*bytes)) {
+    log_error("record_unreadable", {{"found", bytes ? "yes" : "no"}});
+    return std::nullopt;
+  }
+  return record;
+}
+
+void record_server::note_durable(std::span<const std::string> keys) {
+  for (const std::string& each : keys) {
+    book_.durable(each);
+  }
+}
+
 void record_server::start(std::function<void()> started) {
   server_.handle_typed<records::WriteRequest>(
       "Write", [this](records::WriteRequest& request, rpc_reply_ptr reply) {
@@ -147,17 +166,18 @@
     answer_write(request, outcome, reply);
     return;
   }
+  const std::string key = record_key(request.record());
   std::vector<disk_change> changes;
   if (book_.add(request.record(), loop_.now_ms())) {
-    changes.push_back({record_key(request.record()),
-                       request.record().SerializeAsString(), false});
+    changes.push_back({key, request.record().SerializeAsString(), false});
   }
   // A record that is held already may still be on its way to the disk, so
   // that its answer waits for the next sync all the same.
   const std::uint64_t began = loop_.now_us();
-  disk_.write(std::move(changes), [this, request, outcome, reply,
+  disk_.write(std::move(changes), [this, request, outcome, reply, key,
                                    began](std::error_code failed) {
     disk_failed_ = disk_failed_ || failed;
+    book_.durable(key);
     constexpr double us_per_ms = 1000;
     metrics_.observe("disk_write_ms", {},
                      static_cast<double>(loop_.now_us() - began) / us_per_ms);
@@ -239,14 +259,21 @@
   const std::uint64_t now = loop_.now_ms();
   const bool keys_only = request.kind() == records::PULL_KEYS;
   answer.set_position(from);
-  for (const auto& each :
-       book_.after(from, keys_only ? key_pull_bytes : pull_bytes)) {
+  std::size_t bytes = 0;
+  for (const auto& each : book_.after(from, most_pulled)) {
     if (keys_only) {
-      answer.add_keys(record_key(*each.record));
-    } else {
+      answer.add_keys(each.key);
+    } else if (bytes < pull_bytes) {
+      const std::optional<records::Record> held = book_.find(each.key);
+      if (!held) {
+        break;  // what cannot be read here is not passed over in silence
+      }
+      bytes += held->ByteSizeLong();
       records::PulledRecord& pulled = *answer.add_records();
-      *pulled.mutable_record() = *each.record;
+      *pulled.mutable_record() = *held;
       pulled.set_age_ms(now - each.added_at_ms);
+    } else {
+      break;
     }
     answer.set_position(each.position);
   }
@@ -256,8 +283,8 @@
 void record_server::add_named_records(const records::PullRequest& request,
                                       records::PullReply& answer) const {
   for (const std::string& key : request.keys()) {
-    const record_book::record_ptr held = book_.find(key);
-    if (held != nullptr) {
+    const std::optional<records::Record> held = book_.find(key);
+    if (held) {
       *answer.add_records()->mutable_record() = *held;
     }
   }
@@ -266,12 +293,14 @@
 void record_server::take(const records::PullReply& pulled,
                          std::function<void()> durable) {
   std::vector<disk_change> changes;
+  std::vector<std::string> keys;
   const std::uint64_t now = loop_.now_ms();
   for (const records::PulledRecord& each : pulled.records()) {
     const std::uint64_t age = std::min(each.age_ms(), now);
     if (book_.add(each.record(), now - age)) {
-      changes.push_back({record_key(each.record()),
-                         each.record().SerializeAsString(), false});
+      keys.push_back(record_key(each.record()));
+      changes.push_back(
+          {keys.back(), each.record().SerializeAsString(), false});
     }
   }
   if (changes.empty()) {
@@ -279,8 +308,10 @@
     return;
   }
   disk_.write(std::move(changes),
-              [this, durable = std::move(durable)](std::error_code failed) {
+              [this, keys = std::move(keys),
+               durable = std::move(durable)](std::error_code failed) {
                 disk_failed_ = disk_failed_ || failed;
+                note_durable(keys);
                 if (!failed) {
                   durable();
                 }
@@ -313,7 +344,6 @@
     disk_.erase(std::move(gone));
   }
   metrics_.set("records_held", {}, static_cast<double>(book_.size()));
-  metrics_.set("record_bytes", {}, static_cast<double>(book_.bytes()));
 }
 
 }  // namespace trayrock
--- a/test/record_client_test.cc
+++ b/test/record_client_test.cc
@@ -1,10 +1,11 @@
 // The client of the record stores against stores in the same process.
+#include "trayrock/internal/records/record_client.h"
+
 #include <filesystem>
 #include <optional>
 
 #include "deployment.h"
 #include "test_support.h"
-#include "trayrock/internal/records/record_client.h"
 #include "trayrock/internal/records/record_server.h"
 
 namespace trayrock::testing {
@@ -119,7 +120,7 @@
     CPPUNIT_ASSERT(second && second->has_value());
     const auto fits = [](const result<reserved_turn>& made,
                          const std::string& attempt) {
-      return made.value().usage.decide(attempt, 60, 100) ==
+      return made.value().usage.decide(bytes_of(id_of(attempt)), 60, 100) ==
              budget_verdict::fits;
     };
     TRAYROCK_CHECK(!(fits(*first, "a1") && fits(*second, "a2")),
@@ -169,8 +170,8 @@
     }
     rpc_server relay(*loop_, {});
     relay.handle_typed<records::RelayRequest>(
-        "Relay", [&](records::RelayRequest& request,
-                     const rpc_reply_ptr& reply) {
+        "Relay",
+        [&](records::RelayRequest& request, const rpc_reply_ptr& reply) {
           auto call = std::make_shared<rpc_call>();
           *call = pool_->ask<records::WriteReply>(
               real.at(request.address() + request.write().store()), "Write",
@@ -182,8 +183,8 @@
         });
     CPPUNIT_ASSERT(relay.listen(address::parse(local(ports_[4])).value()));
     record_client cut(*loop_, *pool_, "dc-0", metrics_);
-    cut.use_relays({[&] { return local(ports_[4]); },
-                    [](const std::string&) {}});
+    cut.use_relays(
+        {[&] { return local(ports_[4]); }, [](const std::string&) {}});
     cut.adopt(seen);
     std::optional<std::error_code> kept;
     cut.keep(turn("t1", "", "one"), patient, [&](std::error_code failed) {
