--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -18,9 +18,10 @@
 // Memory for the texts of recent chains. The next turn comes within about a
 // second; at 30 turns a second of 10 KB that is 300 KB.
 constexpr std::size_t chain_cache_bytes = 3U << 19;
-// How long one watch of the platform waits. A watch whose connection has gone
-// silent is noticed a second later.
-constexpr milliseconds watch_wait{4000};
+// How long watches of the platform wait. Apart, so that a platform that has
+// forgotten them shows by one of them within a few seconds.
+constexpr milliseconds configuration_wait{5000};
+constexpr milliseconds endpoints_wait{9000};
 // Pauses between watches after changes. Endpoints register and leave in
 // numbers, and may be sent to for two seconds after they say that they leave;
 // a configuration has two seconds to be in force.
@@ -45,9 +46,9 @@
         platform_(loop_, settings.service.platform, metrics_),
         registry_(loop_, platform_),
         configurations_(loop_, platform_, platform::kind_configuration,
-                        watch_wait, configuration_pause),
-        endpoints_watch_(loop_, platform_, platform::kind_endpoints, watch_wait,
-                         endpoints_pause),
+                        configuration_wait, configuration_pause),
+        endpoints_watch_(loop_, platform_, platform::kind_endpoints,
+                         endpoints_wait, endpoints_pause),
         gateways_(platform_),
         relays_(loop_, gateways_,
                 {settings.service.name, settings.service.rpc_listen.text(),
--- a/src/net/http1_client.cc
+++ b/src/net/http1_client.cc
@@ -21,13 +21,31 @@
 constexpr milliseconds connect_limit{700};
 // Bytes without acknowledgement for this long break a connection (a peer that
 // lost power or sits behind a cut says nothing).
-constexpr unsigned unacknowledged_limit_ms = 2500;
+constexpr int unacknowledged_limit_ms = 2500;
+// A connection on which an answer is awaited is probed when it has been quiet
+// for a second, so that a path that is gone shows within some three seconds.
+constexpr int probe_after_s = 1;
+constexpr int probe_period_s = 1;
+constexpr int probes_before_lost = 2;
 // Idle connections are closed by us first: at this share of the time that the
 // peer announces, or after the default if it announces none.
 constexpr double idle_share = 0.6;
 constexpr milliseconds default_idle_limit{4000};
 constexpr int first_final_status = 200;
 
+void set_option(int socket, int level, int option, int value) {
+  setsockopt(socket, level, option, &value, sizeof(value));
+}
+
+// Makes a path that is gone show as an error of the connection.
+void watch_path(int socket) {
+  set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, probe_after_s);
+  set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, probe_period_s);
+  set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, probes_before_lost);
+  set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
+}
+
 milliseconds idle_limit(const header_list& headers) {
   const std::string_view text = headers.find("Keep-Alive");
   const std::size_t at = text.find("timeout=");
@@ -357,8 +375,7 @@
     me.connected_ = true;
     me.guard_.cancel();
     internal::set_no_delay(bev);
-    setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_USER_TIMEOUT,
-               &unacknowledged_limit_ms, sizeof(unacknowledged_limit_ms));
+    watch_path(bufferevent_getfd(bev));
     if (me.call_ != nullptr) {
       bufferevent_write(bev, me.call_->bytes.data(), me.call_->bytes.size());
     }
--- a/src/records/record_book.cc
+++ b/src/records/record_book.cc
@@ -184,6 +184,7 @@
     log_.pop_front();
     ++first_position_;
     gone.push_back(key_of(static_cast<char>(oldest.kind), oldest.attempt));
+    pending_.erase(gone.back());
     drop(oldest);
   }
   return gone;
--- /dev/null
+++ b/test/gateway_rules_test.cc
@@ -0,0 +1,288 @@
+// Decisions of gateway and record stores without I/O.
+#include "platform/documents.h"
+#include "platform/messages.h"
+#include "test_support.h"
+#include "trayrock/internal/decide/event_stream.h"
+#include "trayrock/internal/decide/store_membership.h"
+#include "trayrock/internal/decide/token_budget.h"
+#include "trayrock/internal/gateway/endpoint_directory.h"
+#include "trayrock/internal/records/group_rules.h"
+
+namespace trayrock::testing {
+namespace {
+
+constexpr std::uint64_t now = 1000;
+
+route route_of(const std::string& prefix) {
+  route made;
+  made.host = "host";
+  made.path_prefix = prefix;
+  made.services = {{prefix, 1}};
+  return made;
+}
+
+endpoint endpoint_of(const std::string& id, const std::string& data_centre) {
+  endpoint made;
+  made.id = id;
+  made.service = "s";
+  made.address = "127.0.0.1:1";
+  made.data_centre = data_centre;
+  made.capacity = 4;
+  return made;
+}
+
+records::Store store_of(const std::string& id, const std::string& address) {
+  records::Store made;
+  made.set_id(id);
+  made.set_address(address);
+  made.set_box("box-" + id);
+  return made;
+}
+
+// Three voters a, b, c that all answer and count, seen by a spare store d.
+membership_view spare_view() {
+  membership_view view;
+  view.self = store_of("d", "4");
+  view.group.set_epoch(1);
+  view.group.set_tolerated(1);
+  for (const char* id : {"a", "b", "c"}) {
+    *view.group.add_voters() = store_of(id, id);
+    view.peers[id] = {0, true, true, id};
+  }
+  return view;
+}
+
+template <typename action>
+bool is(const membership_action& seen) {
+  return std::holds_alternative<action>(seen);
+}
+
+class gateway_rules_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(gateway_rules_test);
+  CPPUNIT_TEST(longest_prefix_of_the_host_wins);
+  CPPUNIT_TEST(weights_split_by_key);
+  CPPUNIT_TEST(events_are_cut_at_any_byte);
+  CPPUNIT_TEST(budget_fits_waits_or_is_spent);
+  CPPUNIT_TEST(turn_prefers_the_endpoint_of_the_turn_before);
+  CPPUNIT_TEST(failing_endpoint_is_left_alone_but_not_the_last_one);
+  CPPUNIT_TEST(close_endpoints_come_first);
+  CPPUNIT_TEST(missing_endpoints_stay_a_moment_after_an_outage);
+  CPPUNIT_TEST(quorums_of_every_size_meet);
+  CPPUNIT_TEST(spare_store_waits_while_all_voters_live);
+  CPPUNIT_TEST(lost_disk_is_replaced_at_once_and_silence_after_a_while);
+  CPPUNIT_TEST(store_that_has_not_read_enough_does_not_vote);
+  CPPUNIT_TEST(one_change_at_a_time);
+  CPPUNIT_TEST(retiring_voter_leaves_only_if_enough_remain);
+  CPPUNIT_TEST(headers_are_decoded_and_the_systems_replaced);
+  CPPUNIT_TEST(garbled_documents_are_refused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void longest_prefix_of_the_host_wins() {
+    configuration held;
+    held.routes = {route_of("/a/"), route_of("/a/b/"), route_of("/c/")};
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("/a/b/"),
+        find_route(held, "host:80", "/a/b/c?q=/c/")->path_prefix);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/"),
+                         find_route(held, "host", "/a/bc")->path_prefix);
+    CPPUNIT_ASSERT(find_route(held, "other", "/a/") == nullptr);
+    CPPUNIT_ASSERT(find_route(held, "host", "/d/") == nullptr);
+  }
+
+  void weights_split_by_key() {
+    route split = route_of("/a/");
+    split.services = {{"most", 90}, {"few", 10}};
+    int few = 0;
+    for (int i = 0; i < 1000; ++i) {
+      few += pick_service(split, std::to_string(i)) == "few" ? 1 : 0;
+    }
+    TRAYROCK_CHECK(few > 50 && few < 150, "expected about 100, seen " << few);
+    CPPUNIT_ASSERT(pick_service(split, "x") == pick_service(split, "x"));
+  }
+
+  void events_are_cut_at_any_byte() {
+    const std::string bytes =
+        "id: 1\ndata: one\n\nid: 2\r\ndata:two\r\ndata: more\r\n\r\nid: 3\n";
+    for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+      event_stream events;
+      events.add(bytes.substr(0, cut));
+      events.add(bytes.substr(cut));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, events.whole_events());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, events.started_events());
+      CPPUNIT_ASSERT_EQUAL(std::string("one\ntwo\nmore\n"), events.data());
+    }
+  }
+
+  void budget_fits_waits_or_is_spent() {
+    program_usage usage;
+    usage.add({"a", 30, true, 20});
+    usage.add({"a", 30, false, 0});  // another store has not heard of its end
+    usage.add({"b", 30, false, 0});
+    usage.add({"own", 30, false, 0});
+    CPPUNIT_ASSERT(usage.decide("own", 30, 80) == budget_verdict::fits);
+    CPPUNIT_ASSERT(usage.decide("own", 30, 79) == budget_verdict::wait);
+    CPPUNIT_ASSERT(usage.decide("own", 30, 49) == budget_verdict::spent);
+  }
+
+  void turn_prefers_the_endpoint_of_the_turn_before() {
+    endpoint_directory directory;
+    directory.replace({endpoint_of("a", "x"), endpoint_of("b", "x")}, false,
+                      now);
+    endpoint_choice wanted{"s", "b", "x", nullptr, nullptr};
+    const auto chosen = directory.choose(wanted, now);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen->record.id);
+
+    chosen->in_flight = 100;
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         directory.choose(wanted, now)->record.id);
+  }
+
+  void failing_endpoint_is_left_alone_but_not_the_last_one() {
+    endpoint_directory directory;
+    directory.replace({endpoint_of("a", "x"), endpoint_of("b", "x")}, false,
+                      now);
+    endpoint_choice wanted{"s", "a", "x", nullptr, nullptr};
+    endpoint_directory::end(*directory.choose(wanted, now),
+                            attempt_outcome::unreachable, 1, now);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         directory.choose(wanted, now)->record.id);
+    directory.remove("b");
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         directory.choose(wanted, now)->record.id);
+  }
+
+  void close_endpoints_come_first() {
+    endpoint_directory directory;
+    directory.replace({endpoint_of("a", "far"), endpoint_of("b", "near")},
+                      false, now);
+    endpoint_choice wanted{"s", "", "near", nullptr, nullptr};
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         directory.choose(wanted, now)->record.id);
+  }
+
+  void missing_endpoints_stay_a_moment_after_an_outage() {
+    endpoint_directory directory;
+    directory.replace({endpoint_of("a", "x"), endpoint_of("b", "x")}, false,
+                      now);
+    directory.replace({endpoint_of("a", "x")}, true, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.size());
+    directory.sweep(now + 1500);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.size());
+    directory.sweep(now + 2500);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.size());
+    directory.replace({}, false, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, directory.size());
+  }
+
+  void quorums_of_every_size_meet() {
+    for (std::size_t tolerated = 0; tolerated <= 3; ++tolerated) {
+      for (std::size_t voters = tolerated + 1; voters <= 9; ++voters) {
+        const std::size_t writes = write_quorum(voters, tolerated);
+        const std::size_t reads = read_quorum(voters, tolerated);
+        TRAYROCK_CHECK(writes > tolerated && 2 * writes > voters &&
+                           reads + writes > voters,
+                       voters << " voters, " << tolerated
+                              << " losses: " << writes << " and " << reads);
+      }
+    }
+  }
+
+  void spare_store_waits_while_all_voters_live() {
+    CPPUNIT_ASSERT(is<do_nothing>(next_membership_action(spare_view())));
+  }
+
+  void lost_disk_is_replaced_at_once_and_silence_after_a_while() {
+    membership_view view = spare_view();
+    view.peers["a"].id_at_address = "another";
+    CPPUNIT_ASSERT(is<become_learner>(next_membership_action(view)));
+    *view.group.add_learners() = view.self;
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("a"),
+        std::get<take_place>(next_membership_action(view)).leaving);
+
+    view.peers["a"].id_at_address = "a";
+    view.peers["c"].silent_ms = 1000;
+    CPPUNIT_ASSERT(is<do_nothing>(next_membership_action(view)));
+    view.peers["c"].silent_ms = 2000;
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("c"),
+        std::get<take_place>(next_membership_action(view)).leaving);
+  }
+
+  void store_that_has_not_read_enough_does_not_vote() {
+    membership_view view = spare_view();
+    *view.group.add_learners() = view.self;
+    view.peers["a"].silent_ms = 5000;
+    view.peers["b"].read_to_end = false;
+    CPPUNIT_ASSERT(is<do_nothing>(next_membership_action(view)));
+    view.peers["b"].read_to_end = true;
+    view.peers["b"].counts = false;
+    CPPUNIT_ASSERT(is<do_nothing>(next_membership_action(view)));
+  }
+
+  void one_change_at_a_time() {
+    membership_view view = spare_view();
+    *view.group.add_learners() = view.self;
+    view.peers["a"].silent_ms = 5000;
+    view.change_pending = true;
+    CPPUNIT_ASSERT(is<do_nothing>(next_membership_action(view)));
+  }
+
+  void retiring_voter_leaves_only_if_enough_remain() {
+    membership_view view = spare_view();
+    view.self = store_of("a", "a");
+    view.peers.erase("a");
+    view.retiring_boxes = {"box-a"};
+    view.retiring_ms = 100;
+    CPPUNIT_ASSERT(is<do_nothing>(next_membership_action(view)));
+    view.retiring_ms = 60000;
+    CPPUNIT_ASSERT(is<leave_group>(next_membership_action(view)));
+    view.group.mutable_voters()->RemoveLast();
+    CPPUNIT_ASSERT(is<do_nothing>(next_membership_action(view)));
+  }
+
+  void headers_are_decoded_and_the_systems_replaced() {
+    http1_request request;
+    request.method = "POST";
+    request.headers.add("trayrock-attempt-id", "a1");
+    request.headers.add("Trayrock-Token-Usage", "1840,136");
+    request.headers.add("Trayrock-Prefix-Hash", "5c:800,91:410");
+    request.headers.add("Trayrock-Hold", "stolen");
+    request.headers.add("Trayrock-Pin-Ms", "9");
+    request.headers.add("Connection", "close, X-Private");
+    request.headers.add("X-Private", "1");
+    request.headers.add("X-Kept", "yes");
+    const request_facts facts = platform::decode_request(request);
+    const http1_request sent = platform::endpoint_request(
+        request, {std::chrono::milliseconds(700), "i-1", std::nullopt});
+
+    CPPUNIT_ASSERT_EQUAL(std::string("a1"), facts.attempt);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{136}, facts.most_output_tokens);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, facts.prompt.size());
+    CPPUNIT_ASSERT(!sent.headers.has("Trayrock-Hold"));
+    CPPUNIT_ASSERT(!sent.headers.has("Trayrock-Pin-Ms"));
+    CPPUNIT_ASSERT(!sent.headers.has("X-Private"));
+    CPPUNIT_ASSERT(sent.headers.has("X-Kept"));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("700"),
+        std::string(sent.headers.find("Trayrock-Deadline-Ms")));
+  }
+
+  void garbled_documents_are_refused() {
+    platform::stored_object object;
+    object.name = "main";
+    for (const char* spec :
+         {"{}", R"({"version": "x", "routes": [], "services": []})",
+          R"({"version": 1, "routes": [{}], "services": []})", "3"}) {
+      object.spec = nlohmann::json::parse(spec);
+      CPPUNIT_ASSERT(!platform::decode_configuration(object));
+      CPPUNIT_ASSERT(!platform::decode_endpoint(object));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_rules_test);
+
+}  // namespace
+}  // namespace trayrock::testing
--- /dev/null
+++ b/test/record_book_test.cc
@@ -0,0 +1,136 @@
+// What a record store holds and forgets, without disk or clock.
+#include "trayrock/internal/records/record_book.h"
+
+#include <map>
+
+#include "test_support.h"
+
+namespace trayrock::testing {
+namespace {
+
+constexpr std::uint64_t second = 1000;
+
+records::Record turn(const std::string& attempt, const std::string& previous,
+                     const std::string& input, const std::string& output) {
+  records::Record made;
+  made.mutable_turn()->set_attempt(attempt);
+  made.mutable_turn()->set_previous(previous);
+  made.mutable_turn()->set_program("p");
+  made.mutable_turn()->set_input(input);
+  made.mutable_turn()->set_output(output);
+  made.mutable_turn()->set_tokens(7);
+  made.mutable_turn()->set_retention_s(60);
+  made.mutable_turn()->set_endpoint("endpoint of " + attempt);
+  return made;
+}
+
+records::Record reservation(const std::string& attempt, std::uint64_t tokens) {
+  records::Record made;
+  made.mutable_reservation()->set_program("p");
+  made.mutable_reservation()->set_attempt(attempt);
+  made.mutable_reservation()->set_tokens(tokens);
+  return made;
+}
+
+class record_book_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(record_book_test);
+  CPPUNIT_TEST(record_is_added_once);
+  CPPUNIT_TEST(chain_is_joined_from_the_oldest_turn);
+  CPPUNIT_TEST(chain_with_a_gap_names_the_missing_turn);
+  CPPUNIT_TEST(texts_are_read_from_the_disk_once_durable);
+  CPPUNIT_TEST(turn_settles_its_reservation);
+  CPPUNIT_TEST(reading_goes_on_from_a_position);
+  CPPUNIT_TEST(old_records_and_their_programs_go);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void record_is_added_once() {
+    CPPUNIT_ASSERT(book_.add(reservation("a", 10), 0));
+    CPPUNIT_ASSERT(!book_.add(reservation("a", 99), 0));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, book_.usage("p")[0].reserved);
+    CPPUNIT_ASSERT(!book_.add(records::Record(), 0));
+  }
+
+  void chain_is_joined_from_the_oldest_turn() {
+    book_.add(turn("a", "", "one ", "1\n"), 0);
+    book_.add(turn("b", "a", "two ", "2\n"), 0);
+    const turn_chain chain = book_.chain("b");
+
+    CPPUNIT_ASSERT(chain.found);
+    CPPUNIT_ASSERT_EQUAL(std::string("one 1\ntwo 2\n"), chain.text);
+    CPPUNIT_ASSERT_EQUAL(std::string(), chain.gap);
+    CPPUNIT_ASSERT_EQUAL(std::string("endpoint of b"), chain.endpoint);
+  }
+
+  void chain_with_a_gap_names_the_missing_turn() {
+    book_.add(turn("b", "a", "two ", "2\n"), 0);
+    const turn_chain partial = book_.chain("b");
+    const turn_chain missing = book_.chain("z");
+
+    CPPUNIT_ASSERT(partial.found);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), partial.gap);
+    CPPUNIT_ASSERT_EQUAL(std::string("two 2\n"), partial.text);
+    CPPUNIT_ASSERT(!missing.found);
+  }
+
+  void texts_are_read_from_the_disk_once_durable() {
+    const records::Record record = turn("a", "", "one ", "1\n");
+    book_.add(record, 0);
+    CPPUNIT_ASSERT_EQUAL(std::string("one 1\n"), book_.chain("a").text);
+    CPPUNIT_ASSERT_EQUAL(0, reads_);
+
+    disk_[record_key(record)] = record;
+    book_.durable(record_key(record));
+    CPPUNIT_ASSERT_EQUAL(std::string("one 1\n"), book_.chain("a").text);
+    CPPUNIT_ASSERT_EQUAL(1, reads_);
+  }
+
+  void turn_settles_its_reservation() {
+    book_.add(reservation("a", 10), 0);
+    book_.add(turn("a", "", "one ", "1\n"), 0);
+    const turn_usage usage = book_.usage("p")[0];
+
+    CPPUNIT_ASSERT(usage.settled);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, usage.used);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, usage.reserved);
+  }
+
+  void reading_goes_on_from_a_position() {
+    book_.add(reservation("a", 10), 5);
+    book_.add(reservation("b", 10), 6);
+    const auto first = book_.after(0, 1);
+    const auto rest = book_.after(first[0].position, 10);
+
+    CPPUNIT_ASSERT_EQUAL(record_key(reservation("a", 0)), first[0].key);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rest.size());
+    CPPUNIT_ASSERT_EQUAL(record_key(reservation("b", 0)), rest[0].key);
+    CPPUNIT_ASSERT_EQUAL(book_.position(), rest[0].position);
+    CPPUNIT_ASSERT(book_.after(book_.position(), 10).empty());
+  }
+
+  void old_records_and_their_programs_go() {
+    book_.add(reservation("a", 10), 0);
+    book_.add(turn("a", "", "one ", "1\n"), 0);
+    book_.add(reservation("b", 10), 100 * second);
+    CPPUNIT_ASSERT(book_.expire(119 * second).empty());
+    const auto gone = book_.expire(121 * second);
+
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, gone.size());
+    CPPUNIT_ASSERT(!book_.chain("a").found);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, book_.usage("p").size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, book_.after(0, 10).size());
+  }
+
+ private:
+  std::map<std::string, records::Record> disk_;
+  int reads_ = 0;
+  record_book book_{[this](const std::string& key) {
+    ++reads_;
+    return std::optional<records::Record>(disk_.at(key));
+  }};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(record_book_test);
+
+}  // namespace
+}  // namespace trayrock::testing
