--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -29,6 +29,8 @@
   metrics_registry& metrics;
   std::string data_centre;
   std::function<configuration_ptr()> configuration;  // nullptr: none yet
+  // Milliseconds since the platform last answered about the endpoints.
+  std::function<std::uint64_t()> endpoints_age_ms;
 };
 
 // Serves one request; the flow lives until its answer has ended.
--- a/include/trayrock/internal/log.h
+++ b/include/trayrock/internal/log.h
@@ -1,7 +1,9 @@
-// Logging by log4cplus: one line an event, to standard error.
+// Logging by log4cplus: one JSON object a line, to standard output.
 //
-// Rotation is the platform's. A line carries the event's name and then
-// key=value pairs; program, call and attempt come under these names.
+// A line has time, level, process and event, and then what the event is about;
+// request, program and endpoint come under these names. Writing never waits:
+// lines that a slow reader leaves no room for are dropped, and a line
+// "log_lines_dropped" tells how many. Rotation is the platform's.
 //
 // Example:
 //   log_info("call_refused", {{"program", id}, {"call", "3"}});
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -63,7 +63,8 @@
                chains_,
                metrics_,
                settings.service.data_centre,
-               [this] { return configuration_; }},
+               [this] { return configuration_; },
+               [this] { return endpoints_watch_.silence_ms(); }},
         clients_(
             loop_, [this] { return limits(); },
             [this](http1_request request, http1_exchange_ptr out) {
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -549,6 +549,16 @@
 
   std::uint64_t elapsed_us() const { return parts_.loop.now_us() - began_us_; }
 
+  // Why the endpoint was chosen.
+  std::string placed_by() const {
+    if (endpoint_ == nullptr) {
+      return "";
+    }
+    const bool kept =
+        chain_ != nullptr && chain_->endpoint == endpoint_->record.id;
+    return kept ? "previous_turn" : "load";
+  }
+
   void end(std::string_view outcome, int status) {
     ended_ = true;
     deadline_.cancel();
@@ -569,6 +579,8 @@
                              ? "0"
                              : std::to_string(configuration_->version)},
               {"endpoint", endpoint_ == nullptr ? "" : endpoint_->record.id},
+              {"placed_by", placed_by()},
+              {"endpoints_age_ms", std::to_string(parts_.endpoints_age_ms())},
               {"epoch", std::to_string(parts_.records.group().epoch())},
               {"sends", std::to_string(sends_)},
               {"unreachable", std::to_string(unreachable_)},
--- a/src/log.cc
+++ b/src/log.cc
@@ -1,16 +1,74 @@
 #include "trayrock/internal/log.h"
 
-#include <log4cplus/consoleappender.h>
+#include <fcntl.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <unistd.h>
 
+#include <cerrno>
+#include <cstdio>
 #include <memory>
 
 namespace trayrock {
 namespace {
 
+// Lines that wait for a slow reader of standard output; more are dropped.
+constexpr std::size_t most_waiting_bytes = 256U << 10;
+
+// Writes lines to standard output and never waits for it.
+class bounded_appender final : public log4cplus::Appender {
+ public:
+  bounded_appender() {
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+  bounded_appender(const bounded_appender&) = delete;
+  bounded_appender& operator=(const bounded_appender&) = delete;
+  ~bounded_appender() override { destructorImpl(); }
+
+  void close() override {
+    flush();
+    closed = true;
+  }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    flush();
+    if (waiting_.size() >= most_waiting_bytes) {
+      ++dropped_;
+      return;
+    }
+    if (dropped_ > 0) {
+      waiting_ += "{\"event\":\"log_lines_dropped\",\"count\":\"" +
+                  std::to_string(dropped_) + "\"}\n";
+      dropped_ = 0;
+    }
+    waiting_ += formatEvent(event);
+    flush();
+  }
+
+ private:
+  void flush() {
+    while (!waiting_.empty()) {
+      const ssize_t done =
+          ::write(STDOUT_FILENO, waiting_.data(), waiting_.size());
+      if (done < 0 && errno == EINTR) {
+        continue;
+      }
+      if (done <= 0) {
+        return;  // the reader is slow or gone; tried again with the next line
+      }
+      waiting_.erase(0, static_cast<std::size_t>(done));
+    }
+  }
+
+  std::string waiting_;
+  std::uint64_t dropped_ = 0;
+};
+
 log4cplus::Logger& logger() {
   static log4cplus::Logger held = log4cplus::Logger::getInstance("trayrock");
   return held;
@@ -29,13 +87,40 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
+void append_escaped(std::string& out, std::string_view text) {
+  constexpr unsigned char first_printable = 0x20;
+  for (const char each : text) {
+    if (each == '"' || each == '\\') {
+      out.push_back('\\');
+      out.push_back(each);
+    } else if (static_cast<unsigned char>(each) < first_printable) {
+      char code[8];
+      std::snprintf(code, sizeof(code), "\\u%04x",
+                    static_cast<unsigned>(static_cast<unsigned char>(each)));
+      out += code;
+    } else {
+      out.push_back(each);
+    }
+  }
+}
+
+void append_pair(std::string& out, std::string_view key,
+                 std::string_view value) {
+  out += ",\"";
+  out += key;
+  out += "\":\"";
+  append_escaped(out, value);
+  out += '"';
+}
+
 void write(log4cplus::LogLevel level, std::string_view event, log_pairs pairs) {
   if (!logger().isEnabledFor(level)) {
     return;
   }
-  std::string line(event);
+  std::string line;
+  append_pair(line, "event", event);
   for (const auto& [key, value] : pairs) {
-    line.append(" ").append(key).append("=").append(value);
+    append_pair(line, key, value);
   }
   logger().log(level, line);
 }
@@ -45,10 +130,10 @@
 void start_logging(std::string_view process, std::string_view level) {
   static log4cplus::Initializer initializer;
   log4cplus::setThreadPoolSize(0);  // nothing here is logged asynchronously
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(true, true));
+  log4cplus::SharedAppenderPtr appender(new bounded_appender());
   const std::string pattern =
-      "%D{%Y-%m-%dT%H:%M:%S.%q} %p " + std::string(process) + " %m%n";
+      "{\"time\":\"%D{%Y-%m-%dT%H:%M:%S.%q}\",\"level\":\"%p\",\"process\":\"" +
+      std::string(process) + "\"%m}%n";
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   root.addAppender(appender);
--- /dev/null
+++ b/test/http1_test.cc
@@ -0,0 +1,316 @@
+// The HTTP/1.1 layer of the gateway: what must not be hidden from a proxy.
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <optional>
+#include <thread>
+
+#include "deployment.h"
+#include "test_support.h"
+#include "trayrock/internal/net/http1_client.h"
+#include "trayrock/internal/net/http1_server.h"
+
+namespace trayrock::testing {
+namespace {
+
+constexpr milliseconds longest_run{10000};
+constexpr int answer_seconds = 8;
+
+address local(int port) {
+  return address::parse("127.0.0.1:" + std::to_string(port)).value();
+}
+
+// A peer that answers the first bytes on each connection with a script.
+class scripted_peer {
+ public:
+  enum class ending { stay_open, close, reset };
+
+  scripted_peer(event_loop& loop, int port, std::string answer, ending how)
+      : loop_(loop), answer_(std::move(answer)), how_(how) {
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_port = htons(static_cast<std::uint16_t>(port));
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    listener_ = evconnlistener_new_bind(
+        loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+        16, reinterpret_cast<sockaddr*>(&where), sizeof(where));
+  }
+  scripted_peer(const scripted_peer&) = delete;
+  scripted_peer& operator=(const scripted_peer&) = delete;
+  ~scripted_peer() {
+    evconnlistener_free(listener_);
+    for (bufferevent* each : connections_) {
+      bufferevent_free(each);
+    }
+  }
+
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  static void accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int,
+                     void* context) {
+    auto* self = static_cast<scripted_peer*>(context);
+    bufferevent* made = bufferevent_socket_new(self->loop_.base(), socket,
+                                               BEV_OPT_CLOSE_ON_FREE);
+    self->connections_.push_back(made);
+    bufferevent_setcb(made, on_readable, on_written, nullptr, self);
+    bufferevent_enable(made, EV_READ | EV_WRITE);
+  }
+
+  static void on_readable(bufferevent* from, void* context) {
+    auto* self = static_cast<scripted_peer*>(context);
+    char bytes[4096];
+    while (bufferevent_read(from, bytes, sizeof(bytes)) > 0) {
+    }
+    self->answered_ = true;
+    bufferevent_write(from, self->answer_.data(), self->answer_.size());
+  }
+
+  static void on_written(bufferevent* to, void* context) {
+    auto* self = static_cast<scripted_peer*>(context);
+    const int socket = bufferevent_getfd(to);
+    if (!self->answered_) {
+      return;  // libevent also calls this for a fresh connection
+    }
+    if (self->how_ == ending::close) {
+      shutdown(socket, SHUT_RDWR);
+    } else if (self->how_ == ending::reset) {
+      // The answer is read before the reset comes.
+      self->ends_.push_back(self->loop_.after(milliseconds(50), [socket] {
+        const linger at_once{1, 0};
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+        dup2(STDIN_FILENO, socket);  // closes the connection with a reset
+      }));
+    }
+  }
+
+  event_loop& loop_;
+  std::string answer_;
+  ending how_;
+  bool answered_ = false;
+  evconnlistener* listener_ = nullptr;
+  std::vector<bufferevent*> connections_;
+  std::vector<timer> ends_;
+};
+
+struct seen_answer {
+  std::optional<http1_end> end;
+  std::string body;
+  int heads = 0;
+};
+
+class http1_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(http1_test);
+  CPPUNIT_TEST(length_and_chunks_together_are_refused);
+  CPPUNIT_TEST(headers_over_the_limit_are_refused);
+  CPPUNIT_TEST(body_over_the_limit_is_refused);
+  CPPUNIT_TEST(slow_headers_are_refused);
+  CPPUNIT_TEST(requests_sent_ahead_are_answered_in_order);
+  CPPUNIT_TEST(chunked_body_is_joined);
+  CPPUNIT_TEST(answer_without_length_is_whole_at_its_close);
+  CPPUNIT_TEST(answer_without_length_is_broken_by_a_reset);
+  CPPUNIT_TEST(cut_chunks_are_broken);
+  CPPUNIT_TEST(refused_connection_was_never_sent);
+  CPPUNIT_TEST(connection_with_surplus_bytes_is_not_used_again);
+  CPPUNIT_TEST(sound_connection_is_used_again);
+  CPPUNIT_TEST(answer_of_an_earlier_request_is_skipped);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    loop_ = std::make_unique<event_loop>();
+    port_ = free_ports(1)[0];
+  }
+
+  void tearDown() override {
+    pool_.reset();
+    loop_.reset();
+  }
+
+  void length_and_chunks_together_are_refused() {
+    check_refused(
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n",
+        400);
+  }
+
+  void headers_over_the_limit_are_refused() {
+    check_refused(
+        "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(600, 'x') + "\r\n\r\n",
+        431);
+  }
+
+  void body_over_the_limit_is_refused() {
+    check_refused("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n",
+                  413);
+    check_refused(
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
+        "\r\n\r\n7d0\r\n" +
+            std::string(2000, 'x'),
+        413);
+  }
+
+  void slow_headers_are_refused() {
+    check_refused("GET / HTTP/1.1\r\nHost: a\r\n", 408);
+  }
+
+  void requests_sent_ahead_are_answered_in_order() {
+    const std::string seen = serve(
+        "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+        "GET /second HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    const std::size_t first = seen.find("served /first");
+    const std::size_t second = seen.find("served /second");
+    TRAYROCK_CHECK(first != std::string::npos && second > first &&
+                       second != std::string::npos,
+                   "expected both in order, seen " << seen);
+  }
+
+  void chunked_body_is_joined() {
+    serve(
+        "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+        "Connection: close\r\n\r\n3\r\none\r\n4\r\n two\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::string("one two"), body_);
+  }
+
+  void answer_without_length_is_whole_at_its_close() {
+    const seen_answer seen =
+        ask("HTTP/1.1 200 OK\r\n\r\nall of it", scripted_peer::ending::close);
+    TRAYROCK_CHECK(seen.end == http1_end::complete,
+                   "expected a whole answer, seen "
+                       << (seen.end ? static_cast<int>(*seen.end) : -1)
+                       << " after " << seen.body);
+    CPPUNIT_ASSERT_EQUAL(std::string("all of it"), seen.body);
+  }
+
+  void answer_without_length_is_broken_by_a_reset() {
+    const seen_answer seen =
+        ask("HTTP/1.1 200 OK\r\n\r\npart of it", scripted_peer::ending::reset);
+    CPPUNIT_ASSERT(seen.end == http1_end::broken);
+    CPPUNIT_ASSERT_EQUAL(std::string("part of it"), seen.body);
+  }
+
+  void cut_chunks_are_broken() {
+    const seen_answer seen = ask(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+        scripted_peer::ending::close);
+    CPPUNIT_ASSERT(seen.end == http1_end::broken);
+  }
+
+  void refused_connection_was_never_sent() {
+    pool_ = std::make_unique<http1_pool>(*loop_);
+    CPPUNIT_ASSERT(send().end == http1_end::never_sent);
+  }
+
+  void connection_with_surplus_bytes_is_not_used_again() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{2},
+        connections_of_two(
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"));
+  }
+
+  void sound_connection_is_used_again() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{1},
+        connections_of_two("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+  }
+
+  void answer_of_an_earlier_request_is_skipped() {
+    const seen_answer seen =
+        ask("HTTP/1.1 200 OK\r\nX-Of: before\r\nContent-Length: 5\r\n\r\nother"
+            "HTTP/1.1 200 OK\r\nX-Of: mine\r\nContent-Length: 4\r\n\r\nmine",
+            scripted_peer::ending::stay_open);
+    CPPUNIT_ASSERT(seen.end == http1_end::complete);
+    CPPUNIT_ASSERT_EQUAL(std::string("mine"), seen.body);
+    CPPUNIT_ASSERT_EQUAL(2, seen.heads);
+  }
+
+ private:
+  // Gives raw bytes to a server with tight limits and returns its answer.
+  std::string serve(const std::string& bytes) {
+    http1_limits limits;
+    limits.max_header_bytes = 500;
+    limits.max_body_bytes = 1000;
+    limits.header_timeout = milliseconds(300);
+    http1_server server(
+        *loop_, [limits] { return limits; },
+        [this](const http1_request& request, const http1_exchange_ptr& out) {
+          ++served_;
+          body_ = request.body;
+          out->respond(200, {}, "served " + request.target);
+        });
+    CPPUNIT_ASSERT(server.listen(local(port_)));
+    std::string seen;
+    std::atomic<bool> done = false;
+    std::jthread client([&] {
+      seen = send_raw(port_, bytes, answer_seconds);
+      done = true;
+    });
+    const timer watching = loop_->every(milliseconds(10), [&] {
+      if (done) {
+        loop_->stop();
+      }
+    });
+    loop_->run();
+    client.join();
+    return seen;
+  }
+
+  void check_refused(const std::string& bytes, int status) {
+    served_ = 0;
+    const std::string seen = serve(bytes);
+    TRAYROCK_CHECK(seen.starts_with("HTTP/1.1 " + std::to_string(status)),
+                   "expected " << status << ", seen " << seen);
+    CPPUNIT_ASSERT_EQUAL(0, served_);
+  }
+
+  seen_answer send() {
+    seen_answer seen;
+    http1_request request;
+    request.method = "GET";
+    request.target = "/";
+    http1_observer observer;
+    observer.on_head = [&](const http1_answer_head& head) {
+      ++seen.heads;
+      return head.headers.find("X-Of") != "before";
+    };
+    observer.on_body = [&](std::string_view bytes) { seen.body += bytes; };
+    observer.on_end = [&](http1_end how) {
+      seen.end = how;
+      loop_->stop();
+    };
+    const http1_call call = pool_->start("127.0.0.1:" + std::to_string(port_),
+                                         "life", request, observer);
+    const timer guard = loop_->after(longest_run, [this] { loop_->stop(); });
+    loop_->run();
+    return seen;
+  }
+
+  seen_answer ask(const std::string& answer, scripted_peer::ending how) {
+    pool_ = std::make_unique<http1_pool>(*loop_);
+    const scripted_peer peer(*loop_, port_, answer, how);
+    return send();
+  }
+
+  std::size_t connections_of_two(const std::string& answer) {
+    pool_ = std::make_unique<http1_pool>(*loop_);
+    const scripted_peer peer(*loop_, port_, answer,
+                             scripted_peer::ending::stay_open);
+    CPPUNIT_ASSERT(send().end == http1_end::complete);
+    CPPUNIT_ASSERT(send().end == http1_end::complete);
+    return peer.connections();
+  }
+
+  std::unique_ptr<event_loop> loop_;
+  std::unique_ptr<http1_pool> pool_;
+  int port_ = 0;
+  int served_ = 0;
+  std::string body_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http1_test);
+
+}  // namespace
+}  // namespace trayrock::testing
