Layout of the stand-ins and service tests as clang-format has it

clang-format reports nothing any more for the code of gateway and record store; no line says anything else than before.

--- a/fakes/fake_runner.cc
+++ b/fakes/fake_runner.cc
@@ -27,17 +27,16 @@
 
 // What can be made to go wrong: so many of the next requests.
 struct switches {
-  int refuse = 0;         // 503, not executed
+  int refuse = 0;          // 503, not executed
   int cut_unanswered = 0;  // run, then the connection is closed
   int cut_midway = 0;      // the stream breaks off after its first event
   int without_seal = 0;
-  int hang = 0;            // run, and never answered
+  int hang = 0;  // run, and never answered
 };
 
 class fake_runner {
  public:
-  fake_runner(event_loop& loop, std::string id, int events,
-              milliseconds pause)
+  fake_runner(event_loop& loop, std::string id, int events, milliseconds pause)
       : loop_(loop), id_(std::move(id)), events_(events), pause_(pause) {}
 
   void serve(const http1_request& request, const http1_exchange_ptr& out) {
--- a/test/gateway_path_test.cc
+++ b/test/gateway_path_test.cc
@@ -122,11 +122,11 @@
     service_deployment system;
     system.start_all();
     fault_everywhere(system, {{"cut_midway", 1}});
-    const std::string seen = send_raw(
-        system.port("gateway-1"),
-        "POST /stream/a HTTP/1.1\r\nHost: local\r\n"
-        "Trayrock-Attempt-Id: t1\r\nContent-Length: 3\r\n\r\none",
-        10);
+    const std::string seen =
+        send_raw(system.port("gateway-1"),
+                 "POST /stream/a HTTP/1.1\r\nHost: local\r\n"
+                 "Trayrock-Attempt-Id: t1\r\nContent-Length: 3\r\n\r\none",
+                 10);
 
     TRAYROCK_CHECK(seen.find("data: t1-1") != std::string::npos,
                    "expected the first event, seen " << seen);
--- a/test/record_stores_test.cc
+++ b/test/record_stores_test.cc
@@ -67,15 +67,13 @@
     std::string before;
     for (int round = 1; round <= 3; ++round) {
       const std::string attempt = "t" + std::to_string(round);
-      CPPUNIT_ASSERT_EQUAL(
-          200, turn_at_last(system, attempt, before).status);
+      CPPUNIT_ASSERT_EQUAL(200, turn_at_last(system, attempt, before).status);
       before = attempt;
       const json group = system.group();
       const std::string lost = "store-" + std::to_string(round);
       system.replace_disk(lost);
-      wait_until("a new voter in place of " + lost, [&] {
-        return system.group()["epoch"] > group["epoch"];
-      });
+      wait_until("a new voter in place of " + lost,
+                 [&] { return system.group()["epoch"] > group["epoch"]; });
       wait_counting(system);
     }
     CPPUNIT_ASSERT_EQUAL(200, turn_at_last(system, "t4", "t3").status);
@@ -139,9 +137,8 @@
     system.platform_fault({{"lose_write_answers", 2}});
     const json group = system.group();
     system.replace_disk("store-1");
-    wait_until("a new voter", [&] {
-      return system.group()["epoch"] > group["epoch"];
-    });
+    wait_until("a new voter",
+               [&] { return system.group()["epoch"] > group["epoch"]; });
     wait_counting(system);
     system.kill("store-2");
     CPPUNIT_ASSERT_EQUAL(200, turn_at_last(system, "t2", "t1").status);
@@ -176,8 +173,7 @@
     return answer;
   }
 
-  static void check_body(service_deployment& system,
-                         const std::string& attempt,
+  static void check_body(service_deployment& system, const std::string& attempt,
                          const std::string& begins) {
     const std::string body = system.body_of(attempt);
     TRAYROCK_CHECK(body.starts_with(begins),
@@ -195,9 +191,8 @@
   }
 
   static void wait_for_voters(service_deployment& system, std::size_t count) {
-    wait_until("voters", [&] {
-      return system.group()["voters"].size() == count;
-    });
+    wait_until("voters",
+               [&] { return system.group()["voters"].size() == count; });
   }
 
   // Every voter of the present group has read all that it must hold.
@@ -215,8 +210,7 @@
     });
   }
 
-  static void wait_retired(service_deployment& system,
-                           const std::string& box) {
+  static void wait_retired(service_deployment& system, const std::string& box) {
     wait_until(box + " is retired", [&] {
       const json held = system.object("retirements", box);
       return held["status"].is_object() &&
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -196,8 +196,7 @@
 }
 
 void service_deployment::put_object(const std::string& kind,
-                                    const std::string& name,
-                                    const json& spec) {
+                                    const std::string& name, const json& spec) {
   const std::string where = "/objects/" + kind;
   const json body = {{"metadata", {{"name", name}}}, {"spec", spec}};
   const int made =
@@ -250,19 +249,18 @@
   for (const json& each : more_routes) {
     routes.push_back(each);
   }
-  put_object(
-      "config", "main",
-      {{"version", version},
-       {"routes", routes},
-       {"services",
-        {{{"name", "assistant"},
-          {"maxConns", 100},
-          {"engine", {{"capacity", 8}, {"chunkTokens", 2}}}}}},
-       {"limits",
-        {{"maxHeaderBytes", 4096},
-         {"maxBodyBytes", 65536},
-         {"headerTimeoutMs", 700},
-         {"idleTimeoutMs", 4000}}}});
+  put_object("config", "main",
+             {{"version", version},
+              {"routes", routes},
+              {"services",
+               {{{"name", "assistant"},
+                 {"maxConns", 100},
+                 {"engine", {{"capacity", 8}, {"chunkTokens", 2}}}}}},
+              {"limits",
+               {{"maxHeaderBytes", 4096},
+                {"maxBodyBytes", 65536},
+                {"headerTimeoutMs", 700},
+                {"idleTimeoutMs", 4000}}}});
 }
 
 void service_deployment::platform_fault(const json& switches) {
@@ -282,8 +280,8 @@
     const std::string& body) {
   std::map<std::string, std::string> all = headers;
   all["Trayrock-Attempt-Id"] = attempt;
-  return exchange(port(gateway), body.empty() ? "GET" : "POST", path, body,
-                  all, answer_seconds);
+  return exchange(port(gateway), body.empty() ? "GET" : "POST", path, body, all,
+                  answer_seconds);
 }
 
 http_answer service_deployment::turn(const std::string& gateway,
