--- a/src/records/record_client.cc
+++ b/src/records/record_client.cc
@@ -96,7 +96,7 @@
       text_asked_at = to.id();
       text_guard = client.loop_.after(text_patience, [this] { ask_text(); });
     }
-    const std::string id = to.id();
+    const std::string& id = to.id();
     relayed.erase(id);
     if (client.goes_by_relay(id) && send_by_relay(to, asked)) {
       return;
@@ -323,13 +323,16 @@
     text_guard.cancel();
     patience.clear();
     retries.clear();
-    const auto keep = shared_from_this();
     // The calls that are still under way reach their voters all the same.
-    lingering = client.loop_.after(call_limit, [this, keep] {
-      const auto last = keep;
-      client.running_.erase(keep);
-      lingering.cancel();
-    });
+    lingering = client.loop_.after(call_limit,
+                                   [this, keep = shared_from_this()]() mutable {
+                                     // Cancelling destroys this callback, so
+                                     // that it must not own the last reference
+                                     // then.
+                                     const auto last = std::move(keep);
+                                     client.running_.erase(last);
+                                     lingering.cancel();
+                                   });
     if (reserved) {
       auto tell = std::move(reserved);
       failed ? tell(errc::history_unavailable) : tell(std::move(found));
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -80,17 +80,14 @@
 
 void record_server::start(std::function<void()> started) {
   server_.handle_typed<records::WriteRequest>(
-      "Write", [this](records::WriteRequest& request, rpc_reply_ptr reply) {
-        write(request, reply);
-      });
+      "Write", [this](records::WriteRequest& request,
+                      const rpc_reply_ptr& reply) { write(request, reply); });
   server_.handle_typed<records::PullRequest>(
-      "Pull", [this](records::PullRequest& request, rpc_reply_ptr reply) {
-        pull(request, reply);
-      });
+      "Pull", [this](records::PullRequest& request,
+                     const rpc_reply_ptr& reply) { pull(request, reply); });
   server_.handle_typed<records::FenceRequest>(
-      "Fence", [this](records::FenceRequest& request, rpc_reply_ptr reply) {
-        fence(request, reply);
-      });
+      "Fence", [this](records::FenceRequest& request,
+                      const rpc_reply_ptr& reply) { fence(request, reply); });
   server_.handle_typed<records::RepairRequest>(
       "Repair", [this](records::RepairRequest& request, rpc_reply_ptr reply) {
         if (repair_) {
--- a/test/record_client_test.cc
+++ b/test/record_client_test.cc
@@ -109,9 +109,9 @@
     std::optional<result<reserved_turn>> first;
     std::optional<result<reserved_turn>> second;
     client_->reserve(reservation("a1", 60), "", patient,
-                     [&](result<reserved_turn> made) { first = made; });
+                     [&](const result<reserved_turn>& made) { first = made; });
     client_->reserve(reservation("a2", 60), "", patient,
-                     [&](result<reserved_turn> made) {
+                     [&](const result<reserved_turn>& made) {
                        second = made;
                        loop_->stop();
                      });
@@ -134,7 +134,7 @@
     stores_[2].reset();
     std::optional<result<reserved_turn>> answer;
     client_->reserve({}, "t1", milliseconds(300),
-                     [&](result<reserved_turn> made) {
+                     [&](const result<reserved_turn>& made) {
                        answer = made;
                        loop_->stop();
                      });
@@ -247,10 +247,11 @@
 
   reserved_turn read(const std::string& attempt) {
     std::optional<result<reserved_turn>> answer;
-    client_->reserve({}, attempt, patient, [&](result<reserved_turn> made) {
-      answer = made;
-      loop_->stop();
-    });
+    client_->reserve({}, attempt, patient,
+                     [&](const result<reserved_turn>& made) {
+                       answer = made;
+                       loop_->stop();
+                     });
     run();
     CPPUNIT_ASSERT(answer.has_value());
     CPPUNIT_ASSERT(answer->has_value());
