One head of main for gateway, store, entry and node

begin_process() reads command line and settings, reports faults and starts logging; each main only names its text and its settings.

--- a/src/entry/entry_main.cc
+++ b/src/entry/entry_main.cc
@@ -129,21 +129,8 @@
 
 int main(int argc, char** argv) {
   int exit_code = exit_done;
-  const auto arguments = read_arguments(
-      argc, argv, "Entry of trayrock: the callers' HTTP", exit_code);
-  if (!arguments) {
-    return exit_code;
-  }
-  fault_list faults;
-  const entry_settings settings =
-      read_entry_settings(arguments->settings_text, faults);
-  if (!report_faults(faults)) {
-    return exit_settings;
-  }
-  if (arguments->check_only) {
-    std::printf("settings: ok\n");
-    return exit_done;
-  }
-  start_logging(settings.process.name, settings.process.log_level);
-  return entry_process(settings).run();
+  const auto settings =
+      begin_process(argc, argv, "Entry of trayrock: the callers' HTTP",
+                    read_entry_settings, exit_code);
+  return settings ? entry_process(*settings).run() : exit_code;
 }
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -1,6 +1,5 @@
 // trayrock-gateway: serves clients' requests on the platform's edge boxes.
 #include <csignal>
-#include <cstdio>
 
 #include "platform/collection_watcher.h"
 #include "platform/documents.h"
@@ -280,21 +279,8 @@
 
 int main(int argc, char** argv) {
   int exit_code = exit_done;
-  const auto arguments = read_arguments(
-      argc, argv, "Gateway of trayrock: clients' requests", exit_code);
-  if (!arguments) {
-    return exit_code;
-  }
-  fault_list faults;
-  const gateway_settings settings =
-      read_gateway_settings(arguments->settings_text, faults);
-  if (!report_faults(faults)) {
-    return exit_settings;
-  }
-  if (arguments->check_only) {
-    std::printf("settings: ok\n");
-    return exit_done;
-  }
-  start_logging(settings.service.name, settings.service.log_level);
-  return gateway_process(settings).run();
+  const auto settings =
+      begin_process(argc, argv, "Gateway of trayrock: clients' requests",
+                    read_gateway_settings, exit_code);
+  return settings ? gateway_process(*settings).run() : exit_code;
 }
--- a/src/node/node_main.cc
+++ b/src/node/node_main.cc
@@ -140,22 +140,8 @@
 
 int main(int argc, char** argv) {
   int exit_code = exit_done;
-  const auto arguments = read_arguments(
+  const auto settings = begin_process(
       argc, argv, "Node of trayrock: runners of one box, shards of programs",
-      exit_code);
-  if (!arguments) {
-    return exit_code;
-  }
-  fault_list faults;
-  const node_settings settings =
-      read_node_settings(arguments->settings_text, faults);
-  if (!report_faults(faults)) {
-    return exit_settings;
-  }
-  if (arguments->check_only) {
-    std::printf("settings: ok\n");
-    return exit_done;
-  }
-  start_logging(settings.process.name, settings.process.log_level);
-  return node_process(settings).run();
+      read_node_settings, exit_code);
+  return settings ? node_process(*settings).run() : exit_code;
 }
--- a/src/process.cc
+++ b/src/process.cc
@@ -42,6 +42,20 @@
   return faults.empty();
 }
 
+bool settings_usable(const server_arguments& arguments,
+                     const fault_list& faults, int& exit_code) {
+  if (!report_faults(faults)) {
+    exit_code = exit_settings;
+    return false;
+  }
+  if (arguments.check_only) {
+    std::printf("settings: ok\n");
+    exit_code = exit_done;
+    return false;
+  }
+  return true;
+}
+
 bool answer_probe(const http_request& request, const http_exchange_ptr& out,
                   const probe_sources& sources) {
   constexpr int ok = 200;
--- a/src/records/store_main.cc
+++ b/src/records/store_main.cc
@@ -1,6 +1,5 @@
 // trayrock-store: keeps records of turns on a box with a disk.
 #include <csignal>
-#include <cstdio>
 
 #include "platform/group_registry.h"
 #include "trayrock/internal/log.h"
@@ -65,21 +64,7 @@
 
 int main(int argc, char** argv) {
   int exit_code = exit_done;
-  const auto arguments =
-      read_arguments(argc, argv, "Record store of trayrock", exit_code);
-  if (!arguments) {
-    return exit_code;
-  }
-  fault_list faults;
-  const store_settings settings =
-      read_store_settings(arguments->settings_text, faults);
-  if (!report_faults(faults)) {
-    return exit_settings;
-  }
-  if (arguments->check_only) {
-    std::printf("settings: ok\n");
-    return exit_done;
-  }
-  start_logging(settings.service.name, settings.service.log_level);
-  return run(settings);
+  const auto settings = begin_process(argc, argv, "Record store of trayrock",
+                                      read_store_settings, exit_code);
+  return settings ? run(*settings) : exit_code;
 }
