Binding a listener and joining header pieces stand once

The RPC and the HTTP/1.1 server bind by bind_listener(); HTTP/1.1 server and client put fields together by header_collector.

--- a/include/trayrock/internal/net/header_list.h
+++ b/include/trayrock/internal/net/header_list.h
@@ -48,6 +48,21 @@
   std::vector<header_field> fields_;
 };
 
+// Puts fields together that a parser hands over in pieces.
+class header_collector {
+ public:
+  // For a new list, which must be empty.
+  void restart() { last_was_value_ = false; }
+
+  void add_name(header_list& to, std::string_view piece);
+
+  // A piece of a name must have come before.
+  void add_value(header_list& to, std::string_view piece);
+
+ private:
+  bool last_was_value_ = false;
+};
+
 // True when the names are equal without regard to case.
 bool same_name(std::string_view left, std::string_view right);
 
--- a/src/net/header_list.cc
+++ b/src/net/header_list.cc
@@ -73,4 +73,18 @@
   }
 }
 
+void header_collector::add_name(header_list& to, std::string_view piece) {
+  auto& fields = to.fields();
+  if (fields.empty() || last_was_value_) {
+    fields.emplace_back();
+  }
+  fields.back().name.append(piece);
+  last_was_value_ = false;
+}
+
+void header_collector::add_value(header_list& to, std::string_view piece) {
+  to.fields().back().value.append(piece);
+  last_was_value_ = true;
+}
+
 }  // namespace trayrock
--- a/src/net/http1_client.cc
+++ b/src/net/http1_client.cc
@@ -142,7 +142,7 @@
   http_parser parser_{};
   std::unique_ptr<running_call> call_;
   http1_answer_head head_;
-  bool last_was_value_ = false;
+  header_collector collector_;
   bool connected_ = false;
   bool dead_ = false;
   bool skipping_ = false;
@@ -238,7 +238,7 @@
 int client_connection::on_begin(http_parser* parser) {
   client_connection& me = self(parser);
   me.head_ = {};
-  me.last_was_value_ = false;
+  me.collector_.restart();
   me.skipping_ = false;
   me.message_done_ = false;
   return 0;
@@ -247,20 +247,14 @@
 int client_connection::on_field(http_parser* parser, const char* at,
                                 std::size_t length) {
   client_connection& me = self(parser);
-  auto& fields = me.head_.headers.fields();
-  if (fields.empty() || me.last_was_value_) {
-    fields.emplace_back();
-  }
-  fields.back().name.append(at, length);
-  me.last_was_value_ = false;
+  me.collector_.add_name(me.head_.headers, {at, length});
   return 0;
 }
 
 int client_connection::on_value(http_parser* parser, const char* at,
                                 std::size_t length) {
   client_connection& me = self(parser);
-  me.head_.headers.fields().back().value.append(at, length);
-  me.last_was_value_ = true;
+  me.collector_.add_value(me.head_.headers, {at, length});
   return 0;
 }
 
--- a/src/net/http1_server.cc
+++ b/src/net/http1_server.cc
@@ -1,6 +1,5 @@
 #include "trayrock/internal/net/http1_server.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -11,6 +10,7 @@
 #include <cstdio>
 
 #include "http2_session.h"
+#include "listener.h"
 
 namespace trayrock {
 namespace {
@@ -135,7 +135,7 @@
   http1_limits limits_;
   http1_request request_;
   std::size_t header_bytes_ = 0;
-  bool last_was_value_ = false;
+  header_collector collector_;
   bool whole_ = false;
   bool reading_ = false;  // a request has begun and is not whole
   bool serving_ = false;  // a request is being answered
@@ -301,12 +301,7 @@
   if (me.whole_ || !me.count_header_bytes(length)) {
     return 1;
   }
-  auto& fields = me.request_.headers.fields();
-  if (fields.empty() || me.last_was_value_) {
-    fields.emplace_back();
-  }
-  fields.back().name.append(at, length);
-  me.last_was_value_ = false;
+  me.collector_.add_name(me.request_.headers, {at, length});
   return 0;
 }
 
@@ -316,8 +311,7 @@
   if (!me.count_header_bytes(length)) {
     return 1;
   }
-  me.request_.headers.fields().back().value.append(at, length);
-  me.last_was_value_ = true;
+  me.collector_.add_value(me.request_.headers, {at, length});
   return 0;
 }
 
@@ -366,7 +360,7 @@
 void server_connection::begin_request() {
   reading_ = true;
   whole_ = false;
-  last_was_value_ = false;
+  collector_.restart();
   refusal_ = 0;
   header_bytes_ = 0;
   limits_ = server_.limits();
@@ -526,14 +520,8 @@
 }
 
 result<void> http1_server::listen(const address& where) {
-  sockaddr_in bound{};
-  bound.sin_family = AF_INET;
-  bound.sin_port = htons(where.port());
-  inet_pton(AF_INET, where.host().c_str(), &bound.sin_addr);
-  impl_->listener = evconnlistener_new_bind(
-      impl_->loop.base(), impl::accept, impl_.get(),
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, accept_backlog,
-      reinterpret_cast<sockaddr*>(&bound), sizeof(bound));
+  impl_->listener = internal::bind_listener(impl_->loop, where, accept_backlog,
+                                            impl::accept, impl_.get());
   if (impl_->listener == nullptr) {
     return errc::connect_failed;
   }
--- a/src/net/rpc_server.cc
+++ b/src/net/rpc_server.cc
@@ -1,10 +1,10 @@
-#include <arpa/inet.h>
 #include <event2/listener.h>
 
 #include <cstring>
 #include <unordered_map>
 
 #include "http2_session.h"
+#include "listener.h"
 #include "trayrock/internal/net/rpc.h"
 
 namespace trayrock {
@@ -327,14 +327,8 @@
 }
 
 result<void> rpc_server::listen(const address& where) {
-  sockaddr_in bound{};
-  bound.sin_family = AF_INET;
-  bound.sin_port = htons(where.port());
-  inet_pton(AF_INET, where.host().c_str(), &bound.sin_addr);
-  impl_->listener = evconnlistener_new_bind(
-      impl_->loop.base(), impl::accept, impl_.get(),
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, accept_backlog,
-      reinterpret_cast<sockaddr*>(&bound), sizeof(bound));
+  impl_->listener = internal::bind_listener(impl_->loop, where, accept_backlog,
+                                            impl::accept, impl_.get());
   if (impl_->listener == nullptr) {
     return errc::connect_failed;
   }
