A request's flow in modules: history, attempt, errors, report

request_flow.cc says in which order things happen. turn_history holds chain, budget and record of a turn; endpoint_attempt one sending and its outcome; error_answer the gateway's own answers; request_report what log and metrics say at the end.

--- /dev/null
+++ b/include/trayrock/internal/gateway/endpoint_attempt.h
@@ -0,0 +1,87 @@
+// One sending of a request to one endpoint, and what came back. The same
+// object serves for the next sending.
+//
+// Keeps the books of the endpoint: every attempt that was begun is ended once,
+// with its outcome.
+//
+// Example:
+//   endpoint_attempt attempt(loop, facts);
+//   if (attempt.begin(endpoints.choose(wanted, now))) {
+//     attempt.carry(pool.start(..., observer));
+//   }
+//   // in the observer's on_end:
+//   const attempt_outcome outcome = attempt.outcome_of(how);
+//   attempt.end(outcome);
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "trayrock/internal/gateway/endpoint_directory.h"
+#include "trayrock/internal/gateway/request_facts.h"
+#include "trayrock/internal/net/http1_client.h"
+#include "trayrock/internal/net/loop.h"
+
+namespace trayrock {
+
+class endpoint_attempt {
+ public:
+  // Both outlive the object.
+  endpoint_attempt(event_loop& loop, const request_facts& facts)
+      : loop_(loop), facts_(facts) {}
+  endpoint_attempt(const endpoint_attempt&) = delete;
+  endpoint_attempt& operator=(const endpoint_attempt&) = delete;
+
+  // Begins an attempt at an endpoint. False if it is nullptr.
+  bool begin(std::shared_ptr<endpoint_state> to);
+
+  // Takes the call that carries the request.
+  void carry(http1_call call) { call_ = std::move(call); }
+  void cancel() { call_.cancel(); }
+
+  // The endpoint's record; nullptr if there is no endpoint.
+  const endpoint* to() const {
+    return endpoint_ == nullptr ? nullptr : &endpoint_->record;
+  }
+  std::string endpoint_id() const;  // empty if there is no endpoint
+
+  bool in_flight() const { return in_flight_; }
+
+  // The head must have been found to belong to this request.
+  void take_head(const http1_answer_head& head, answer_facts answer);
+
+  // Holds bytes back until the answer is complete. An answer that is too
+  // large for that is invalid.
+  void hold_back(std::string_view bytes);
+
+  const http1_answer_head& head() const { return head_; }
+  int status() const { return head_.status; }  // 0: no head yet
+  bool succeeded() const;
+  bool not_executed() const { return answer_.not_executed; }
+  const std::string& body() const { return body_; }
+
+  // True when clients must not get this answer.
+  bool invalid() const { return invalid_; }
+
+  attempt_outcome outcome_of(http1_end how) const;
+
+  // Ends the attempt in the endpoint's books and logs what did not go well.
+  // Does nothing unless an attempt is in flight.
+  void end(attempt_outcome outcome);
+
+ private:
+  event_loop& loop_;
+  const request_facts& facts_;
+  std::shared_ptr<endpoint_state> endpoint_;
+  http1_call call_;
+  bool in_flight_ = false;
+  std::uint64_t sent_at_us_ = 0;
+  http1_answer_head head_;
+  answer_facts answer_;
+  std::string body_;
+  bool invalid_ = false;
+};
+
+}  // namespace trayrock
--- /dev/null
+++ b/include/trayrock/internal/gateway/request_report.h
@@ -0,0 +1,39 @@
+// What the log and the metrics say of a request that has ended.
+//
+// Example:
+//   request_report made;
+//   made.route = "chat";
+//   made.outcome = "answered";
+//   report_request(metrics, facts, made);  // logs "request_done"
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "trayrock/internal/gateway/request_facts.h"
+#include "trayrock/internal/metrics.h"
+
+namespace trayrock {
+
+struct request_report {
+  std::string route = "none";
+  std::uint64_t configuration = 0;  // version; 0: none yet
+  std::string endpoint;             // the last one that was chosen
+  std::string placed_by;            // why it was chosen
+  std::uint64_t endpoints_age_ms = 0;
+  std::uint64_t epoch = 0;  // of the group of record stores
+  std::uint32_t sends = 0;
+  int unreachable = 0;  // endpoints to which no connection could be made
+  std::uint64_t reserve_us = 0;  // until the stores had answered
+  std::uint64_t head_us = 0;     // until the answer's head
+  std::uint64_t keep_us = 0;     // that the stores took to keep the turn
+  std::uint64_t total_us = 0;
+  std::uint64_t events = 0;
+  int status = 0;
+  std::string outcome;
+};
+
+void report_request(metrics_registry& metrics, const request_facts& facts,
+                    const request_report& ended);
+
+}  // namespace trayrock
--- /dev/null
+++ b/src/gateway/endpoint_attempt.cc
@@ -0,0 +1,94 @@
+#include "trayrock/internal/gateway/endpoint_attempt.h"
+
+#include "trayrock/internal/log.h"
+
+namespace trayrock {
+namespace {
+
+// Whole answers are held back until they are complete up to this size.
+constexpr std::size_t most_buffered_bytes = 4U << 20;
+
+constexpr int first_success = 200;
+constexpr int first_redirect = 300;
+
+// How the log calls an outcome.
+std::string_view text_of(attempt_outcome outcome) {
+  switch (outcome) {
+    case attempt_outcome::refused:
+      return "not_executed";
+    case attempt_outcome::unreachable:
+      return "never_sent";
+    default:
+      return "unknown";
+  }
+}
+
+}  // namespace
+
+bool endpoint_attempt::begin(std::shared_ptr<endpoint_state> to) {
+  endpoint_ = std::move(to);
+  if (endpoint_ == nullptr) {
+    return false;
+  }
+  sent_at_us_ = loop_.now_us();
+  endpoint_directory::begin(*endpoint_);
+  in_flight_ = true;
+  head_ = {};
+  body_.clear();
+  invalid_ = false;
+  return true;
+}
+
+std::string endpoint_attempt::endpoint_id() const {
+  return endpoint_ == nullptr ? std::string() : endpoint_->record.id;
+}
+
+void endpoint_attempt::take_head(const http1_answer_head& head,
+                                 answer_facts answer) {
+  head_ = head;
+  answer_ = std::move(answer);
+  invalid_ = succeeded() && (!answer_.sealed || answer_.encoded);
+}
+
+void endpoint_attempt::hold_back(std::string_view bytes) {
+  body_.append(bytes);
+  invalid_ = body_.size() > most_buffered_bytes;
+}
+
+bool endpoint_attempt::succeeded() const {
+  return head_.status >= first_success && head_.status < first_redirect;
+}
+
+attempt_outcome endpoint_attempt::outcome_of(http1_end how) const {
+  if (how == http1_end::never_sent) {
+    return attempt_outcome::unreachable;
+  }
+  if (how == http1_end::broken || invalid_) {
+    return attempt_outcome::broken;
+  }
+  return answer_.not_executed ? attempt_outcome::refused
+                              : attempt_outcome::answered;
+}
+
+void endpoint_attempt::end(attempt_outcome outcome) {
+  if (!in_flight_) {
+    return;
+  }
+  in_flight_ = false;
+  constexpr double us_per_ms = 1000;
+  const double ms =
+      static_cast<double>(loop_.now_us() - sent_at_us_) / us_per_ms;
+  endpoint_directory::end(*endpoint_, outcome, ms, loop_.now_ms());
+  if (outcome == attempt_outcome::answered) {
+    return;
+  }
+  log_info("attempt_failed",
+           {{"request", facts_.attempt},
+            {"endpoint", endpoint_->record.id},
+            {"outcome", std::string(text_of(outcome))},
+            {"status", std::to_string(head_.status)},
+            {"ms", std::to_string(static_cast<long>(ms))},
+            {"in_flight", std::to_string(endpoint_->in_flight)}});
+}
+
+}  // namespace trayrock
--- /dev/null
+++ b/src/gateway/error_answer.cc
@@ -0,0 +1,32 @@
+#include "trayrock/internal/gateway/error_answer.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace trayrock {
+namespace {
+
+// A duration as seconds with three decimals.
+std::string seconds_text(milliseconds delay) {
+  constexpr std::size_t decimals = 3;
+  constexpr long ms_per_second = 1000;
+  std::string digits = std::to_string(delay.count() % ms_per_second);
+  digits.insert(0, decimals - digits.size(), '0');
+  return std::to_string(delay.count() / ms_per_second) + "." + digits;
+}
+
+}  // namespace
+
+void respond_error(http1_exchange& out, errc why, milliseconds come_back) {
+  header_list headers;
+  if (come_back.count() > 0) {
+    headers.add("Retry-After", seconds_text(come_back));
+  }
+  headers.add("Content-Type", "application/json");
+  const nlohmann::json body = {{"error",
+                                {{"code", static_cast<int>(why)},
+                                 {"message", make_error_code(why).message()}}}};
+  out.respond(http_status(why), headers, body.dump());
+}
+
+}  // namespace trayrock
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -1,13 +1,16 @@
 #include "trayrock/internal/gateway/request_flow.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 
 #include "platform/messages.h"
 #include "trayrock/internal/decide/event_stream.h"
+#include "trayrock/internal/gateway/endpoint_attempt.h"
+#include "trayrock/internal/gateway/error_answer.h"
+#include "trayrock/internal/gateway/request_report.h"
+#include "trayrock/internal/gateway/turn_history.h"
 #include "trayrock/internal/log.h"
-#include "trayrock/internal/records/record_id.h"
 
 namespace trayrock {
 namespace {
@@ -17,8 +20,6 @@
 constexpr milliseconds history_limit{1500};
 // How long the last piece of an answer waits for the turn to be durable.
 constexpr milliseconds finish_limit{2500};
-// Settlements are tried this long without anybody waiting.
-constexpr milliseconds settle_limit{4000};
 // An answer is given this long before the client stops waiting for it.
 constexpr milliseconds answer_margin{25};
 // A send with less time than this can not be answered.
@@ -26,8 +27,7 @@
 // Connections that could not be made do not count as tries; this many end
 // the request all the same.
 constexpr int most_unreachable = 4;
-// Whole answers are held back until they are complete up to this size.
-constexpr std::size_t most_buffered_bytes = 4U << 20;
+// Of a route that names no timeout.
 constexpr milliseconds default_timeout{10000};
 
 // When a client should come back, by why the request was given up.
@@ -36,17 +36,17 @@
 constexpr milliseconds back_after_reserved{200};
 constexpr milliseconds back_after_unconfigured{500};
 
-constexpr int first_success = 200;
-constexpr int first_redirect = 300;
-
-bool is_success(int status) {
-  return status >= first_success && status < first_redirect;
-}
-
-std::string seconds_text(milliseconds delay) {
-  std::string digits = std::to_string(delay.count() % 1000);
-  digits.insert(0, 3 - digits.size(), '0');
-  return std::to_string(delay.count() / 1000) + "." + digits;
+// When a client should come back after its turn was refused; zero: it is not
+// told.
+milliseconds back_after(errc why) {
+  switch (why) {
+    case errc::history_unavailable:
+      return back_after_history;
+    case errc::tokens_reserved:
+      return back_after_reserved;
+    default:
+      return milliseconds(0);
+  }
 }
 
 class request_flow : public std::enable_shared_from_this<request_flow> {
@@ -56,6 +56,8 @@
       : parts_(parts),
         request_(std::move(request)),
         out_(std::move(out)),
+        history_(parts.loop, parts.records, parts.chains, facts_),
+        attempt_(parts.loop, facts_),
         began_us_(parts.loop.now_us()) {}
 
   void start() {
@@ -78,6 +80,17 @@
     service_ = pick_service(*route_, placement_key());
     hold_ = route_->timeout.count() > 0 ? route_->timeout : default_timeout;
     hold_ = std::min(hold_, facts_.time_left.value_or(hold_));
+    watch_ends();
+    if (route_->keeps_history && history_.begin(route_->retention)) {
+      reserve();
+    } else {
+      send_next();
+    }
+  }
+
+ private:
+  // The request ends with its deadline, or when its client goes away.
+  void watch_ends() {
     const std::weak_ptr<request_flow> weak = weak_from_this();
     deadline_ = parts_.loop.after(
         std::max(hold_ - answer_margin, milliseconds(0)), [weak] {
@@ -86,121 +99,32 @@
           }
         });
     out_->on_gone([self = shared_from_this()] { self->client_gone(); });
-    if (route_->keeps_history) {
-      reserve();
-    } else {
-      send_next();
-    }
   }
 
- private:
   // ---- History and budget --------------------------------------------------
 
-  bool has_budget() const {
-    return facts_.token_budget.has_value() && !facts_.program.empty();
-  }
-
   void reserve() {
-    records::Reservation reservation;
-    if (has_budget()) {
-      reservation.set_program(facts_.program);
-      reservation.set_attempt(facts_.attempt);
-      reservation.set_tokens(facts_.most_output_tokens);
-      reserved_ = true;
-    }
-    chain_ = parts_.chains.find(facts_.previous_turn, parts_.loop.now_ms());
-    const std::string asked =
-        chain_ == nullptr ? facts_.previous_turn : std::string();
-    if (!has_budget() && asked.empty()) {
-      send_next();
-      return;
-    }
     const milliseconds limit = std::min(history_limit, time_left());
-    parts_.records.reserve(
-        reservation, asked, limit,
-        [self = shared_from_this(), asked](result<reserved_turn> made) {
-          self->reserve_done(std::move(made), !asked.empty());
-        });
+    history_.reserve(limit,
+                     [self = shared_from_this()](result<reserved_turn> made) {
+                       self->reserve_done(std::move(made));
+                     });
   }
 
-  void reserve_done(result<reserved_turn> made, bool asked_chain) {
-    reserve_us_ = elapsed_us();
+  void reserve_done(result<reserved_turn> made) {
+    report_.reserve_us = elapsed_us();
     if (ended_) {
-      settle(0);
-      return;
-    }
-    if (!made) {
-      settle(0);
-      refuse(errc::history_unavailable, back_after_history);
-      return;
-    }
-    if (asked_chain && !made.value().chain_found) {
-      settle(0);
-      refuse(errc::unknown_turn);
+      history_.settle(0);
       return;
     }
-    if (asked_chain) {
-      chain_ = std::make_shared<const chain_cache::chain>(chain_cache::chain{
-          std::move(made.value().text), std::move(made.value().endpoint)});
-      parts_.chains.put(facts_.previous_turn, chain_, retained_until());
-    }
-    if (has_budget() && !budget_holds(made.value().usage)) {
+    const std::optional<errc> refused = history_.judge(std::move(made));
+    if (refused) {
+      refuse(*refused, back_after(*refused));
       return;
     }
     send_next();
   }
 
-  bool budget_holds(const program_usage& usage) {
-    const budget_verdict verdict =
-        usage.decide(bytes_of(id_of(facts_.attempt)), facts_.most_output_tokens,
-                     *facts_.token_budget);
-    if (verdict == budget_verdict::fits) {
-      return true;
-    }
-    log_info("budget_refused",
-             {{"request", facts_.attempt},
-              {"program", facts_.program},
-              {"budget", std::to_string(*facts_.token_budget)},
-              {"most", std::to_string(facts_.most_output_tokens)},
-              {"used", std::to_string(usage.used())},
-              {"open", std::to_string(usage.open())}});
-    settle(0);
-    if (verdict == budget_verdict::spent) {
-      refuse(errc::tokens_spent);
-    } else {
-      refuse(errc::tokens_reserved, back_after_reserved);
-    }
-    return false;
-  }
-
-  std::uint64_t retained_until() const {
-    constexpr std::uint64_t ms_per_second = 1000;
-    return parts_.loop.now_ms() +
-           static_cast<std::uint64_t>(route_->retention.count()) *
-               ms_per_second;
-  }
-
-  // Frees what the reservation holds beyond the tokens really handed out.
-  void settle(std::uint64_t tokens) {
-    if (!reserved_ || settled_) {
-      return;
-    }
-    settled_ = true;
-    records::Record record;
-    records::Settlement& made = *record.mutable_settlement();
-    made.set_program(facts_.program);
-    made.set_attempt(facts_.attempt);
-    made.set_tokens(tokens);
-    parts_.records.keep(
-        std::move(record), settle_limit,
-        [attempt = facts_.attempt](std::error_code failed) {
-          if (failed) {
-            log_warn("settlement_lost",
-                     {{"request", attempt}, {"cause", failed.message()}});
-          }
-        });
-  }
-
   std::uint64_t tokens_per_event() const {
     const auto found = configuration_->services.find(service_);
     const bool engine = found != configuration_->services.end() &&
@@ -208,8 +132,12 @@
     return engine ? found->second.engine->tokens_per_event : 1;
   }
 
-  // ---- Sending
-  // ---------------------------------------------------------------
+  // Every event that has begun may have reached the client.
+  void settle_begun_events() {
+    history_.settle(events_.started_events() * tokens_per_event());
+  }
+
+  // ---- Sending ------------------------------------------------------------
 
   std::string_view placement_key() const {
     return facts_.program.empty() ? std::string_view(facts_.attempt)
@@ -230,27 +158,22 @@
     }
     endpoint_choice wanted;
     wanted.service = service_;
-    wanted.preferred =
-        chain_ == nullptr ? std::string_view() : chain_->endpoint;
+    wanted.preferred = history_.chain() == nullptr ? std::string_view()
+                                                   : history_.chain()->endpoint;
     wanted.data_centre = parts_.data_centre;
     wanted.excluded = &tried_;
     wanted.connected = [this](const endpoint& each) {
       return parts_.pool.has_idle(each.address, each.id);
     };
-    endpoint_ = parts_.endpoints.choose(wanted, parts_.loop.now_ms());
-    if (endpoint_ == nullptr) {
+    if (!attempt_.begin(
+            parts_.endpoints.choose(wanted, parts_.loop.now_ms()))) {
       give_up(tried_.empty() ? errc::no_runner : errc::endpoints_full);
       return;
     }
-    tried_.insert(endpoint_->record.id);
-    sent_at_us_ = parts_.loop.now_us();
-    endpoint_directory::begin(*endpoint_);
-    in_flight_ = true;
-    head_ = {};
-    body_.clear();
-    invalid_ = false;
-    call_ = parts_.pool.start(endpoint_->record.address, endpoint_->record.id,
-                              outgoing(), observer());
+    const endpoint& to = *attempt_.to();
+    tried_.insert(to.id);
+    attempt_.carry(
+        parts_.pool.start(to.address, to.id, outgoing(), observer()));
     if (route_->kind == repetition::repeatable) {
       arm_attempt_guard();
     }
@@ -259,10 +182,10 @@
   http1_request outgoing() const {
     endpoint_directions directions;
     directions.time_left = time_left();
-    directions.instance = endpoint_->record.id;
+    directions.instance = attempt_.to()->id;
     http1_request made = platform::endpoint_request(request_, directions);
-    if (chain_ != nullptr) {
-      made.body = chain_->text + request_.body;
+    if (history_.chain() != nullptr) {
+      made.body = history_.chain()->text + request_.body;
     }
     return made;
   }
@@ -280,156 +203,122 @@
 
   // A repeatable request does not wait for one slow endpoint forever.
   void arm_attempt_guard() {
-    const bool last = sends_ + 1 >= route_->max_endpoints;
+    const bool last = report_.sends + 1 >= route_->max_endpoints;
     if (last || route_->latency_objective.count() == 0) {
       return;
     }
     const std::weak_ptr<request_flow> weak = weak_from_this();
     attempt_guard_ = parts_.loop.after(route_->latency_objective, [weak] {
       const auto held = weak.lock();
-      if (held != nullptr && !held->ended_ && held->head_.status == 0) {
-        held->call_.cancel();
+      if (held != nullptr && !held->ended_ && held->attempt_.status() == 0) {
+        held->attempt_.cancel();
         held->attempt_ended(http1_end::broken);
       }
     });
   }
 
-  // ---- The endpoint's answer
-  // -------------------------------------------------
+  // ---- The endpoint's answer ----------------------------------------------
 
   bool take_head(const http1_answer_head& head) {
-    answer_ = platform::decode_answer(head);
-    if (!answer_.attempt.empty() && answer_.attempt != facts_.attempt) {
+    answer_facts answer = platform::decode_answer(head);
+    if (!answer.attempt.empty() && answer.attempt != facts_.attempt) {
       parts_.metrics.add("surplus_answers_total");
       log_warn("surplus_answer", {{"request", facts_.attempt},
-                                  {"belongs_to", answer_.attempt},
-                                  {"endpoint", endpoint_->record.id}});
+                                  {"belongs_to", answer.attempt},
+                                  {"endpoint", attempt_.endpoint_id()}});
       return false;
     }
-    head_ = head;
-    invalid_ = is_success(head.status) && (!answer_.sealed || answer_.encoded);
-    first_byte_us_ = elapsed_us();
+    attempt_.take_head(head, std::move(answer));
+    report_.head_us = elapsed_us();
     return true;
   }
 
   bool passes_through() const {
-    return route_->kind == repetition::stream && is_success(head_.status) &&
-           !invalid_;
+    return route_->kind == repetition::stream && attempt_.succeeded() &&
+           !attempt_.invalid();
   }
 
   void take_body(std::string_view bytes) {
-    if (ended_ || invalid_ || answer_.not_executed) {
+    if (ended_ || attempt_.invalid() || attempt_.not_executed()) {
       return;
     }
     if (!passes_through()) {
-      body_.append(bytes);
-      invalid_ = body_.size() > most_buffered_bytes;
+      attempt_.hold_back(bytes);
       return;
     }
-    if (!out_->begun()) {
-      out_->begin(head_.status, platform::client_headers(head_));
-    }
+    begin_answer();
     events_.add(bytes);
     out_->write(bytes);
   }
 
+  void begin_answer() {
+    if (!out_->begun()) {
+      out_->begin(attempt_.status(), platform::client_headers(attempt_.head()));
+    }
+  }
+
   void attempt_ended(http1_end how) {
     attempt_guard_.cancel();
     if (ended_) {
       return;
     }
-    const attempt_outcome outcome = outcome_of(how);
-    note_attempt(outcome);
+    const attempt_outcome outcome = attempt_.outcome_of(how);
+    attempt_.end(outcome);
     switch (outcome) {
       case attempt_outcome::answered:
-        ++sends_;
+        ++report_.sends;
         answer_client();
         return;
       case attempt_outcome::unreachable:
-        if (++unreachable_ < most_unreachable) {
+        if (++report_.unreachable < most_unreachable) {
           send_next();
         } else {
           give_up(errc::no_runner);
         }
         return;
       case attempt_outcome::refused:
-        ++sends_;
+        ++report_.sends;
         refusals_ = true;
-        if (sends_ < route_->max_endpoints) {
+        if (report_.sends < route_->max_endpoints) {
           send_next();
         } else {
           give_up(errc::endpoints_full);
         }
         return;
       case attempt_outcome::broken:
-        ++sends_;
+        ++report_.sends;
         answer_broken();
         return;
     }
   }
 
-  attempt_outcome outcome_of(http1_end how) const {
-    if (how == http1_end::never_sent) {
-      return attempt_outcome::unreachable;
-    }
-    if (how == http1_end::broken || invalid_) {
-      return attempt_outcome::broken;
-    }
-    return answer_.not_executed ? attempt_outcome::refused
-                                : attempt_outcome::answered;
-  }
-
-  void note_attempt(attempt_outcome outcome) {
-    if (!in_flight_) {
-      return;
-    }
-    in_flight_ = false;
-    constexpr double us_per_ms = 1000;
-    const double ms =
-        static_cast<double>(parts_.loop.now_us() - sent_at_us_) / us_per_ms;
-    endpoint_directory::end(*endpoint_, outcome, ms, parts_.loop.now_ms());
-    if (outcome != attempt_outcome::answered) {
-      log_info(
-          "attempt_failed",
-          {{"request", facts_.attempt},
-           {"endpoint", endpoint_->record.id},
-           {"outcome", outcome == attempt_outcome::refused ? "not_executed"
-                       : outcome == attempt_outcome::unreachable ? "never_sent"
-                                                                 : "unknown"},
-           {"status", std::to_string(head_.status)},
-           {"ms", std::to_string(static_cast<long>(ms))},
-           {"in_flight", std::to_string(endpoint_->in_flight)}});
-    }
-  }
-
   void answer_broken() {
     const bool again = route_->kind == repetition::repeatable &&
-                       sends_ < route_->max_endpoints && !out_->begun();
+                       report_.sends < route_->max_endpoints && !out_->begun();
     if (again) {
       send_next();
       return;
     }
-    settle(events_.started_events() * tokens_per_event());
+    settle_begun_events();
     if (out_->begun()) {
-      end("answer_cut", head_.status);
+      end("answer_cut", attempt_.status());
       out_->abort();
       return;
     }
-    fail(invalid_ ? errc::answer_invalid : errc::runner_failed);
+    refuse(attempt_.invalid() ? errc::answer_invalid : errc::runner_failed);
   }
 
   void answer_client() {
     if (!passes_through()) {
-      settle(0);
-      end("answered", head_.status);
-      out_->respond(head_.status, platform::client_headers(head_), body_);
+      history_.settle(0);
+      end("answered", attempt_.status());
+      out_->respond(attempt_.status(),
+                    platform::client_headers(attempt_.head()), attempt_.body());
       return;
     }
-    if (!out_->begun()) {
-      out_->begin(head_.status, platform::client_headers(head_));
-    }
+    begin_answer();
     if (!route_->keeps_history) {
-      end("answered", head_.status);
+      end("answered", attempt_.status());
       out_->finish();
       return;
     }
@@ -439,123 +328,85 @@
   // The client learns that the answer is complete once the turn can not be
   // lost any more.
   void keep_turn() {
-    records::Record record;
-    records::Turn& turn = *record.mutable_turn();
-    turn.set_attempt(facts_.attempt);
-    turn.set_previous(facts_.previous_turn);
-    turn.set_program(reserved_ ? facts_.program : std::string());
-    turn.set_input(request_.body);
-    turn.set_output(events_.data());
-    turn.set_tokens(events_.whole_events() * tokens_per_event());
-    turn.set_endpoint(endpoint_->record.id);
-    turn.set_retention_s(static_cast<std::uint32_t>(route_->retention.count()));
-    settled_ = true;
-    keeping_ = true;
+    finished_turn turn;
+    turn.input = request_.body;
+    turn.output = events_.data();
+    turn.tokens = events_.whole_events() * tokens_per_event();
+    turn.endpoint = attempt_.endpoint_id();
     const std::uint64_t began = elapsed_us();
-    parts_.records.keep(
-        std::move(record), finish_limit,
-        [self = shared_from_this(), began](std::error_code failed) {
-          self->keep_us_ = self->elapsed_us() - began;
-          self->turn_kept(failed);
-        });
+    history_.keep(std::move(turn), finish_limit,
+                  [self = shared_from_this(), began](std::error_code failed) {
+                    self->report_.keep_us = self->elapsed_us() - began;
+                    self->turn_kept(failed);
+                  });
   }
 
   void turn_kept(std::error_code failed) {
-    if (!failed) {
-      auto grown = std::make_shared<chain_cache::chain>();
-      if (chain_ != nullptr) {
-        grown->text = chain_->text;
-      }
-      grown->text.append(request_.body).append(events_.data());
-      grown->endpoint = endpoint_->record.id;
-      parts_.chains.put(facts_.attempt, grown, retained_until());
-    }
     if (ended_) {
       return;
     }
     if (failed) {
-      end("not_durable", head_.status);
+      end("not_durable", attempt_.status());
       out_->abort();
       return;
     }
-    end("answered", head_.status);
+    end("answered", attempt_.status());
     out_->finish();
   }
 
-  // ---- Ends
-  // ------------------------------------------------------------------
+  // ---- Ends ---------------------------------------------------------------
 
   void client_gone() {
     if (ended_) {
       return;
     }
-    call_.cancel();
-    note_attempt(attempt_outcome::refused);
-    if (!keeping_) {
-      settle(events_.started_events() * tokens_per_event());
-    }
-    end("client_gone", head_.status);
+    attempt_.cancel();
+    attempt_.end(attempt_outcome::refused);
+    settle_begun_events();
+    end("client_gone", attempt_.status());
   }
 
   void deadline_passed() {
     if (ended_) {
       return;
     }
-    const bool sent = in_flight_ || sends_ > 0;
-    call_.cancel();
-    note_attempt(attempt_outcome::broken);
-    if (!keeping_) {
-      settle(events_.started_events() * tokens_per_event());
-    }
+    const bool sent = attempt_.in_flight() || report_.sends > 0;
+    attempt_.cancel();
+    attempt_.end(attempt_outcome::broken);
+    settle_begun_events();
     if (out_->begun()) {
-      end("deadline", head_.status);
+      end("deadline", attempt_.status());
       out_->abort();
       return;
     }
-    fail(sent ? errc::runner_timeout : errc::deadline_passed);
+    refuse(sent ? errc::runner_timeout : errc::deadline_passed);
   }
 
   // Nothing has run and nothing will.
   void give_up(errc why) {
-    settle(0);
-    const bool unsure = sends_ > 0 && !refusals_;
+    history_.settle(0);
+    const bool unsure = report_.sends > 0 && !refusals_;
     if (unsure) {
-      fail(errc::runner_failed);
+      refuse(errc::runner_failed);
     } else {
       refuse(why, back_after_full);
     }
   }
 
   void refuse(errc why, milliseconds come_back = milliseconds(0)) {
-    header_list headers;
-    if (come_back.count() > 0) {
-      headers.add("Retry-After", seconds_text(come_back));
-    }
-    answer_error(why, headers);
-  }
-
-  void fail(errc why) { answer_error(why, {}); }
-
-  void answer_error(errc why, header_list headers) {
-    const int status = http_status(why);
-    end(make_error_code(why).message(), status);
-    headers.add("Content-Type", "application/json");
-    const nlohmann::json body = {
-        {"error",
-         {{"code", static_cast<int>(why)},
-          {"message", make_error_code(why).message()}}}};
-    out_->respond(status, headers, body.dump());
+    end(make_error_code(why).message(), http_status(why));
+    respond_error(*out_, why, come_back);
   }
 
   std::uint64_t elapsed_us() const { return parts_.loop.now_us() - began_us_; }
 
   // Why the endpoint was chosen.
   std::string placed_by() const {
-    if (endpoint_ == nullptr) {
+    if (attempt_.to() == nullptr) {
       return "";
     }
-    const bool kept =
-        chain_ != nullptr && chain_->endpoint == endpoint_->record.id;
+    const bool kept = history_.chain() != nullptr &&
+                      history_.chain()->endpoint == attempt_.to()->id;
     return kept ? "previous_turn" : "load";
   }
 
@@ -563,34 +414,21 @@
     ended_ = true;
     deadline_.cancel();
     attempt_guard_.cancel();
-    const auto ms = [](std::uint64_t us) { return std::to_string(us / 1000); };
-    const std::string kind = route_ == nullptr ? "none" : route_->name;
-    parts_.metrics.add("requests_total",
-                       {{"route", kind}, {"outcome", std::string(outcome)}});
-    constexpr double us_per_ms = 1000;
-    parts_.metrics.observe("request_ms", {{"route", kind}},
-                           static_cast<double>(elapsed_us()) / us_per_ms);
-    log_info("request_done",
-             {{"request", facts_.attempt},
-              {"program", facts_.program},
-              {"previous", facts_.previous_turn},
-              {"route", kind},
-              {"config", configuration_ == nullptr
-                             ? "0"
-                             : std::to_string(configuration_->version)},
-              {"endpoint", endpoint_ == nullptr ? "" : endpoint_->record.id},
-              {"placed_by", placed_by()},
-              {"endpoints_age_ms", std::to_string(parts_.endpoints_age_ms())},
-              {"epoch", std::to_string(parts_.records.group().epoch())},
-              {"sends", std::to_string(sends_)},
-              {"unreachable", std::to_string(unreachable_)},
-              {"reserve_ms", ms(reserve_us_)},
-              {"head_ms", ms(first_byte_us_)},
-              {"keep_ms", ms(keep_us_)},
-              {"total_ms", ms(elapsed_us())},
-              {"events", std::to_string(events_.whole_events())},
-              {"status", std::to_string(status)},
-              {"outcome", std::string(outcome)}});
+    if (route_ != nullptr) {
+      report_.route = route_->name;
+    }
+    if (configuration_ != nullptr) {
+      report_.configuration = configuration_->version;
+    }
+    report_.endpoint = attempt_.endpoint_id();
+    report_.placed_by = placed_by();
+    report_.endpoints_age_ms = parts_.endpoints_age_ms();
+    report_.epoch = parts_.records.group().epoch();
+    report_.total_us = elapsed_us();
+    report_.events = events_.whole_events();
+    report_.status = status;
+    report_.outcome = outcome;
+    report_request(parts_.metrics, facts_, report_);
   }
 
   gateway_parts parts_;
@@ -602,33 +440,16 @@
   std::string_view service_;
   milliseconds hold_{0};
 
-  chain_cache::chain_ptr chain_;
-  bool reserved_ = false;
-  bool settled_ = false;
-  bool keeping_ = false;
-
+  turn_history history_;
   std::set<std::string> tried_;
-  std::shared_ptr<endpoint_state> endpoint_;
-  http1_call call_;
-  bool in_flight_ = false;
-  std::uint32_t sends_ = 0;
-  int unreachable_ = 0;
+  endpoint_attempt attempt_;
   bool refusals_ = false;
-
-  http1_answer_head head_;
-  answer_facts answer_;
-  bool invalid_ = false;
-  std::string body_;
   event_stream events_;
-
   bool ended_ = false;
   timer deadline_;
   timer attempt_guard_;
   std::uint64_t began_us_;
-  std::uint64_t sent_at_us_ = 0;
-  std::uint64_t reserve_us_ = 0;
-  std::uint64_t first_byte_us_ = 0;
-  std::uint64_t keep_us_ = 0;
+  request_report report_;  // filled in as the request goes on
 };
 
 }  // namespace
--- /dev/null
+++ b/src/gateway/turn_history.cc
@@ -0,0 +1,143 @@
+#include "trayrock/internal/gateway/turn_history.h"
+
+#include "trayrock/internal/log.h"
+#include "trayrock/internal/records/record_id.h"
+
+namespace trayrock {
+namespace {
+
+// Settlements are tried this long without anybody waiting.
+constexpr milliseconds settle_limit{4000};
+
+}  // namespace
+
+bool turn_history::has_budget() const {
+  return facts_.token_budget.has_value() && !facts_.program.empty();
+}
+
+bool turn_history::begin(std::chrono::seconds retention) {
+  retention_ = retention;
+  reserved_ = has_budget();
+  chain_ = chains_.find(facts_.previous_turn, loop_.now_ms());
+  asked_ = chain_ == nullptr ? facts_.previous_turn : std::string();
+  return reserved_ || !asked_.empty();
+}
+
+void turn_history::reserve(milliseconds limit,
+                           record_client::reserve_callback done) {
+  records::Reservation reservation;
+  if (reserved_) {
+    reservation.set_program(facts_.program);
+    reservation.set_attempt(facts_.attempt);
+    reservation.set_tokens(facts_.most_output_tokens);
+  }
+  records_.reserve(reservation, asked_, limit, std::move(done));
+}
+
+std::optional<errc> turn_history::judge(result<reserved_turn> made) {
+  if (!made) {
+    settle(0);
+    return errc::history_unavailable;
+  }
+  if (!asked_.empty()) {
+    if (!made.value().chain_found) {
+      settle(0);
+      return errc::unknown_turn;
+    }
+    chain_ = std::make_shared<const chain_cache::chain>(chain_cache::chain{
+        std::move(made.value().text), std::move(made.value().endpoint)});
+    chains_.put(facts_.previous_turn, chain_, retained_until_ms());
+  }
+  if (!has_budget()) {
+    return std::nullopt;
+  }
+  const std::optional<errc> refused = judge_budget(made.value().usage);
+  if (refused) {
+    settle(0);
+  }
+  return refused;
+}
+
+std::optional<errc> turn_history::judge_budget(
+    const program_usage& usage) const {
+  const budget_verdict verdict =
+      usage.decide(bytes_of(id_of(facts_.attempt)), facts_.most_output_tokens,
+                   *facts_.token_budget);
+  if (verdict == budget_verdict::fits) {
+    return std::nullopt;
+  }
+  log_info("budget_refused",
+           {{"request", facts_.attempt},
+            {"program", facts_.program},
+            {"budget", std::to_string(*facts_.token_budget)},
+            {"most", std::to_string(facts_.most_output_tokens)},
+            {"used", std::to_string(usage.used())},
+            {"open", std::to_string(usage.open())}});
+  return verdict == budget_verdict::spent ? errc::tokens_spent
+                                          : errc::tokens_reserved;
+}
+
+void turn_history::settle(std::uint64_t tokens) {
+  if (!reserved_ || settled_) {
+    return;
+  }
+  settled_ = true;
+  records::Record record;
+  records::Settlement& made = *record.mutable_settlement();
+  made.set_program(facts_.program);
+  made.set_attempt(facts_.attempt);
+  made.set_tokens(tokens);
+  records_.keep(std::move(record), settle_limit,
+                [attempt = facts_.attempt](std::error_code failed) {
+                  if (failed) {
+                    log_warn("settlement_lost", {{"request", attempt},
+                                                 {"cause", failed.message()}});
+                  }
+                });
+}
+
+void turn_history::keep(finished_turn turn, milliseconds limit,
+                        record_client::done_callback done) {
+  settled_ = true;
+  records::Record record = record_of(turn);
+  records_.keep(std::move(record), limit,
+                [this, turn = std::move(turn),
+                 done = std::move(done)](std::error_code failed) {
+                  if (!failed) {
+                    cache_grown_chain(turn);
+                  }
+                  done(failed);
+                });
+}
+
+records::Record turn_history::record_of(const finished_turn& turn) const {
+  records::Record record;
+  records::Turn& made = *record.mutable_turn();
+  made.set_attempt(facts_.attempt);
+  made.set_previous(facts_.previous_turn);
+  made.set_program(reserved_ ? facts_.program : std::string());
+  made.set_input(turn.input.data(), turn.input.size());
+  made.set_output(turn.output.data(), turn.output.size());
+  made.set_tokens(turn.tokens);
+  made.set_endpoint(turn.endpoint);
+  made.set_retention_s(static_cast<std::uint32_t>(retention_.count()));
+  return record;
+}
+
+void turn_history::cache_grown_chain(const finished_turn& turn) {
+  auto grown = std::make_shared<chain_cache::chain>();
+  if (chain_ != nullptr) {
+    grown->text = chain_->text;
+  }
+  grown->text.append(turn.input).append(turn.output);
+  grown->endpoint = turn.endpoint;
+  chains_.put(facts_.attempt, grown, retained_until_ms());
+}
+
+std::uint64_t turn_history::retained_until_ms() const {
+  constexpr std::uint64_t ms_per_second = 1000;
+  return loop_.now_ms() +
+         static_cast<std::uint64_t>(retention_.count()) * ms_per_second;
+}
+
+}  // namespace trayrock
