Repair of a store and the choice of the first group stand on their own

store_membership_driver drives; repair_store() reads other stores to their end, first_group() is a pure rule beside the others, and which stores are read at a tick is a step of its own.

--- a/include/trayrock/internal/records/group_rules.h
+++ b/include/trayrock/internal/records/group_rules.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <span>
 
 #include "records.pb.h"
 
@@ -45,6 +46,11 @@
 records::Outcome judge_write(const records::StoreState& state,
                              const std::string& store, std::uint64_t epoch);
 
+// The first group of a system: of the announced stores one of each data
+// centre, then more until the group is full, in the order of their boxes.
+records::Group first_group(std::span<const records::Store> announced,
+                           std::uint32_t tolerated);
+
 // The group with `joining` as a voter: in place of `leaving`, or added where
 // `leaving` is empty. Raises the epoch.
 records::Group with_voter(const records::Group& from,
--- a/include/trayrock/internal/records/store_membership_driver.h
+++ b/include/trayrock/internal/records/store_membership_driver.h
@@ -49,8 +49,9 @@
 
   void tick();
   void create_group();
-  void create_group_of(std::vector<records::Store> announced);
+  void create_group_of(const std::vector<records::Store>& announced);
   void refresh_peers();
+  void pull_due_peers();
   bool reads_records() const;
   records::PullKind pull_kind(const peer& from);
   void pull(peer& from);
@@ -61,8 +62,6 @@
   void read_up_to(const std::string& id, const records::PullReply& reply);
   void fence(peer& voter);
   void finish_joining();
-  void repair(const records::RepairRequest& request,
-              const rpc_reply_ptr& reply);
   membership_view view() const;
   void act(const do_nothing&) {}
   void act(const become_learner&);
--- a/src/records/group_rules.cc
+++ b/src/records/group_rules.cc
@@ -1,5 +1,10 @@
 #include "trayrock/internal/records/group_rules.h"
 
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
 namespace trayrock {
 namespace {
 
@@ -46,6 +51,36 @@
   return state.counts() ? records::OUTCOME_OK : records::OUTCOME_CATCHING_UP;
 }
 
+records::Group first_group(std::span<const records::Store> announced,
+                           std::uint32_t tolerated) {
+  std::vector<records::Store> candidates(announced.begin(), announced.end());
+  std::sort(candidates.begin(), candidates.end(),
+            [](const records::Store& left, const records::Store& right) {
+              return left.box() < right.box();
+            });
+  records::Group group;
+  group.set_epoch(1);
+  group.set_tolerated(tolerated);
+  std::set<std::string> data_centres;
+  std::set<std::string> chosen;
+  const auto is_full = [&] {
+    return static_cast<std::size_t>(group.voters_size()) >=
+           full_group(tolerated);
+  };
+  for (const bool spread : {true, false}) {
+    for (const records::Store& each : candidates) {
+      if (is_full() || chosen.contains(each.id()) ||
+          (spread && data_centres.contains(each.data_centre()))) {
+        continue;
+      }
+      chosen.insert(each.id());
+      data_centres.insert(each.data_centre());
+      *group.add_voters() = each;
+    }
+  }
+  return group;
+}
+
 records::Group with_voter(const records::Group& from,
                           const records::Store& joining,
                           const std::string& leaving) {
--- a/src/records/store_membership_driver.cc
+++ b/src/records/store_membership_driver.cc
@@ -4,6 +4,7 @@
 
 #include "trayrock/internal/log.h"
 #include "trayrock/internal/records/group_rules.h"
+#include "trayrock/internal/records/store_repair.h"
 
 namespace trayrock {
 namespace {
@@ -44,9 +45,10 @@
       [this](const records::Group& group) { server_.adopt(group, nullptr); });
   registry_.watch_retirements(
       [this](const std::set<std::string>& boxes) { take_retirements(boxes); });
-  server_.on_repair(
-      [this](const records::RepairRequest& request,
-             const rpc_reply_ptr& reply) { repair(request, reply); });
+  server_.on_repair([this](const records::RepairRequest& request,
+                           const rpc_reply_ptr& reply) {
+    repair_store(loop_, server_, pool_, request, reply);
+  });
   ticking_ = loop_.every(tick_period, [this] { tick(); });
 }
 
@@ -56,23 +58,9 @@
     return;
   }
   refresh_peers();
+  pull_due_peers();
   const records::StoreState& state = server_.state();
   const bool voter = is_voter(state.group(), state.id());
-  const std::uint64_t now = loop_.now_ms();
-  for (auto& [id, each] : peers_) {
-    const bool settled = voter && state.counts() && retiring_.empty();
-    const std::uint64_t since =
-        now - std::max(each.answered_ms, each.first_asked_ms);
-    if (settled) {
-      continue;  // a counting voter has nothing to learn
-    }
-    const bool behind = reads_records() && !each.read_to_end;
-    const bool joining = voter && !state.counts();
-    const bool due = since >= calm_pull_period_ms || each.answered_ms == 0;
-    if (!each.pulling.running() && (behind || joining || due)) {
-      pull(each);
-    }
-  }
   if (voter && !state.counts()) {
     finish_joining();
     return;
@@ -80,7 +68,7 @@
   if (!voter && retiring_.contains(settings_.self.box())) {
     ask_repairs();
   }
-  if (!changing_ && now >= changed_ms_) {
+  if (!changing_ && loop_.now_ms() >= changed_ms_) {
     std::visit([this](const auto& action) { act(action); },
                next_membership_action(view()));
   }
@@ -101,16 +89,17 @@
     });
     return;
   }
-  registry_.announced([this, settle](result<std::vector<records::Store>> all) {
-    settle();
-    if (all) {
-      create_group_of(std::move(all.value()));
-    }
-  });
+  registry_.announced(
+      [this, settle](const result<std::vector<records::Store>>& all) {
+        settle();
+        if (all) {
+          create_group_of(all.value());
+        }
+      });
 }
 
 void store_membership_driver::create_group_of(
-    std::vector<records::Store> announced) {
+    const std::vector<records::Store>& announced) {
   const std::size_t wanted = full_group(settings_.tolerated);
   const bool waited = loop_.now_ms() - started_ms_ >= announcement_wait_ms;
   const bool enough = announced.size() >= wanted ||
@@ -118,28 +107,7 @@
   if (!enough) {
     return;
   }
-  std::sort(announced.begin(), announced.end(),
-            [](const records::Store& left, const records::Store& right) {
-              return left.box() < right.box();
-            });
-  records::Group group;
-  group.set_epoch(1);
-  group.set_tolerated(settings_.tolerated);
-  // First one store of each data centre, then more until there are enough.
-  std::set<std::string> data_centres;
-  std::set<std::string> chosen;
-  for (const bool spread : {true, false}) {
-    for (const records::Store& each : announced) {
-      const bool full = static_cast<std::size_t>(group.voters_size()) >= wanted;
-      if (full || chosen.contains(each.id()) ||
-          (spread && data_centres.contains(each.data_centre()))) {
-        continue;
-      }
-      chosen.insert(each.id());
-      data_centres.insert(each.data_centre());
-      *group.add_voters() = each;
-    }
-  }
+  const records::Group group = first_group(announced, settings_.tolerated);
   creating_ = true;
   log_info("group_proposed", {{"voters", std::to_string(group.voters_size())}});
   registry_.change_group(group, [this](std::error_code failed) {
@@ -178,6 +146,25 @@
   }
 }
 
+void store_membership_driver::pull_due_peers() {
+  const records::StoreState& state = server_.state();
+  const bool voter = is_voter(state.group(), state.id());
+  if (voter && state.counts() && retiring_.empty()) {
+    return;  // a counting voter has nothing to learn
+  }
+  const bool joining = voter && !state.counts();
+  const std::uint64_t now = loop_.now_ms();
+  for (auto& [id, each] : peers_) {
+    const std::uint64_t since =
+        now - std::max(each.answered_ms, each.first_asked_ms);
+    const bool behind = reads_records() && !each.read_to_end;
+    const bool due = since >= calm_pull_period_ms || each.answered_ms == 0;
+    if (!each.pulling.running() && (behind || joining || due)) {
+      pull(each);
+    }
+  }
+}
+
 // A spare store only asks whether the voters live.
 bool store_membership_driver::reads_records() const {
   const records::StoreState& state = server_.state();
@@ -445,7 +432,7 @@
     return;
   }
   for (const records::Store& each : group.voters()) {
-    const std::string id = each.id();
+    const std::string& id = each.id();
     if (repaired_.contains(id) || repairs_[id].running()) {
       continue;
     }
@@ -488,59 +475,4 @@
       });
 }
 
-// Reads each source to its end, one after the other, then answers.
-void store_membership_driver::repair(const records::RepairRequest& request,
-                                     const rpc_reply_ptr& reply) {
-  struct repair_run {
-    std::vector<records::Store> sources;
-    std::uint64_t log = 0;
-    std::uint64_t position = 0;
-    rpc_call call;
-    rpc_reply_ptr reply;
-    std::function<void()> next;
-  };
-  auto run = std::make_shared<repair_run>();
-  run->sources.assign(request.sources().begin(), request.sources().end());
-  run->reply = reply;
-  const auto end = [](repair_run& ended, bool done) {
-    records::RepairReply answer;
-    answer.set_done(done);
-    ended.reply->send(answer);
-    ended.reply->finish();
-    ended.next = nullptr;
-  };
-  run->next = [this, run, end] {
-    if (run->sources.empty()) {
-      loop_.post([run, end] { end(*run, true); });
-      return;
-    }
-    records::PullRequest pulling;
-    pulling.set_log(run->log);
-    pulling.set_after(run->position);
-    run->call = pool_.ask<records::PullReply>(
-        run->sources.back().address(), "Pull", pulling, call_limit,
-        [this, run, end](const result<records::PullReply>& answer) {
-          if (!answer || answer.value().store() != run->sources.back().id()) {
-            loop_.post([run, end] { end(*run, false); });
-            return;
-          }
-          const records::PullReply& got = answer.value();
-          server_.take(got, [run, log = got.log(), position = got.position(),
-                             more = got.more()] {
-            run->log = log;
-            run->position = position;
-            if (!more) {
-              run->sources.pop_back();
-              run->log = 0;
-              run->position = 0;
-            }
-            if (run->next) {
-              run->next();
-            }
-          });
-        });
-  };
-  run->next();
-}
-
 }  // namespace trayrock
