Opening a connection and finding candidates are steps of their own

http1_pool::start() says what happens with a call; taking an idle connection and opening one stand apart. The choice of an endpoint no longer begins with two loops over the list.

--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -7,6 +7,13 @@
 // holds its prompt, unless that one has much more to do than others. Else the
 // least loaded endpoint is taken, where those of the same data centre and
 // those to which a connection is open count as less loaded.
+//
+// Example:
+//   endpoint_directory endpoints;
+//   endpoints.replace(listed, false, now);
+//   endpoint_choice wanted;
+//   wanted.service = "chat";
+//   const auto to = endpoints.choose(wanted, now);  // nullptr: none
 #pragma once
 
 #include <cstdint>
@@ -79,6 +86,9 @@
 
   void index();
   static bool usable(const endpoint_state& at, const endpoint_choice& wanted);
+  static std::vector<state_ptr> candidates_of(
+      const std::vector<state_ptr>& from, const endpoint_choice& wanted,
+      std::uint64_t now_ms);
 };
 
 }  // namespace trayrock
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -103,25 +103,33 @@
                                  !wanted.excluded->contains(at.record.id));
 }
 
+// Endpoints that have failed lately count only if there are no others: never
+// leave all of them alone.
+std::vector<endpoint_directory::state_ptr> endpoint_directory::candidates_of(
+    const std::vector<state_ptr>& from, const endpoint_choice& wanted,
+    std::uint64_t now_ms) {
+  std::vector<state_ptr> usable_ones;
+  std::vector<state_ptr> well;
+  for (const state_ptr& each : from) {
+    if (!usable(*each, wanted)) {
+      continue;
+    }
+    usable_ones.push_back(each);
+    if (each->avoided_until_ms <= now_ms) {
+      well.push_back(each);
+    }
+  }
+  return well.empty() ? usable_ones : well;
+}
+
 std::shared_ptr<endpoint_state> endpoint_directory::choose(
     const endpoint_choice& wanted, std::uint64_t now_ms) const {
   const auto found = by_service_.find(wanted.service);
   if (found == by_service_.end()) {
     return nullptr;
   }
-  std::vector<state_ptr> candidates;
-  for (const state_ptr& each : found->second) {
-    if (usable(*each, wanted) && each->avoided_until_ms <= now_ms) {
-      candidates.push_back(each);
-    }
-  }
-  if (candidates.empty()) {  // never leave all of them alone
-    for (const state_ptr& each : found->second) {
-      if (usable(*each, wanted)) {
-        candidates.push_back(each);
-      }
-    }
-  }
+  const std::vector<state_ptr> candidates =
+      candidates_of(found->second, wanted, now_ms);
   if (candidates.empty()) {
     return nullptr;
   }
--- a/src/net/http1_client.cc
+++ b/src/net/http1_client.cc
@@ -63,9 +63,16 @@
 
 }  // namespace
 
-struct http1_pool::impl {
+struct http1_pool::impl : std::enable_shared_from_this<http1_pool::impl> {
   explicit impl(event_loop& loop_in) : loop(loop_in) {}
 
+  // A connection that waits for a request; nullptr if there is none.
+  std::shared_ptr<client_connection> take_idle(const std::string& key);
+
+  // A new connection; nullptr if it can not even be begun.
+  std::shared_ptr<client_connection> open(const std::string& key,
+                                          const std::string& peer);
+
   struct peer_connections {
     std::vector<std::shared_ptr<client_connection>> idle;
     std::unordered_set<std::shared_ptr<client_connection>> all;
@@ -459,34 +466,47 @@
         tell(how);
       };
   const std::string key = key_of(peer, owner);
-  auto& held = impl_->peers[key];
-  if (!held.idle.empty()) {
-    const std::shared_ptr<client_connection> connection = held.idle.back();
-    held.idle.pop_back();
-    handle.held_->connection = connection;
-    connection->start(std::move(call));
-    return handle;
+  std::shared_ptr<client_connection> connection = impl_->take_idle(key);
+  const bool reused = connection != nullptr;
+  if (!reused) {
+    connection = impl_->open(key, peer);
   }
-  const result<address> to = address::parse(peer);
-  auto made = std::make_shared<client_connection>(impl_, impl_->loop, key);
-  if (!to || !made->open(to.value())) {
-    if (held.all.empty()) {
-      impl_->peers.erase(key);
-    }
+  if (connection == nullptr) {
     impl_->loop.post([tell = std::move(call.observer.on_end)] {
       tell(http1_end::never_sent);
     });
     return handle;
   }
-  held.all.insert(made);
-  handle.held_->connection = made;
-  made->start(std::move(call));
-  if (impl_->connected) {
+  handle.held_->connection = connection;
+  connection->start(std::move(call));
+  if (!reused && impl_->connected) {
     impl_->connected(peer);
   }
   return handle;
 }
 
+std::shared_ptr<client_connection> http1_pool::impl::take_idle(
+    const std::string& key) {
+  const auto found = peers.find(key);
+  if (found == peers.end() || found->second.idle.empty()) {
+    return nullptr;
+  }
+  std::shared_ptr<client_connection> taken = found->second.idle.back();
+  found->second.idle.pop_back();
+  return taken;
+}
+
+std::shared_ptr<client_connection> http1_pool::impl::open(
+    const std::string& key, const std::string& peer) {
+  const result<address> to = address::parse(peer);
+  auto made = std::make_shared<client_connection>(weak_from_this(), loop, key);
+  if (!to || !made->open(to.value())) {
+    return nullptr;
+  }
+  peers[key].all.insert(made);
+  return made;
+}
+
 void http1_pool::forget(const std::string& peer, std::string_view owner) {
   const auto found = impl_->peers.find(key_of(peer, owner));
   if (found == impl_->peers.end()) {
