Headers of gateway, record store and platform open with an example

Each says what it is for and how it is used; three constants of the record store say what they bound.

--- a/include/trayrock/internal/gateway/chain_cache.h
+++ b/include/trayrock/internal/gateway/chain_cache.h
@@ -2,6 +2,11 @@
 //
 // Bounded by bytes; the chains that were unused for the longest go first. A
 // chain is immutable, so a copy is right for as long as the turn is retained.
+//
+// Example:
+//   chain_cache chains(1U << 20);
+//   chains.put("t1", chain, now + 60000);
+//   chains.find("t1", now)->text;
 #pragma once
 
 #include <cstdint>
--- a/include/trayrock/internal/gateway/request_facts.h
+++ b/include/trayrock/internal/gateway/request_facts.h
@@ -1,4 +1,9 @@
 // What a request and an answer say about themselves, decoded once.
+// The platform's adapter fills these in; nothing else reads the headers.
+//
+// Example:
+//   const request_facts facts = platform::decode_request(request);
+//   if (facts.attempt.empty()) refuse();
 #pragma once
 
 #include <chrono>
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -4,6 +4,13 @@
 // the answer on, record what was said. A request that may run only once is
 // never sent a second time after an endpoint may have begun it. A request that
 // is given up is answered at once.
+//
+// Example:
+//   http1_server clients(loop, limits,
+//                        [&](http1_request request, http1_exchange_ptr out) {
+//                          serve_request(parts, std::move(request),
+//                                        std::move(out));
+//                        });
 #pragma once
 
 #include <functional>
@@ -19,7 +26,8 @@
 
 namespace trayrock {
 
-// What the requests of one gateway share.
+// What the requests of one gateway share. Whoever owns the parts keeps them
+// for as long as the loop runs.
 struct gateway_parts {
   event_loop& loop;
   http1_pool& pool;
--- a/include/trayrock/internal/records/group_rules.h
+++ b/include/trayrock/internal/records/group_rules.h
@@ -4,6 +4,10 @@
 // voters have it on disk. Any `read_quorum` voters together hold every write
 // that counts, so they may say that something is not there; as many must be
 // told of a new epoch (fenced) before a new voter can have read everything.
+//
+// Example:
+//   write_quorum(3, 1);  // 2
+//   const records::Group next = with_voter(group, spare, lost_id);
 #pragma once
 
 #include <cstddef>
--- a/include/trayrock/internal/records/record_id.h
+++ b/include/trayrock/internal/records/record_id.h
@@ -3,6 +3,10 @@
 // Clients name attempts and programs as they like. The stores keep a 128-bit
 // hash of each name, so that what they hold in memory stays small; the names
 // themselves are in the records on disk.
+//
+// Example:
+//   const record_id id = id_of("attempt-1");
+//   id_from_bytes(bytes_of(id)) == id;  // true
 #pragma once
 
 #include <compare>
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -4,6 +4,10 @@
 // A write is answered once it is on the disk. What the store may say depends
 // on its state: whether it is the disk that was meant, whether the epoch is
 // the newest, and whether it holds all that its epoch asks of it.
+//
+// Example:
+//   record_server server(loop, rpc, disk, metrics);
+//   server.start([&] { membership.start(); });
 #pragma once
 
 #include <functional>
--- a/include/trayrock/internal/records/store_membership_driver.h
+++ b/include/trayrock/internal/records/store_membership_driver.h
@@ -1,5 +1,9 @@
 // Carries out what decide/store_membership.h decides: reads other stores,
 // changes the group on the platform, fences, and reports retirements.
+//
+// Example:
+//   store_membership_driver membership(loop, server, pool, registry, settings);
+//   membership.start();  // once the server knows its id
 #pragma once
 
 #include <map>
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -10,7 +10,9 @@
 namespace trayrock {
 namespace {
 
+// Of the store's own state on the disk.
 constexpr std::string_view state_key = "m/state";
+// An answer to a pull is cut once it has grown to this size.
 constexpr std::size_t pull_bytes = 256U << 10;
 // Records, or keys, that one answer looks at.
 constexpr std::size_t most_pulled = 5000;
--- a/src/records/store_membership_driver.cc
+++ b/src/records/store_membership_driver.cc
@@ -13,6 +13,7 @@
 // A standing voter asks the others this seldom; one that has to catch up asks
 // at every tick.
 constexpr std::uint64_t calm_pull_period_ms = 400;
+// A store that does not answer a call within this time is asked again.
 constexpr milliseconds call_limit{700};
 // Records that are asked for by name in one call.
 constexpr int most_named_records = 200;
