Slow record stores are not asked twice; relays are for silent ones

A call that took 120 ms was asked again by a relay, a chain's text at a second store after 60 ms, so that slow stores got twice the calls.

Change: a relay is asked only for a store that has answered nobody for 350 ms; a chain's text at a second store after 300 ms.

Test: slow_stores_are_not_asked_by_relays_as_well failed before (errors 1507 in place of success) and passes now; record_client_test 8 of 8.

--- a/include/trayrock/internal/records/record_client.h
+++ b/include/trayrock/internal/records/record_client.h
@@ -74,6 +74,8 @@
   friend struct operation;
   void begin(const std::shared_ptr<operation>& made, milliseconds limit);
   bool goes_by_relay(const std::string& store) const;
+  void note_call(const std::string& store);
+  bool is_silent(const std::string& store) const;
   void note_answer(const std::string& store, bool relayed);
 
   event_loop& loop_;
@@ -82,6 +84,8 @@
   metrics_registry& metrics_;
   records::Group group_;
   relay_source relays_;
+  // When a store last answered directly, or was first asked.
+  std::map<std::string, std::uint64_t> answered_at_ms_;
   // Until when the calls to a store go by a relay at once.
   std::map<std::string, std::uint64_t> relayed_until_ms_;
   std::set<std::shared_ptr<operation>> running_;
--- a/src/records/record_client.cc
+++ b/src/records/record_client.cc
@@ -12,13 +12,17 @@
 // A voter that does not answer a call within this time is asked again.
 constexpr milliseconds call_limit{600};
 constexpr milliseconds retry_pause{60};
-// A store that has not answered by then is asked by a relay as well. Answers
-// take 2 to 10 ms, a busy disk some tens.
+// How often a call that waits looks whether its store has gone silent.
+// Answers take 2 to 10 ms, a busy disk some tens.
 constexpr milliseconds direct_patience{120};
+// A store that has answered nobody here for this long may be out of reach, and
+// is asked by a relay as well. One that is only slow answers somebody; asking
+// it twice would make it slower.
+constexpr std::uint64_t silence_before_relay_ms = 350;
 // Calls to a store that only a relay reached go by relays this long.
 constexpr std::uint64_t relay_spell_ms = 2000;
 // A chain's text is asked for at a second voter when the first is this late.
-constexpr milliseconds text_patience{60};
+constexpr milliseconds text_patience{300};
 
 }  // namespace
 
@@ -109,15 +113,28 @@
             held->direct_answered(to, asked, std::move(answer));
           }
         });
+    client.note_call(id);
     if (client.relays_.pick) {
-      patience[id] = client.loop_.after(direct_patience, [weak, to, asked] {
-        if (const auto held = weak.lock()) {
-          held->send_by_relay(to, asked);
-        }
-      });
+      watch_silence(to, asked);
     }
   }
 
+  void watch_silence(const records::Store& to,
+                     const records::WriteRequest& asked) {
+    const std::weak_ptr<operation> weak = weak_from_this();
+    patience[to.id()] = client.loop_.after(direct_patience, [weak, to, asked] {
+      const auto held = weak.lock();
+      if (held == nullptr || held->done) {
+        return;
+      }
+      if (!held->client.is_silent(to.id())) {
+        held->watch_silence(to, asked);
+      } else {
+        held->send_by_relay(to, asked);
+      }
+    });
+  }
+
   void direct_answered(const records::Store& to,
                        const records::WriteRequest& asked,
                        result<records::WriteReply> answer) {
@@ -125,7 +142,8 @@
     patience.erase(id);
     if (answer) {
       client.note_answer(id, false);
-    } else if (relayed.contains(id) || send_by_relay(to, asked)) {
+    } else if (relayed.contains(id) ||
+               (client.is_silent(id) && send_by_relay(to, asked))) {
       return;  // the relay's answer decides
     }
     answered(id, std::move(answer));
@@ -379,8 +397,19 @@
   return held != relayed_until_ms_.end() && held->second > loop_.now_ms();
 }
 
+void record_client::note_call(const std::string& store) {
+  answered_at_ms_.try_emplace(store, loop_.now_ms());
+}
+
+bool record_client::is_silent(const std::string& store) const {
+  const auto held = answered_at_ms_.find(store);
+  return held == answered_at_ms_.end() ||
+         loop_.now_ms() - held->second >= silence_before_relay_ms;
+}
+
 void record_client::note_answer(const std::string& store, bool relayed) {
   if (!relayed) {
+    answered_at_ms_[store] = loop_.now_ms();
     relayed_until_ms_.erase(store);
     return;
   }
--- a/test/record_client_test.cc
+++ b/test/record_client_test.cc
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(unknown_turn_needs_two_denials);
   CPPUNIT_TEST(operation_goes_on_in_the_next_epoch);
   CPPUNIT_TEST(stores_out_of_reach_are_reached_by_a_relay);
+  CPPUNIT_TEST(slow_stores_are_not_asked_by_relays_as_well);
   CPPUNIT_TEST(records_survive_a_restart_of_the_stores);
   CPPUNIT_TEST_SUITE_END();
 
@@ -196,6 +197,39 @@
     CPPUNIT_ASSERT_EQUAL(std::error_code(), *kept);
   }
 
+  // Found on a grown site of the users' bench: stores that were slow were asked
+  // again by relays, which made them slower until nothing was served.
+  void slow_stores_are_not_asked_by_relays_as_well() {
+    constexpr milliseconds slow{200};
+    records::Group group;
+    group.set_epoch(1);
+    group.set_tolerated(0);
+    records::Store& voter = *group.add_voters();
+    voter.set_id("slow");
+    voter.set_address(local(ports_[3]));
+    rpc_server server(*loop_, {});
+    std::vector<timer> answers;
+    server.handle_typed<records::WriteRequest>(
+        "Write", [&](records::WriteRequest&, const rpc_reply_ptr& reply) {
+          answers.push_back(loop_->after(slow, [reply] {
+            reply->send(records::WriteReply());
+            reply->finish();
+          }));
+        });
+    CPPUNIT_ASSERT(server.listen(address::parse(local(ports_[3])).value()));
+    int relays_asked = 0;
+    client_->use_relays({[&] {
+                           ++relays_asked;
+                           return local(ports_[4]);
+                         },
+                         [](const std::string&) {}});
+    client_->adopt(group);
+    for (const char* attempt : {"t1", "t2", "t3"}) {
+      CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn(attempt, "", "one")));
+    }
+    CPPUNIT_ASSERT_EQUAL(0, relays_asked);
+  }
+
   void records_survive_a_restart_of_the_stores() {
     start_group();
     CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
