--- a/src/net/http1_client.cc
+++ b/src/net/http1_client.cc
@@ -1,6 +1,5 @@
 #include "trayrock/internal/net/http1_client.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <http_parser.h>
@@ -12,6 +11,7 @@
 #include <vector>
 
 #include "http2_session.h"
+#include "socket_address.h"
 
 namespace trayrock {
 namespace {
@@ -163,10 +163,7 @@
   bev_ = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_setcb(bev_, on_readable, nullptr, on_event, this);
   bufferevent_enable(bev_, EV_READ | EV_WRITE);
-  sockaddr_in to{};
-  to.sin_family = AF_INET;
-  to.sin_port = htons(peer.port());
-  inet_pton(AF_INET, peer.host().c_str(), &to.sin_addr);
+  sockaddr_in to = internal::socket_address_of(peer);
   guard_ = loop_.after(connect_limit, [this] { end(http1_end::never_sent); });
   return bufferevent_socket_connect(bev_, reinterpret_cast<sockaddr*>(&to),
                                     sizeof(to)) == 0;
--- a/src/net/rpc_client.cc
+++ b/src/net/rpc_client.cc
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 
 #include <array>
 #include <cstring>
@@ -6,6 +5,7 @@
 #include <utility>
 
 #include "http2_session.h"
+#include "socket_address.h"
 #include "trayrock/internal/net/rpc.h"
 
 namespace trayrock {
@@ -84,10 +84,7 @@
     internal::submit_large_windows(session);
     bufferevent_setcb(bev, on_readable, nullptr, on_event, this);
     bufferevent_enable(bev, EV_READ | EV_WRITE);
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(peer.port());
-    inet_pton(AF_INET, peer.host().c_str(), &to.sin_addr);
+    sockaddr_in to = internal::socket_address_of(peer);
     connect_guard = loop.after(limits.connect_timeout,
                                [this] { fail(errc::connect_failed); });
     return bufferevent_socket_connect(bev, reinterpret_cast<sockaddr*>(&to),
