Faults found by reading: garbled platform answers, a false "not run", repairs

Cause: a pass over the new code found by reading: (1) an answer of the platform of another shape threw in a callback and ended that watch for good; (2) a repeatable request that one endpoint broke and another refused was told that it had not run; (3) a repair got 0.7 s for reading all its sources; (4) the tests' ports of one process ran into those of the next, 300 ports being less than 15 deployments of 60.

--- a/fakes/fake_objects.cc
+++ b/fakes/fake_objects.cc
@@ -47,6 +47,7 @@
   bool outage = false;                   // every call is refused with 503
   bool silent = false;                   // calls are left without an answer
   std::uint64_t lose_write_answers = 0;  // so many writes act, answers are cut
+  std::uint64_t garble_reads = 0;        // so many are answered with other JSON
 };
 
 class fake_objects {
@@ -65,6 +66,11 @@
       reply(out, status_unavailable, json::object());
       return;
     }
+    if (request.method == "GET" && faults_.garble_reads > 0) {
+      --faults_.garble_reads;
+      reply(out, status_ok, {{"items", 3}, {"events", "none"}});
+      return;
+    }
     act(request, out);
   }
 
@@ -75,6 +81,7 @@
       faults_.silent = body.value("silent", faults_.silent);
       faults_.lose_write_answers =
           body.value("lose_write_answers", faults_.lose_write_answers);
+      faults_.garble_reads = body.value("garble_reads", faults_.garble_reads);
       cut_when_faulty();
     } else if (request.path == "/forget") {
       changes_.clear();
--- a/include/trayrock/internal/records/record_client.h
+++ b/include/trayrock/internal/records/record_client.h
@@ -36,6 +36,10 @@
 struct relay_source {
   std::function<std::string()> pick;  // address of a relay; empty: none
   std::function<void(const std::string&)> failed;
+  // A store that has answered nobody here for this long may be out of reach,
+  // and is asked by a relay as well. One that is only slow answers somebody;
+  // asking it twice would make it slower. Answers take 2 to 10 ms.
+  milliseconds silence{350};
 };
 
 class record_client {
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -278,7 +278,6 @@
         return;
       case attempt_outcome::refused:
         ++report_.sends;
-        refusals_ = true;
         if (report_.sends < route_->max_endpoints) {
           send_next();
         } else {
@@ -287,6 +286,7 @@
         return;
       case attempt_outcome::broken:
         ++report_.sends;
+        may_have_run_ = true;
         answer_broken();
         return;
     }
@@ -382,11 +382,10 @@
     refuse(sent ? errc::runner_timeout : errc::deadline_passed);
   }
 
-  // Nothing has run and nothing will.
+  // No endpoint is left to try. That nothing has run is said only if it is so.
   void give_up(errc why) {
     history_.settle(0);
-    const bool unsure = report_.sends > 0 && !refusals_;
-    if (unsure) {
+    if (may_have_run_) {
       refuse(errc::runner_failed);
     } else {
       refuse(why, back_after_full);
@@ -443,7 +442,7 @@
   turn_history history_;
   std::set<std::string> tried_;
   endpoint_attempt attempt_;
-  bool refusals_ = false;
+  bool may_have_run_ = false;  // a send ended without an answer
   event_stream events_;
   bool ended_ = false;
   timer deadline_;
--- a/src/records/record_client.cc
+++ b/src/records/record_client.cc
@@ -15,10 +15,6 @@
 // How often a call that waits looks whether its store has gone silent.
 // Answers take 2 to 10 ms, a busy disk some tens.
 constexpr milliseconds direct_patience{120};
-// A store that has answered nobody here for this long may be out of reach, and
-// is asked by a relay as well. One that is only slow answers somebody; asking
-// it twice would make it slower.
-constexpr std::uint64_t silence_before_relay_ms = 350;
 // Calls to a store that only a relay reached go by relays this long.
 constexpr std::uint64_t relay_spell_ms = 2000;
 // A chain's text is asked for at a second voter when the first is this late.
@@ -403,8 +399,9 @@
 
 bool record_client::is_silent(const std::string& store) const {
   const auto held = answered_at_ms_.find(store);
+  const auto longest = static_cast<std::uint64_t>(relays_.silence.count());
   return held == answered_at_ms_.end() ||
-         loop_.now_ms() - held->second >= silence_before_relay_ms;
+         loop_.now_ms() - held->second >= longest;
 }
 
 void record_client::note_answer(const std::string& store, bool relayed) {
--- a/src/records/store_membership_driver.cc
+++ b/src/records/store_membership_driver.cc
@@ -15,6 +15,8 @@
 constexpr std::uint64_t calm_pull_period_ms = 400;
 // A store that does not answer a call within this time is asked again.
 constexpr milliseconds call_limit{700};
+// A repair is answered when all of its sources have been read to their end.
+constexpr milliseconds repair_limit{8000};
 // Records that are asked for by name in one call.
 constexpr int most_named_records = 200;
 // Stores that start together have announced themselves by then.
@@ -445,7 +447,7 @@
       }
     }
     repairs_[id] = pool_.ask<records::RepairReply>(
-        each.address(), "Repair", request, call_limit,
+        each.address(), "Repair", request, repair_limit,
         [this, id](const result<records::RepairReply>& answer) {
           if (answer && answer.value().done()) {
             repaired_.insert(id);
--- a/test/deployment.cc
+++ b/test/deployment.cc
@@ -105,7 +105,8 @@
 
 }  // namespace
 
-pid_t spawn_process(const std::vector<std::string>& command, const std::string& log) {
+pid_t spawn_process(const std::vector<std::string>& command,
+                    const std::string& log) {
   std::vector<char*> arguments;
   arguments.reserve(command.size() + 1);
   for (const std::string& each : command) {
@@ -195,7 +196,8 @@
   constexpr int first_port = 10000;
   constexpr int ports_a_test = 300;
   constexpr int tests = 75;
-  static int next = first_port + (getpid() % tests) * ports_a_test;
+  static const int first = first_port + (getpid() % tests) * ports_a_test;
+  static int next = first;
   std::vector<int> ports;
   while (ports.size() < count) {
     const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -207,8 +209,9 @@
       ports.push_back(next);
     }
     close(socket);
-    constexpr int end_port = first_port + tests * ports_a_test;
-    next = next + 1 < end_port ? next + 1 : first_port;
+    // A test stays within its own ports; those of its earlier deployments are
+    // free again.
+    next = next + 1 < first + ports_a_test ? next + 1 : first;
   }
   return ports;
 }
--- a/test/gateway_path_test.cc
+++ b/test/gateway_path_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(stopping_gateway_finishes_its_streams);
   CPPUNIT_TEST(stopping_gateway_takes_nothing_new_after_a_while);
   CPPUNIT_TEST(gateway_serves_while_the_platform_is_out);
+  CPPUNIT_TEST(gateway_recovers_from_garbled_answers_of_the_platform);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -253,6 +254,20 @@
     CPPUNIT_ASSERT_EQUAL(200, call.status);
   }
 
+  void gateway_recovers_from_garbled_answers_of_the_platform() {
+    service_deployment system;
+    system.start_all();
+    system.kill("gateway-1");
+    constexpr int garbled = 6;
+    system.platform_fault({{"garble_reads", garbled}});
+    system.start("gateway-1");
+    system.wait_ready("gateway-1");
+    system.put_object("config", "other", 3);
+    system.configure(7);
+    CPPUNIT_ASSERT_EQUAL(200,
+                         system.request("gateway-1", "/safe/a", "s1").status);
+  }
+
  private:
   static void fault_everywhere(service_deployment& system,
                                const json& switches) {
--- a/test/record_client_test.cc
+++ b/test/record_client_test.cc
@@ -222,7 +222,7 @@
                            ++relays_asked;
                            return local(ports_[4]);
                          },
-                         [](const std::string&) {}});
+                         [](const std::string&) {}, longest_run});
     client_->adopt(group);
     for (const char* attempt : {"t1", "t2", "t3"}) {
       CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn(attempt, "", "one")));
