--- a/include/trayrock/internal/log.h
+++ b/include/trayrock/internal/log.h
@@ -3,7 +3,8 @@
 // A line has time, level, process and event, and then what the event is about;
 // request, program and endpoint come under these names. Writing never waits:
 // lines that a slow reader leaves no room for are dropped, and a line with
-// only the event "log_lines_dropped" and a count tells how many. Rotation is the platform's.
+// only the event "log_lines_dropped" and a count tells how many. Rotation is
+// the platform's.
 //
 // Example:
 //   log_info("call_refused", {{"program", id}, {"call", "3"}});
