--- a/include/trayrock/internal/decide/shard_map.h
+++ b/include/trayrock/internal/decide/shard_map.h
@@ -18,7 +18,7 @@
 // The part of a program's id that its sub-programs share.
 std::string_view root_of(std::string_view program);
 
-// The shard of a program; `shards` is fixed at installation.
+// The shard of a program; `shards` is fixed for a deployment.
 std::uint32_t shard_of(std::string_view program, std::uint32_t shards);
 
 class shard_map_store {
--- a/include/trayrock/internal/settings/settings.h
+++ b/include/trayrock/internal/settings/settings.h
@@ -15,7 +15,7 @@
 
 // What every process of the system needs to know.
 struct process_settings {
-  std::string name;                // unique in the installation
+  std::string name;                // unique in the deployment
   std::string place;               // data centre
   address rpc_listen;              // other processes of the system
   address http_listen;             // callers (entry); probes and metrics
@@ -25,7 +25,7 @@
   std::uint64_t spread_period_ms = 500;
   std::uint64_t suspect_after_ms = 2500;
   std::uint64_t platform_timeout_ms = 1000;
-  // Of the whole installation; each process keeps to its share.
+  // Of the whole deployment; each process keeps to its share.
   std::uint64_t platform_calls_per_second = 600;
 };
 
@@ -39,8 +39,8 @@
 
 struct node_settings {
   process_settings process;
-  std::uint64_t shards = 64;  // fixed at installation
-  // Journal writes of the whole installation; sets the commit interval.
+  std::uint64_t shards = 64;  // fixed for a deployment
+  // Journal writes of the whole deployment; sets the commit interval.
   std::uint64_t journal_writes_per_second = 200;
   std::uint64_t commit_interval_ms = 0;  // at least, whatever the share
   std::uint64_t copy_after_ms = 0;       // age at which records are copied
--- a/src/cluster/cluster.cc
+++ b/src/cluster/cluster.cc
@@ -141,7 +141,7 @@
   metrics_.set("map_version", {}, static_cast<double>(map_.version()));
 }
 
-// Half of the installation's rate is shared by all processes, the other half
+// Half of the deployment's rate is shared by all processes, the other half
 // by the watchers, who read for everybody. A process that knows nobody yet
 // begins low, so that many that start at once stay within the rate.
 void cluster::share_platform_rate() {
