--- a/test/fault_soak_test.cc
+++ b/test/fault_soak_test.cc
@@ -83,6 +83,7 @@
   void run() {
     system_.start_all();
     std::vector<std::jthread> running;
+    running.reserve(clients);
     for (int i = 0; i < clients; ++i) {
       running.emplace_back([this, i] { run_client(i); });
     }
@@ -286,9 +287,9 @@
 
   // ---- Checks ---------------------------------------------------------------
 
-  void report(const std::string& fault) {
+  void report(std::string fault) {
     const std::scoped_lock lock(guard_);
-    faults_.push_back(fault);
+    faults_.push_back(std::move(fault));
   }
 
   void note(const seen_request& seen) {
@@ -326,8 +327,10 @@
     }
     for (const auto& [attempt, body] : expected_bodies_) {
       if (bodies[attempt] != body) {
-        report(attempt + " came with " + bodies[attempt] + " in place of " +
-               body);
+        std::string wrong = attempt;
+        wrong.append(" came with ").append(bodies[attempt]);
+        wrong.append(" in place of ").append(body);
+        report(std::move(wrong));
       }
     }
   }
