Relays to record stores: peers that cannot reach a store are left for others

All of them had picked the same peer, the last one of the list; when it lost power they turned to one another, and an empty answer of a relay that is cut off as well did not count as a failure, so that they stayed there.

Ruled out: slow stores (reservations of other gateways took 8 ms at the median) and the group (no change of it in these seconds).

Change: decide/relay_choice.h picks the relay: one that has passed a call on lately, then near ones, in an order of each gateway's own; silent peers and those that reach no store are left alone for 1.5 to 6 s. A peer answers at once for a store that it does not reach itself. What is known of the way to each store moved from record_client to records/store_paths.h; a store is silent when a call goes unanswered, no longer when nobody has asked it for a while.

--- a/include/trayrock/internal/gateway/peer_relays.h
+++ b/include/trayrock/internal/gateway/peer_relays.h
@@ -7,14 +7,15 @@
 // Example:
 //   peer_relays relays(loop, registry, own);
 //   relays.start();
-//   const std::string via = relays.pick();  // empty: none known yet
+//   records.use_relays(relays.source());
 #pragma once
 
 #include <string>
-#include <vector>
 
 #include "platform/gateway_registry.h"
+#include "trayrock/internal/decide/relay_choice.h"
 #include "trayrock/internal/net/rpc.h"
+#include "trayrock/internal/records/record_client.h"
 
 namespace trayrock {
 
@@ -28,31 +29,25 @@
   // Makes this gateway known to the others.
   void start();
 
-  // The address of a peer, one of the same data centre if there is any; empty
-  // while none is known.
-  std::string pick();
-
-  // The peer did not help: others go first for a while.
-  void failed(const std::string& address);
+  // What a client of the record stores needs to use the peers.
+  relay_source source();
 
  private:
-  struct peer {
-    platform::gateway_entry entry;
-    std::uint64_t avoided_until_ms = 0;
-  };
-
+  std::string pick();
   void look_for_peers();
 
   event_loop& loop_;
   platform::gateway_registry& registry_;
   platform::gateway_entry own_;
-  std::vector<peer> peers_;
+  relay_choice choice_;
   bool looking_ = false;
   std::uint64_t looked_at_ms_ = 0;
   timer again_;
 };
 
-// Registers the method by which a gateway passes calls on for others.
-void serve_relays(rpc_server& server, rpc_pool& pool);
+// Registers the method by which a gateway passes calls on for others. A store
+// that `own` does not reach either is answered for at once. All outlive the
+// server.
+void serve_relays(rpc_server& server, rpc_pool& pool, const record_client& own);
 
 }  // namespace trayrock
--- a/include/trayrock/internal/records/record_client.h
+++ b/include/trayrock/internal/records/record_client.h
@@ -19,9 +19,11 @@
 #include <string>
 
 #include "records.pb.h"
+#include "trayrock/internal/decide/relay_choice.h"
 #include "trayrock/internal/decide/token_budget.h"
 #include "trayrock/internal/metrics.h"
 #include "trayrock/internal/net/rpc.h"
+#include "trayrock/internal/records/store_paths.h"
 
 namespace trayrock {
 
@@ -35,8 +37,9 @@
 // Ways around a store that cannot be reached directly.
 struct relay_source {
   std::function<std::string()> pick;  // address of a relay; empty: none
-  std::function<void(const std::string&)> failed;
-  // A store that has answered nobody here for this long may be out of reach,
+  std::function<void(const std::string&, relay_failure)> failed;
+  std::function<void(const std::string&)> passed_on;
+  // A store that has left calls unanswered for this long may be out of reach,
   // and is asked by a relay as well. One that is only slow answers somebody;
   // asking it twice would make it slower. Answers take 2 to 10 ms.
   milliseconds silence{350};
@@ -62,6 +65,9 @@
   bool has_group() const { return !group_.voters().empty(); }
   const records::Group& group() const { return group_; }
 
+  // False while direct calls to the store stay unanswered.
+  bool reaches(const std::string& store) const { return !is_silent(store); }
+
   // Makes the reservation durable (if it names a program) and reads the chain
   // of `previous` (if it is not empty), from several voters if no single one
   // holds all of it. Errors: errc::history_unavailable.
@@ -77,8 +83,6 @@
  private:
   friend struct operation;
   void begin(const std::shared_ptr<operation>& made, milliseconds limit);
-  bool goes_by_relay(const std::string& store) const;
-  void note_call(const std::string& store);
   bool is_silent(const std::string& store) const;
   void note_answer(const std::string& store, bool relayed);
 
@@ -88,10 +92,7 @@
   metrics_registry& metrics_;
   records::Group group_;
   relay_source relays_;
-  // When a store last answered directly, or was first asked.
-  std::map<std::string, std::uint64_t> answered_at_ms_;
-  // Until when the calls to a store go by a relay at once.
-  std::map<std::string, std::uint64_t> relayed_until_ms_;
+  store_paths paths_;
   std::set<std::shared_ptr<operation>> running_;
 };
 
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -99,10 +99,8 @@
     pool_.on_connect([this](std::string_view) {
       metrics_.add("endpoint_connections_total");
     });
-    serve_relays(peers_, rpc_);
-    records_.use_relays(
-        {[this] { return relays_.pick(); },
-         [this](const std::string& address) { relays_.failed(address); }});
+    serve_relays(peers_, rpc_, records_);
+    records_.use_relays(relays_.source());
     relays_.start();
     watch_platform();
     const timer terminate = loop_.on_signal(SIGTERM, [this] { begin_drain(); });
--- a/src/gateway/peer_relays.cc
+++ b/src/gateway/peer_relays.cc
@@ -10,17 +10,19 @@
 // Gateways that start together have announced themselves by then. The list is
 // read ahead, since a cut may take the platform away with the stores.
 constexpr milliseconds first_listing_delay{1500};
-// A peer that did not help is left alone this long.
-constexpr std::uint64_t avoid_ms = 1500;
 // Least time between two listings of the gateways.
 constexpr std::uint64_t listing_pause_ms = 1000;
-constexpr milliseconds relayed_call_limit{500};
+// Less than the asking gateway waits for its relay.
+constexpr milliseconds relayed_call_limit{300};
 
 }  // namespace
 
 peer_relays::peer_relays(event_loop& loop, platform::gateway_registry& registry,
                          platform::gateway_entry own)
-    : loop_(loop), registry_(registry), own_(std::move(own)) {}
+    : loop_(loop),
+      registry_(registry),
+      own_(std::move(own)),
+      choice_(own_.name, own_.data_centre) {}
 
 void peer_relays::start() {
   registry_.announce(own_, [this](bool known) {
@@ -32,28 +34,24 @@
   });
 }
 
+relay_source peer_relays::source() {
+  relay_source made;
+  made.pick = [this] { return pick(); };
+  made.failed = [this](const std::string& address, relay_failure how) {
+    choice_.failed(address, how, loop_.now_ms());
+  };
+  made.passed_on = [this](const std::string& address) {
+    choice_.passed_on(address, loop_.now_ms());
+  };
+  return made;
+}
+
 std::string peer_relays::pick() {
   const std::uint64_t now = loop_.now_ms();
-  const peer* best = nullptr;
-  for (const peer& each : peers_) {
-    const bool near = each.entry.data_centre == own_.data_centre;
-    if (each.avoided_until_ms <= now && (best == nullptr || near)) {
-      best = &each;
-    }
-  }
-  if (best == nullptr) {
+  if (choice_.exhausted(now)) {
     look_for_peers();
-    return {};
-  }
-  return best->entry.address;
-}
-
-void peer_relays::failed(const std::string& address) {
-  for (peer& each : peers_) {
-    if (each.entry.address == address) {
-      each.avoided_until_ms = loop_.now_ms() + avoid_ms;
-    }
   }
+  return choice_.pick(now);
 }
 
 void peer_relays::look_for_peers() {
@@ -72,20 +70,24 @@
           log_warn("peers_unknown", {{"cause", found.error().message()}});
           return;
         }
-        peers_.clear();
+        std::vector<relay_peer> peers;
         for (const platform::gateway_entry& each : found.value()) {
-          if (each.name != own_.name && !each.address.empty()) {
-            peers_.push_back({each, 0});
-          }
+          peers.push_back({each.name, each.address, each.data_centre});
         }
-        log_info("peers_listed", {{"count", std::to_string(peers_.size())}});
+        choice_.replace(peers);
+        log_info("peers_listed", {{"count", std::to_string(peers.size())}});
       });
 }
 
-void serve_relays(rpc_server& server, rpc_pool& pool) {
+void serve_relays(rpc_server& server, rpc_pool& pool,
+                  const record_client& own) {
   server.handle_typed<records::RelayRequest>(
-      "Relay",
-      [&pool](records::RelayRequest& request, const rpc_reply_ptr& reply) {
+      "Relay", [&pool, &own](records::RelayRequest& request,
+                             const rpc_reply_ptr& reply) {
+        if (!own.reaches(request.write().store())) {
+          reply->finish();
+          return;
+        }
         // The call's handle lives until its answer has been passed on.
         auto call = std::make_shared<rpc_call>();
         *call = pool.ask<records::WriteReply>(
--- a/src/records/record_client.cc
+++ b/src/records/record_client.cc
@@ -15,8 +15,9 @@
 // How often a call that waits looks whether its store has gone silent.
 // Answers take 2 to 10 ms, a busy disk some tens.
 constexpr milliseconds direct_patience{120};
-// Calls to a store that only a relay reached go by relays this long.
-constexpr std::uint64_t relay_spell_ms = 2000;
+// A relay that does not answer a call within this time is left for another.
+// A call by a relay takes 5 to 15 ms.
+constexpr milliseconds relay_limit{350};
 // A chain's text is asked for at a second voter when the first is this late.
 constexpr milliseconds text_patience{300};
 
@@ -98,7 +99,8 @@
     }
     const std::string& id = to.id();
     relayed.erase(id);
-    if (client.goes_by_relay(id) && send_by_relay(to, asked)) {
+    if (client.paths_.by_relay(id, client.loop_.now_ms()) &&
+        send_by_relay(to, asked)) {
       return;
     }
     const std::weak_ptr<operation> weak = weak_from_this();
@@ -109,7 +111,7 @@
             held->direct_answered(to, asked, std::move(answer));
           }
         });
-    client.note_call(id);
+    client.paths_.asked(id, client.loop_.now_ms());
     if (client.relays_.pick) {
       watch_silence(to, asked);
     }
@@ -158,7 +160,7 @@
     client.metrics_.add("relayed_record_calls_total");
     const std::weak_ptr<operation> weak = weak_from_this();
     relayed[to.id()] = client.pool_.ask<records::WriteReply>(
-        via, "Relay", request, call_limit,
+        via, "Relay", request, relay_limit,
         [weak, id = to.id(), via](result<records::WriteReply> answer) {
           if (const auto held = weak.lock()) {
             held->relay_answered(id, via, std::move(answer));
@@ -171,8 +173,15 @@
                       result<records::WriteReply> answer) {
     if (answer) {
       client.note_answer(id, true);
-    } else if (answer.error() != errc::wire_garbled) {
-      client.relays_.failed(via);  // an empty answer: the store is the cause
+      if (client.relays_.passed_on) {
+        client.relays_.passed_on(via);
+      }
+    } else {
+      // An empty answer says that the relay does not reach the store.
+      const bool relay_answered = answer.error() == errc::wire_garbled;
+      client.relays_.failed(via, relay_answered
+                                     ? relay_failure::store_unreachable
+                                     : relay_failure::silent);
     }
     answered(id, std::move(answer));
   }
@@ -388,35 +397,19 @@
   }
 }
 
-bool record_client::goes_by_relay(const std::string& store) const {
-  const auto held = relayed_until_ms_.find(store);
-  return held != relayed_until_ms_.end() && held->second > loop_.now_ms();
-}
-
-void record_client::note_call(const std::string& store) {
-  answered_at_ms_.try_emplace(store, loop_.now_ms());
-}
-
 bool record_client::is_silent(const std::string& store) const {
-  const auto held = answered_at_ms_.find(store);
-  const auto longest = static_cast<std::uint64_t>(relays_.silence.count());
-  return held == answered_at_ms_.end() ||
-         loop_.now_ms() - held->second >= longest;
+  return paths_.silent(store, loop_.now_ms(), relays_.silence);
 }
 
 void record_client::note_answer(const std::string& store, bool relayed) {
-  if (!relayed) {
-    answered_at_ms_[store] = loop_.now_ms();
-    relayed_until_ms_.erase(store);
-    return;
-  }
-  if (!relayed_until_ms_.contains(store)) {
-    log_warn("dependency_lost",
-             {{"dependency", "store"}, {"store", store}, {"way", "relay"}});
-  }
-  std::uint64_t& until = relayed_until_ms_[store];
-  if (until <= loop_.now_ms()) {
-    until = loop_.now_ms() + relay_spell_ms;
+  if (relayed) {
+    if (paths_.answered_by_relay(store, loop_.now_ms())) {
+      log_warn("dependency_lost",
+               {{"dependency", "store"}, {"store", store}, {"way", "relay"}});
+    }
+  } else if (paths_.answered(store)) {
+    log_info("dependency_regained",
+             {{"dependency", "store"}, {"store", store}});
   }
 }
 
--- a/test/record_client_test.cc
+++ b/test/record_client_test.cc
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(unknown_turn_needs_two_denials);
   CPPUNIT_TEST(operation_goes_on_in_the_next_epoch);
   CPPUNIT_TEST(stores_out_of_reach_are_reached_by_a_relay);
+  CPPUNIT_TEST(relay_that_cannot_reach_the_store_is_left_for_another);
   CPPUNIT_TEST(slow_stores_are_not_asked_by_relays_as_well);
   CPPUNIT_TEST(records_survive_a_restart_of_the_stores);
   CPPUNIT_TEST_SUITE_END();
@@ -185,7 +186,7 @@
     CPPUNIT_ASSERT(relay.listen(address::parse(local(ports_[4])).value()));
     record_client cut(*loop_, *pool_, "dc-0", metrics_);
     cut.use_relays(
-        {[&] { return local(ports_[4]); }, [](const std::string&) {}});
+        {[&] { return local(ports_[4]); }, [](const auto&...) {}, {}});
     cut.adopt(seen);
     std::optional<std::error_code> kept;
     cut.keep(turn("t1", "", "one"), patient, [&](std::error_code failed) {
@@ -197,6 +198,39 @@
     CPPUNIT_ASSERT_EQUAL(std::error_code(), *kept);
   }
 
+  // Found on a grown site of the users' bench: gateways that were cut off went
+  // on asking a peer that was cut off as well, and refused turns for seconds.
+  void relay_that_cannot_reach_the_store_is_left_for_another() {
+    records::Group group;
+    group.set_epoch(1);
+    group.set_tolerated(0);
+    records::Store& voter = *group.add_voters();
+    voter.set_id("far");
+    voter.set_address(local(ports_[3]));  // nobody listens there
+    const std::string cut_off = local(ports_[4]);
+    const std::string sound = local(ports_[5]);
+    rpc_server cut_off_relay(*loop_, {});
+    cut_off_relay.handle_typed<records::RelayRequest>(
+        "Relay", [](records::RelayRequest&, const rpc_reply_ptr& reply) {
+          reply->finish();
+        });
+    rpc_server sound_relay(*loop_, {});
+    sound_relay.handle_typed<records::RelayRequest>(
+        "Relay", [](records::RelayRequest&, const rpc_reply_ptr& reply) {
+          reply->send(records::WriteReply());
+          reply->finish();
+        });
+    CPPUNIT_ASSERT(cut_off_relay.listen(address::parse(cut_off).value()));
+    CPPUNIT_ASSERT(sound_relay.listen(address::parse(sound).value()));
+    std::string picked = cut_off;
+    relay_source relays;
+    relays.pick = [&] { return picked; };
+    relays.failed = [&](const auto&...) { picked = sound; };
+    client_->use_relays(relays);
+    client_->adopt(group);
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
+  }
+
   // Found on a grown site of the users' bench: stores that were slow were asked
   // again by relays, which made them slower until nothing was served.
   void slow_stores_are_not_asked_by_relays_as_well() {
@@ -222,7 +256,9 @@
                            ++relays_asked;
                            return local(ports_[4]);
                          },
-                         [](const std::string&) {}, longest_run});
+                         [](const auto&...) {},
+                         {},
+                         longest_run});
     client_->adopt(group);
     for (const char* attempt : {"t1", "t2", "t3"}) {
       CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn(attempt, "", "one")));
