Endpoints on trial get no request that may run only once; bounds come from settings

A pause ended after 0.4 to 4 s without any answer, and each end brought new victims.

Change: behind a pause an endpoint is on trial until it has answered; calls that may run only once go elsewhere, others come one at a time. A call that is late against its route's objective counts as evidence and is reported to other gateways. Stores tolerate losses of data centres as settings say, and up to 16.

--- a/include/trayrock/internal/decide/endpoint_health.h
+++ b/include/trayrock/internal/decide/endpoint_health.h
@@ -4,7 +4,9 @@
 // own requests, and those that other gateways report. It fades within about a
 // second. One gateway's reports alone never suffice, since its own network may
 // be the cause. An endpoint that fails again soon after a pause is left alone
-// for longer.
+// for longer. After a pause it is on trial until it has answered: requests that
+// may run only once go elsewhere, since those that it leaves unanswered are
+// lost.
 //
 // Example:
 //   endpoint_health health;
@@ -33,12 +35,15 @@
   bool unreachable(std::uint64_t now_ms);
 
   // A request was answered.
-  void answered() { failures_in_row_ = 0; }
+  void answered(std::uint64_t now_ms);
 
   bool avoided(std::uint64_t now_ms) const {
     return avoided_until_ms_ > now_ms;
   }
 
+  // True behind a pause, while the endpoint has not answered.
+  bool on_trial(std::uint64_t now_ms) const;
+
  private:
   void fade(std::uint64_t now_ms);
   bool avoid_if_due(bool due, std::uint64_t now_ms);
@@ -48,6 +53,7 @@
   std::uint32_t failures_in_row_ = 0;
   std::uint32_t pauses_in_row_ = 0;
   std::uint64_t avoided_until_ms_ = 0;
+  bool answered_since_pause_ = true;
   // When each gateway's last counted report came.
   std::map<std::string, std::uint64_t, std::less<>> reported_at_ms_;
 };
--- a/include/trayrock/internal/gateway/endpoint_attempt.h
+++ b/include/trayrock/internal/gateway/endpoint_attempt.h
@@ -67,11 +67,16 @@
 
   attempt_outcome outcome_of(http1_end how) const;
 
+  // The endpoint is late with its answer: evidence against it.
+  void suspect();
+
   // Ends the attempt in the endpoint's books and logs what did not go well.
   // Does nothing unless an attempt is in flight.
   void end(attempt_outcome outcome);
 
  private:
+  void log_avoided() const;
+
   event_loop& loop_;
   const request_facts& facts_;
   std::shared_ptr<endpoint_state> endpoint_;
--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -53,6 +53,8 @@
   std::string_view data_centre;
   std::function<bool(const endpoint&)> connected;
   const std::set<std::string>* excluded = nullptr;
+  // May run only once: not for endpoints on trial.
+  bool once = false;
 };
 
 class endpoint_directory {
@@ -91,6 +93,8 @@
   std::map<std::string, std::vector<state_ptr>, std::less<>> by_service_;
 
   void index();
+  static bool trusted(const endpoint_state& at, const endpoint_choice& wanted,
+                      std::uint64_t now_ms);
   static bool usable(const endpoint_state& at, const endpoint_choice& wanted);
   static std::vector<state_ptr> candidates_of(
       const std::vector<state_ptr>& from, const endpoint_choice& wanted,
--- a/include/trayrock/internal/settings/service_settings.h
+++ b/include/trayrock/internal/settings/service_settings.h
@@ -4,6 +4,7 @@
 // deploy/*.json.in are filled in with its values.
 #pragma once
 
+#include "trayrock/internal/net/loop.h"
 #include "trayrock/internal/settings/settings.h"
 
 namespace trayrock {
@@ -17,20 +18,24 @@
   address metrics_listen;  // counters and histograms
   address platform;        // the object service
   std::string log_level = "info";
-  std::uint64_t stop_limit_ms = 8000;  // from SIGTERM to the end
+  milliseconds stop_limit{8000};  // from SIGTERM to the end
 };
 
 struct gateway_settings {
   service_settings service;
   address http_listen;   // clients
   address ready_listen;  // the balancer's question
+  // An endpoint that leaves gets no request later than this after the platform
+  // knows of it.
+  milliseconds endpoint_notice{2000};
 };
 
 struct store_settings {
   service_settings service;
   std::string data_folder;
   std::uint64_t tolerated_losses = 1;  // stores that may be lost at once
-  bool first_start = false;            // of the whole system
+  std::uint64_t tolerated_data_centre_losses = 0;  // likewise
+  bool first_start = false;                        // of the whole system
 };
 
 gateway_settings read_gateway_settings(std::string_view text,
--- a/src/decide/endpoint_health.cc
+++ b/src/decide/endpoint_health.cc
@@ -20,6 +20,9 @@
 constexpr std::uint64_t longest_pause_ms = 4000;
 constexpr std::uint32_t most_doublings = 4;
 constexpr std::uint64_t relapse_ms = 5000;
+// An endpoint that gets no request of the kinds that try it is taken back after
+// this long; the longest pause.
+constexpr std::uint64_t longest_trial_ms = 4000;
 // What is kept in view over a pause, so that a relapse shows sooner.
 constexpr double evidence_after_pause = 1;
 
@@ -40,11 +43,22 @@
   pauses_in_row_ = relapse ? std::min(pauses_in_row_ + 1, most_doublings) : 0;
   avoided_until_ms_ =
       now_ms + std::min(first_pause_ms << pauses_in_row_, longest_pause_ms);
+  answered_since_pause_ = false;
   evidence_ = evidence_after_pause;
   evidence_at_ms_ = avoided_until_ms_;
   return true;
 }
 
+void endpoint_health::answered(std::uint64_t now_ms) {
+  failures_in_row_ = 0;
+  answered_since_pause_ = answered_since_pause_ || !avoided(now_ms);
+}
+
+bool endpoint_health::on_trial(std::uint64_t now_ms) const {
+  return !answered_since_pause_ && !avoided(now_ms) &&
+         now_ms - avoided_until_ms_ < longest_trial_ms;
+}
+
 bool endpoint_health::failed(std::uint64_t now_ms) {
   ++failures_in_row_;
   if (avoided(now_ms)) {
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -70,6 +70,19 @@
                               : attempt_outcome::answered;
 }
 
+void endpoint_attempt::suspect() {
+  log_info("endpoint_late",
+           {{"request", facts_.attempt}, {"endpoint", endpoint_->record.id}});
+  if (endpoint_->health.failed(loop_.now_ms())) {
+    log_avoided();
+  }
+}
+
+void endpoint_attempt::log_avoided() const {
+  log_info("endpoint_avoided",
+           {{"endpoint", endpoint_->record.id}, {"by", "own requests"}});
+}
+
 void endpoint_attempt::end(attempt_outcome outcome) {
   if (!in_flight_) {
     return;
@@ -81,8 +94,7 @@
   const bool avoided =
       endpoint_directory::end(*endpoint_, outcome, ms, loop_.now_ms());
   if (avoided) {
-    log_info("endpoint_avoided",
-             {{"endpoint", endpoint_->record.id}, {"by", "own requests"}});
+    log_avoided();
   }
   if (outcome == attempt_outcome::answered) {
     return;
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -102,6 +102,16 @@
                                  !wanted.excluded->contains(at.record.id));
 }
 
+// An endpoint on trial gets one request at a time.
+bool endpoint_directory::trusted(const endpoint_state& at,
+                                 const endpoint_choice& wanted,
+                                 std::uint64_t now_ms) {
+  if (at.health.avoided(now_ms)) {
+    return false;
+  }
+  return !at.health.on_trial(now_ms) || (!wanted.once && at.in_flight == 0);
+}
+
 // Endpoints that have failed lately count only if too few others are left.
 std::vector<endpoint_directory::state_ptr> endpoint_directory::candidates_of(
     const std::vector<state_ptr>& from, const endpoint_choice& wanted,
@@ -113,7 +123,7 @@
       continue;
     }
     usable_ones.push_back(each);
-    if (!each->health.avoided(now_ms)) {
+    if (trusted(*each, wanted, now_ms)) {
       well.push_back(each);
     }
   }
@@ -158,7 +168,7 @@
   at.in_flight -= at.in_flight > 0 ? 1 : 0;
   switch (outcome) {
     case attempt_outcome::answered:
-      at.health.answered();
+      at.health.answered(now_ms);
       at.latency_ms =
           at.latency_ms == 0
               ? latency_ms
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -1,4 +1,5 @@
 // trayrock-gateway: serves clients' requests on the platform's edge boxes.
+#include <algorithm>
 #include <csignal>
 
 #include "platform/collection_watcher.h"
@@ -21,11 +22,14 @@
 // forgotten them shows by one of them within a few seconds.
 constexpr milliseconds configuration_wait{5000};
 constexpr milliseconds endpoints_wait{9000};
-// Pauses between watches after changes. Endpoints register and leave in
-// numbers, and may be sent to for two seconds after they say that they leave;
-// a configuration has two seconds to be in force.
-constexpr milliseconds endpoints_pause{350};
+// Pause between watches of the configuration, which has two seconds to be in
+// force.
 constexpr milliseconds configuration_pause{100};
+// Endpoints register and leave in numbers, and each watch costs a call. This
+// share of the time in which a leaving endpoint must be known is spent between
+// two watches; the rest is for a slow platform and a busy processor.
+constexpr double endpoints_pause_share = 0.35;
+constexpr milliseconds longest_endpoints_pause{1000};
 constexpr milliseconds sweep_period{250};
 // After SIGTERM the balancer asks once a second and needs two misses; until
 // then new connections still come. It may also go on sending them, when too
@@ -40,6 +44,12 @@
   return {from.name, from.rpc_listen.text(), from.data_centre};
 }
 
+milliseconds endpoints_pause(milliseconds notice) {
+  const milliseconds share(static_cast<long>(
+      static_cast<double>(notice.count()) * endpoints_pause_share));
+  return std::min(share, longest_endpoints_pause);
+}
+
 class gateway_process {
  public:
   explicit gateway_process(const gateway_settings& settings)
@@ -51,7 +61,8 @@
         configurations_(loop_, platform_, platform::kind_configuration,
                         configuration_wait, configuration_pause),
         endpoints_watch_(loop_, platform_, platform::kind_endpoints,
-                         endpoints_wait, endpoints_pause),
+                         endpoints_wait,
+                         endpoints_pause(settings.endpoint_notice)),
         gateways_(platform_),
         relays_(loop_, gateways_, entry_of(settings.service)),
         failures_(loop_, rpc_, relays_, entry_of(settings.service)),
@@ -246,7 +257,7 @@
       clients_.close_idle();
       checking_ = loop_.every(drain_check_period, [this] { check_drained(); });
     });
-    const milliseconds limit(settings_.service.stop_limit_ms);
+    const milliseconds limit = settings_.service.stop_limit;
     last_moment_ =
         loop_.after(std::max(limit - stop_margin, balancer_notice), [this] {
           log_warn("drain_unfinished",
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -162,6 +162,7 @@
                                                    : history_.chain()->endpoint;
     wanted.data_centre = parts_.data_centre;
     wanted.excluded = &tried_;
+    wanted.once = route_->kind == repetition::once;
     wanted.connected = [this](const endpoint& each) {
       return parts_.pool.has_idle(each.address, each.id);
     };
@@ -176,6 +177,8 @@
         parts_.pool.start(to.address, to.id, outgoing(), observer()));
     if (route_->kind == repetition::repeatable) {
       arm_attempt_guard();
+    } else if (route_->kind == repetition::once) {
+      arm_stall_guard();
     }
   }
 
@@ -217,6 +220,22 @@
     });
   }
 
+  // A request that may run only once waits on, but an endpoint that is this
+  // late is a warning to others.
+  void arm_stall_guard() {
+    if (route_->latency_objective.count() == 0) {
+      return;
+    }
+    const std::weak_ptr<request_flow> weak = weak_from_this();
+    attempt_guard_ = parts_.loop.after(route_->latency_objective, [weak] {
+      const auto held = weak.lock();
+      if (held != nullptr && !held->ended_ && held->attempt_.status() == 0) {
+        held->attempt_.suspect();
+        held->parts_.endpoint_failed(held->attempt_.endpoint_id());
+      }
+    });
+  }
+
   // ---- The endpoint's answer ----------------------------------------------
 
   bool take_head(const http1_answer_head& head) {
--- a/src/records/store_main.cc
+++ b/src/records/store_main.cc
@@ -1,4 +1,5 @@
 // trayrock-store: keeps records of turns on a box with a disk.
+#include <algorithm>
 #include <csignal>
 
 #include "platform/group_registry.h"
@@ -17,7 +18,9 @@
   made.self.set_address(from.service.rpc_listen.text());
   made.self.set_box(from.service.box);
   made.self.set_data_centre(from.service.data_centre);
-  made.tolerated = static_cast<std::uint32_t>(from.tolerated_losses);
+  // Voters lie in different data centres as far as there are enough.
+  made.tolerated = static_cast<std::uint32_t>(
+      std::max(from.tolerated_losses, from.tolerated_data_centre_losses));
   made.first_start = from.first_start;
   return made;
 }
--- a/src/settings/service_settings.cc
+++ b/src/settings/service_settings.cc
@@ -7,8 +7,21 @@
 
 constexpr std::array<std::string_view, 4> log_levels{"debug", "info", "warn",
                                                      "error"};
-constexpr number_range stop_range_ms{500, 600000};
-constexpr number_range losses_range{0, 3};
+constexpr double least_stop_s = 0.5;
+constexpr double longest_stop_s = 600;
+constexpr double least_notice_ms = 100;
+constexpr double longest_notice_ms = 60000;
+constexpr number_range losses_range{0, 16};
+
+// Platforms give some durations in seconds with a fraction.
+milliseconds seconds_or(strict_object& top, std::string_view key, double least,
+                        double longest, milliseconds fallback) {
+  constexpr double ms_per_second = 1000;
+  const double seconds =
+      top.real_or(key, least, longest,
+                  static_cast<double>(fallback.count()) / ms_per_second);
+  return milliseconds(static_cast<long>(seconds * ms_per_second));
+}
 
 service_settings read_service(strict_object& top) {
   service_settings made;
@@ -19,8 +32,8 @@
   made.metrics_listen = read_address(top, "metrics_listen");
   made.platform = read_address(top, "platform");
   made.log_level = top.choice("log_level", log_levels, made.log_level);
-  made.stop_limit_ms =
-      top.number_or("stop_limit_ms", stop_range_ms, made.stop_limit_ms);
+  made.stop_limit = seconds_or(top, "stop_limit_s", least_stop_s,
+                               longest_stop_s, made.stop_limit);
   return made;
 }
 
@@ -37,6 +50,9 @@
   made.service = read_service(top);
   made.http_listen = read_address(top, "http_listen");
   made.ready_listen = read_address(top, "ready_listen");
+  made.endpoint_notice = milliseconds(static_cast<long>(
+      top.real_or("endpoint_notice_ms", least_notice_ms, longest_notice_ms,
+                  static_cast<double>(made.endpoint_notice.count()))));
   top.close();
   return made;
 }
@@ -52,6 +68,9 @@
   made.data_folder = top.text("data_folder");
   made.tolerated_losses =
       top.number_or("tolerated_losses", losses_range, made.tolerated_losses);
+  made.tolerated_data_centre_losses =
+      top.number_or("tolerated_data_centre_losses", losses_range,
+                    made.tolerated_data_centre_losses);
   made.first_start = top.flag_or("first_start", made.first_start);
   top.close();
   return made;
--- a/test/documents_test.cc
+++ b/test/documents_test.cc
@@ -1,9 +1,11 @@
 // The docs name what the code has: errors, settings, declared keys.
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
 #include "test_support.h"
 #include "trayrock/errors.h"
+#include "trayrock/internal/settings/service_settings.h"
 #include "trayrock/internal/settings/settings.h"
 
 namespace trayrock::testing {
@@ -20,6 +22,8 @@
   CPPUNIT_TEST_SUITE(documents_test);
   CPPUNIT_TEST(every_error_is_in_the_table);
   CPPUNIT_TEST(settings_in_the_docs_are_accepted);
+  CPPUNIT_TEST(gateway_and_store_settings_in_the_docs_are_accepted);
+  CPPUNIT_TEST(stop_limit_may_be_a_fraction_of_seconds);
   CPPUNIT_TEST(every_fault_of_a_settings_file_is_listed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -44,6 +48,28 @@
     TRAYROCK_CHECK(faults.empty(), describe(faults.front()));
   }
 
+  void gateway_and_store_settings_in_the_docs_are_accepted() {
+    const std::string page = read_document("SETTINGS.md");
+    fault_list faults;
+    read_gateway_settings(block(page, "gateway and store"), faults);
+    TRAYROCK_CHECK(faults.empty(), describe(faults.front()));
+    const std::size_t store = page.find("// A record store.");
+    read_store_settings(block(page, "gateway and store", store - 16), faults);
+    TRAYROCK_CHECK(faults.empty(), describe(faults.front()));
+  }
+
+  // A platform that allowed 4.5 s used to get the process refused at start.
+  void stop_limit_may_be_a_fraction_of_seconds() {
+    std::string text = block(read_document("SETTINGS.md"), "gateway and store");
+    const std::string whole = "\"stop_limit_s\": 8";
+    text.replace(text.find(whole), whole.size(), "\"stop_limit_s\": 4.5");
+    fault_list faults;
+    const gateway_settings read = read_gateway_settings(text, faults);
+    TRAYROCK_CHECK(faults.empty(), describe(faults.front()));
+    CPPUNIT_ASSERT_EQUAL(4500L,
+                         static_cast<long>(read.service.stop_limit.count()));
+  }
+
   void every_fault_of_a_settings_file_is_listed() {
     fault_list faults;
     read_node_settings(R"({
@@ -66,11 +92,13 @@
   }
 
  private:
-  // The JSON block that follows the heading of a process.
-  static std::string block(const std::string& page, const std::string& name) {
+  // The JSON block that follows the heading of a process, or a place behind it.
+  static std::string block(const std::string& page, const std::string& name,
+                           std::size_t behind = 0) {
     const std::size_t heading = page.find("## " + name);
     const std::string fence = "```json\n";
-    const std::size_t begin = page.find(fence, heading) + fence.size();
+    const std::size_t begin =
+        page.find(fence, std::max(heading, behind)) + fence.size();
     return page.substr(begin, page.find("```", begin) - begin);
   }
 };
--- a/test/endpoint_health_test.cc
+++ b/test/endpoint_health_test.cc
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(reports_of_one_gateway_do_not);
   CPPUNIT_TEST(pause_ends_and_grows_with_each_relapse);
   CPPUNIT_TEST(endpoint_without_connection_is_left_alone_at_once);
+  CPPUNIT_TEST(trial_behind_a_pause_ends_with_an_answer);
+  CPPUNIT_TEST(answer_within_a_pause_does_not_end_the_trial);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -35,8 +37,8 @@
     std::uint64_t at = start_ms;
     for (int i = 0; i < 4 && !health.avoided(at); ++i) {
       health.failed(at);
-      health.answered();
-      health.answered();
+      health.answered(at);
+      health.answered(at);
       at += 100;
     }
     TRAYROCK_CHECK(health.avoided(at),
@@ -49,7 +51,7 @@
     for (int i = 0; i < 20; ++i) {
       const std::uint64_t at = start_ms + 1500U * static_cast<unsigned>(i);
       health.failed(at);
-      health.answered();
+      health.answered(at);
       CPPUNIT_ASSERT(!health.avoided(at));
     }
   }
@@ -84,6 +86,23 @@
     CPPUNIT_ASSERT(health.unreachable(start_ms));
     CPPUNIT_ASSERT(health.avoided(start_ms));
   }
+
+  void trial_behind_a_pause_ends_with_an_answer() {
+    endpoint_health health;
+    CPPUNIT_ASSERT(!health.on_trial(start_ms));
+    health.unreachable(start_ms);
+    CPPUNIT_ASSERT(!health.on_trial(start_ms + 399));
+    CPPUNIT_ASSERT(health.on_trial(start_ms + 400));
+    health.answered(start_ms + 500);
+    CPPUNIT_ASSERT(!health.on_trial(start_ms + 501));
+  }
+
+  void answer_within_a_pause_does_not_end_the_trial() {
+    endpoint_health health;
+    health.unreachable(start_ms);
+    health.answered(start_ms + 100);
+    CPPUNIT_ASSERT(health.on_trial(start_ms + 400));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_health_test);
