Stopping and starting gateways: requests by what their routes take, connections wait

Change: a stopping gateway takes connections until 0.7 s before its end, which is 0.3 s before the limit. A request is refused (1407, not run) when the longest of the last 64 of its route takes longer than what is left (decide/duration_book.h). A process that starts lets connections wait in the backlog until it can serve, 0.6 s at the most.

Test: duration_book_test 3 of 3, gateway_path_test 18 of 18, documents_test 5 of 5.

--- a/include/trayrock/errors.h
+++ b/include/trayrock/errors.h
@@ -62,6 +62,7 @@
   answer_cut = 1404,
   answer_invalid = 1405,
   endpoints_full = 1406,
+  stopping = 1407,
 
   platform_unavailable = 1501,
   version_conflict = 1502,
--- /dev/null
+++ b/include/trayrock/internal/decide/duration_book.h
@@ -0,0 +1,45 @@
+// How long requests of each route have lately taken, to say whether one that
+// comes now can still be ended.
+//
+// No I/O, no clock.
+//
+// Example:
+//   duration_book durations;
+//   durations.add("chat", milliseconds(240));
+//   if (durations.longest("chat") > time_left) refuse();
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace trayrock {
+
+class duration_book {
+ public:
+  // Expected of a route with too few samples. Of 52,000 requests on a busy
+  // day of the users' bench one took longer than 2.0 s.
+  static constexpr std::chrono::milliseconds unknown{2200};
+
+  void add(std::string_view route, std::chrono::milliseconds taken);
+
+  // The longest of the last requests of a route.
+  std::chrono::milliseconds longest(std::string_view route) const;
+
+ private:
+  // The longest of 64 is about the 98th percentile.
+  static constexpr std::size_t kept = 64;
+  static constexpr std::size_t enough = 16;
+
+  struct samples {
+    std::array<std::chrono::milliseconds, kept> last{};
+    std::size_t seen = 0;
+  };
+
+  std::map<std::string, samples, std::less<>> routes_;
+};
+
+}  // namespace trayrock
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <string>
 
+#include "trayrock/internal/decide/duration_book.h"
 #include "trayrock/internal/gateway/chain_cache.h"
 #include "trayrock/internal/gateway/configuration.h"
 #include "trayrock/internal/gateway/endpoint_directory.h"
@@ -35,6 +36,7 @@
   endpoint_directory& endpoints;
   chain_cache& chains;
   metrics_registry& metrics;
+  duration_book& durations;
   std::string data_centre;
   std::function<configuration_ptr()> configuration;  // nullptr: none yet
   // Milliseconds since the platform last answered about the endpoints.
--- a/include/trayrock/internal/net/http1_server.h
+++ b/include/trayrock/internal/net/http1_server.h
@@ -88,7 +88,12 @@
   // From now on every answer closes its connection.
   void close_after_answers();
 
-  // Takes no new connections from here on.
+  // New connections wait, in number up to the backlog, until they are accepted
+  // again.
+  void pause_accepting();
+  void resume_accepting();
+
+  // Refuses new connections from here on.
   void stop_accepting();
 
   // Closes the connections on which no request has begun.
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -35,12 +35,15 @@
 // then new connections still come. It may also go on sending them, when too
 // few gateways of a data centre are ready: all of them may be stopping.
 constexpr milliseconds balancer_notice{2700};
-// So connections are taken until only this much time is left. Of 60,000
-// requests measured on busy days one took longer than 2.1 s.
-constexpr milliseconds last_requests{2200};
+// So connections are taken nearly to the end; each request is refused if those
+// of its route take longer than what is left. The quickest routes take 0.3 s.
+constexpr milliseconds last_connections{700};
 constexpr milliseconds drain_check_period{50};
 // The process ends this long before it would be killed.
-constexpr milliseconds stop_margin{600};
+constexpr milliseconds stop_margin{300};
+// A process that has just started lets connections wait until it can serve
+// them, which takes some tens of ms, and no longer than this.
+constexpr milliseconds longest_start{600};
 
 platform::gateway_entry entry_of(const service_settings& from) {
   return {from.name, from.rpc_listen.text(), from.data_centre};
@@ -77,6 +80,7 @@
                endpoints_,
                chains_,
                metrics_,
+               durations_,
                settings.service.data_centre,
                [this] { return configuration_; },
                [this] { return endpoints_watch_.silence_ms(); },
@@ -124,6 +128,8 @@
       take_failure_report(endpoint, gateway);
     });
     relays_.start();
+    clients_.pause_accepting();
+    starting_ = loop_.after(longest_start, [this] { begin_serving(); });
     watch_platform();
     const timer terminate = loop_.on_signal(SIGTERM, [this] { begin_drain(); });
     const timer reload = loop_.on_signal(SIGHUP, [] {
@@ -154,9 +160,27 @@
            records_.has_group();
   }
 
+  void begin_serving() {
+    if (serving_) {
+      return;
+    }
+    serving_ = true;
+    starting_.cancel();
+    log_info("serving_begun", {{"ready", ready() ? "yes" : "no"}});
+    clients_.resume_accepting();
+  }
+
+  void serve_if_ready() {
+    if (!serving_ && ready()) {
+      begin_serving();
+    }
+  }
+
   void watch_platform() {
-    registry_.watch_group(
-        [this](const records::Group& group) { records_.adopt(group); });
+    registry_.watch_group([this](const records::Group& group) {
+      records_.adopt(group);
+      serve_if_ready();
+    });
     configurations_.on_snapshot(
         [this](const platform::object_listing& found, bool) {
           for (const platform::stored_object& each : found.objects) {
@@ -199,6 +223,7 @@
               {"routes", std::to_string(decoded.value().routes.size())}});
     configuration_ =
         std::make_shared<const configuration>(std::move(decoded.value()));
+    serve_if_ready();
   }
 
   void take_endpoints(const platform::object_listing& found, bool after_loss) {
@@ -215,6 +240,7 @@
                                   {"revision", std::to_string(found.revision)},
                                   {"after_loss", after_loss ? "yes" : "no"}});
     endpoints_.replace(listed, after_loss, loop_.now_ms());
+    serve_if_ready();
   }
 
   void take_endpoint(const platform::object_change& change) {
@@ -267,7 +293,7 @@
                              {"ends_in_ms", std::to_string(left.count())}});
     clients_.close_after_answers();
     taking_ =
-        loop_.after(std::max(left - last_requests, balancer_notice), [this] {
+        loop_.after(std::max(left - last_connections, balancer_notice), [this] {
           clients_.stop_accepting();
           clients_.close_idle();
           checking_ =
@@ -304,14 +330,17 @@
   record_client records_;
   endpoint_directory endpoints_;
   chain_cache chains_;
+  duration_book durations_;
   configuration_ptr configuration_;
   gateway_parts parts_;
   http1_server clients_;
   http1_server readiness_;
   http1_server figures_;
+  timer starting_;
   timer taking_;
   timer checking_;
   timer last_moment_;
+  bool serving_ = false;  // connections are accepted
   bool draining_ = false;
   std::uint64_t ends_at_ms_ = 0;  // once draining
   int exit_code_ = exit_done;
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -35,6 +35,7 @@
 constexpr milliseconds back_after_history{250};
 constexpr milliseconds back_after_reserved{200};
 constexpr milliseconds back_after_unconfigured{500};
+constexpr milliseconds back_after_stopping{50};
 
 // When a client should come back after its turn was refused; zero: it is not
 // told.
@@ -80,7 +81,12 @@
     service_ = pick_service(*route_, placement_key());
     hold_ = route_->timeout.count() > 0 ? route_->timeout : default_timeout;
     hold_ = std::min(hold_, facts_.time_left.value_or(hold_));
-    hold_ = std::min(hold_, parts_.time_to_end());
+    const milliseconds to_end = parts_.time_to_end();
+    if (parts_.durations.longest(route_->name) > to_end) {
+      refuse(errc::stopping, back_after_stopping);
+      return;
+    }
+    hold_ = std::min(hold_, to_end);
     watch_ends();
     if (route_->keeps_history && history_.begin(route_->retention)) {
       reserve();
@@ -146,10 +152,7 @@
   }
 
   milliseconds time_left() const {
-    constexpr std::uint64_t us_per_ms = 1000;
-    const auto spent =
-        milliseconds(static_cast<long>(elapsed_us() / us_per_ms));
-    return std::max(hold_ - answer_margin - spent, milliseconds(0));
+    return std::max(hold_ - answer_margin - elapsed_ms(), milliseconds(0));
   }
 
   void send_next() {
@@ -418,6 +421,11 @@
     respond_error(*out_, why, come_back);
   }
 
+  milliseconds elapsed_ms() const {
+    constexpr std::uint64_t us_per_ms = 1000;
+    return milliseconds(static_cast<long>(elapsed_us() / us_per_ms));
+  }
+
   std::uint64_t elapsed_us() const { return parts_.loop.now_us() - began_us_; }
 
   // Why the endpoint was chosen.
@@ -445,6 +453,9 @@
     report_.endpoints_age_ms = parts_.endpoints_age_ms();
     report_.epoch = parts_.records.group().epoch();
     report_.total_us = elapsed_us();
+    if (route_ != nullptr && outcome == "answered") {
+      parts_.durations.add(route_->name, elapsed_ms());
+    }
     report_.events = events_.whole_events();
     report_.status = status;
     report_.outcome = outcome;
--- a/src/net/http1_server.cc
+++ b/src/net/http1_server.cc
@@ -512,6 +512,18 @@
 
 http1_server::~http1_server() { stop_accepting(); }
 
+void http1_server::pause_accepting() {
+  if (impl_->listener != nullptr) {
+    evconnlistener_disable(impl_->listener);
+  }
+}
+
+void http1_server::resume_accepting() {
+  if (impl_->listener != nullptr) {
+    evconnlistener_enable(impl_->listener);
+  }
+}
+
 void http1_server::stop_accepting() {
   if (impl_->listener != nullptr) {
     evconnlistener_free(impl_->listener);
--- /dev/null
+++ b/test/duration_book_test.cc
@@ -0,0 +1,52 @@
+// How long a route's requests take.
+#include "trayrock/internal/decide/duration_book.h"
+
+#include "test_support.h"
+
+namespace trayrock::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+class duration_book_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(duration_book_test);
+  CPPUNIT_TEST(route_with_few_samples_is_unknown);
+  CPPUNIT_TEST(longest_of_the_last_counts);
+  CPPUNIT_TEST(old_samples_are_forgotten);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void route_with_few_samples_is_unknown() {
+    duration_book durations;
+    add(durations, 15, 10);
+    CPPUNIT_ASSERT(durations.longest("chat") == duration_book::unknown);
+    CPPUNIT_ASSERT(durations.longest("other") == duration_book::unknown);
+  }
+
+  void longest_of_the_last_counts() {
+    duration_book durations;
+    add(durations, 20, 10);
+    add(durations, 1, 900);
+    add(durations, 20, 10);
+    CPPUNIT_ASSERT(durations.longest("chat") == milliseconds(900));
+  }
+
+  void old_samples_are_forgotten() {
+    duration_book durations;
+    add(durations, 1, 900);
+    add(durations, 64, 10);
+    CPPUNIT_ASSERT(durations.longest("chat") == milliseconds(10));
+  }
+
+ private:
+  static void add(duration_book& durations, int count, int ms) {
+    for (int i = 0; i < count; ++i) {
+      durations.add("chat", milliseconds(ms));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(duration_book_test);
+
+}  // namespace
+}  // namespace trayrock::testing
--- a/test/gateway_path_test.cc
+++ b/test/gateway_path_test.cc
@@ -237,9 +237,9 @@
     int last = 0;
     wait_until("new connections are refused", [&] {
       const std::string attempt = "u" + std::to_string(++last);
-      return system.request("gateway-1", "/unsafe/a", attempt).status == 0;
+      return system.request("gateway-1", "/unsafe/a", attempt).status == 0 &&
+             system.running("gateway-1");
     });
-    CPPUNIT_ASSERT(system.running("gateway-1"));
     client.join();
     system.wait_end("gateway-1");
   }
