Soak: ways between processes are slowed, reset, cut one way and silenced

Cause: the users ask for a soak with a loopback proxy, clients that keep their connections, and faults in series that overlap; ours had none of these.

Change: test/fault_proxy.h carries the connections of gateways and stores to each other, to the platform and to the endpoints; a second series of faults harms them beside that of the processes. Clients keep a connection to each gateway. For the proxies, stores and gateways have the setting rpc_address, where others reach them.

--- a/include/trayrock/internal/settings/service_settings.h
+++ b/include/trayrock/internal/settings/service_settings.h
@@ -15,6 +15,7 @@
   std::string box;
   std::string data_centre;
   address rpc_listen;      // other processes of the system
+  address rpc_address;     // where they reach it; rpc_listen unless given
   address metrics_listen;  // counters and histograms
   address platform;        // the object service
   std::string log_level = "info";
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -46,7 +46,7 @@
 constexpr milliseconds longest_start{600};
 
 platform::gateway_entry entry_of(const service_settings& from) {
-  return {from.name, from.rpc_listen.text(), from.data_centre};
+  return {from.name, from.rpc_address.text(), from.data_centre};
 }
 
 milliseconds endpoints_pause(milliseconds notice) {
--- a/src/records/store_main.cc
+++ b/src/records/store_main.cc
@@ -15,7 +15,7 @@
 
 membership_settings membership_of(const store_settings& from) {
   membership_settings made;
-  made.self.set_address(from.service.rpc_listen.text());
+  made.self.set_address(from.service.rpc_address.text());
   made.self.set_box(from.service.box);
   made.self.set_data_centre(from.service.data_centre);
   // Voters lie in different data centres as far as there are enough.
--- a/src/settings/service_settings.cc
+++ b/src/settings/service_settings.cc
@@ -29,6 +29,8 @@
   made.box = top.text("box");
   made.data_centre = top.text("data_centre");
   made.rpc_listen = read_address(top, "rpc_listen");
+  made.rpc_address = top.has("rpc_address") ? read_address(top, "rpc_address")
+                                            : made.rpc_listen;
   made.metrics_listen = read_address(top, "metrics_listen");
   made.platform = read_address(top, "platform");
   made.log_level = top.choice("log_level", log_levels, made.log_level);
--- a/test/fault_soak_test.cc
+++ b/test/fault_soak_test.cc
@@ -1,6 +1,7 @@
 // A randomized soak: clients run programs through real processes while
 // gateways and stores are killed, paused, stopped and replaced, the platform
-// is out, and endpoints misbehave.
+// is out, endpoints misbehave, and the ways between all of them are slowed,
+// reset, cut one way or silenced. Two series of faults run at once and overlap.
 //
 // Checked from what clients and endpoints see: a whole turn is known ever
 // after and its text comes back exactly; nothing runs twice; what was refused
@@ -9,14 +10,17 @@
 // One seed is run in CI. By hand: TRAYROCK_SOAK_SEEDS="7 8 9" and
 // TRAYROCK_SOAK_SECONDS=30. A seed that has ever failed is kept in
 // `regression_seeds`, with a line on the cause.
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
+#include <iostream>
 #include <mutex>
 #include <random>
 #include <sstream>
 #include <thread>
 
+#include "kept_connection.h"
 #include "service_deployment.h"
 #include "test_support.h"
 
@@ -78,7 +82,8 @@
 
 class soak {
  public:
-  soak(unsigned seed, int seconds) : seed_(seed), seconds_(seconds) {}
+  soak(unsigned seed, int seconds)
+      : seed_(seed), seconds_(seconds), system_(with_links()) {}
 
   void run() {
     system_.start_all();
@@ -87,11 +92,13 @@
     for (int i = 0; i < clients; ++i) {
       running.emplace_back([this, i] { run_client(i); });
     }
-    inject_faults();
+    inject_series();
     heal();
     over_ = true;
     running.clear();  // joins: each ends the turn that it is at
     check_runs();
+    std::cout << "soak: seed " << seed_ << ": " << whole_turns_
+              << " whole turns; " << injected_.str() << std::endl;
     TRAYROCK_CHECK(whole_turns_ > 0, "seed " << seed_ << ": no turn served");
     const std::scoped_lock lock(guard_);
     TRAYROCK_CHECK(faults_.empty(),
@@ -154,7 +161,7 @@
   seen_request send_turn(const program& mine, const std::string& name,
                          const std::string& input, std::mt19937& random) {
     std::string bytes = "POST /stream/a HTTP/1.1\r\nHost: local\r\n";
-    bytes += "Connection: close\r\nTrayrock-Attempt-Id: " + name + "\r\n";
+    bytes += "Trayrock-Attempt-Id: " + name + "\r\n";
     bytes += "Trayrock-Program-Id: " + mine.name + "\r\n";
     bytes += "Trayrock-Token-Budget: " + std::to_string(budget) + "\r\n";
     bytes += "Trayrock-Token-Usage: 100," + std::to_string(most_of_a_turn);
@@ -163,30 +170,50 @@
     }
     bytes += "\r\nContent-Length: " + std::to_string(input.size());
     bytes += "\r\n\r\n" + input;
-    return parse(name, send_raw(any_gateway(random), bytes, answer_seconds));
+    return parse(name, any_gateway(random).exchange(bytes, answer_seconds));
   }
 
   void call_tool(const program& mine, int turn, std::mt19937& random) {
     const std::string name = mine.name + "u" + std::to_string(turn);
     const std::string bytes =
-        "GET /unsafe/a HTTP/1.1\r\nHost: local\r\nConnection: close\r\n"
+        "GET /unsafe/a HTTP/1.1\r\nHost: local\r\n"
         "Trayrock-Attempt-Id: " +
         name + "\r\n\r\n";
-    note(parse(name, send_raw(any_gateway(random), bytes, answer_seconds)));
+    note(parse(name, any_gateway(random).exchange(bytes, answer_seconds)));
   }
 
-  int any_gateway(std::mt19937& random) {
-    return system_.port(random() % 2 == 0 ? "gateway-1" : "gateway-2");
+  // A connection of this client, kept for as long as the gateway keeps it.
+  kept_connection& any_gateway(std::mt19937& random) {
+    thread_local std::map<std::string, kept_connection> connections;
+    const std::string name = random() % 2 == 0 ? "gateway-1" : "gateway-2";
+    return connections.try_emplace(name, system_.port(name)).first->second;
   }
 
   // ---- Faults ---------------------------------------------------------------
 
-  void inject_faults() {
-    std::mt19937 random(seed_);
+  static service_options with_links() {
+    service_options options;
+    options.links = true;
+    options.stop_limit_s = 3;
+    return options;
+  }
+
+  // Faults of processes and of links, in two series that overlap.
+  void inject_series() {
+    std::jthread links([this] {
+      inject(seed_ + 500000,
+             [this](std::mt19937& random) { harm_link(random); });
+    });
+    inject(seed_, [this](std::mt19937& random) { inject_one(random); });
+  }
+
+  template <typename injector>
+  void inject(unsigned seed, injector inject_next) {
+    std::mt19937 random(seed);
     const auto end =
         std::chrono::steady_clock::now() + std::chrono::seconds(seconds_);
     while (std::chrono::steady_clock::now() < end) {
-      inject_one(random);
+      inject_next(random);
       std::this_thread::sleep_for(
           std::chrono::milliseconds(100 + random() % 600));
     }
@@ -199,12 +226,12 @@
     const auto pause = std::chrono::milliseconds(200 + random() % 1500);
     switch (random() % 9) {
       case 0:
-        injected_ << "kill " << gateway << "; ";
+        record("kill " + gateway);
         system_.kill(gateway);
         system_.start(gateway);
         break;
       case 1:
-        injected_ << "term " << gateway << "; ";
+        record("term " + gateway);
         system_.signal(gateway, SIGTERM);
         system_.wait_end(gateway);
         system_.start(gateway);
@@ -216,14 +243,14 @@
         freeze(store, pause);
         break;
       case 4:
-        injected_ << "kill " << store << "; ";
+        record("kill " + store);
         system_.kill(store);
         std::this_thread::sleep_for(pause);
         system_.start(store);
         wait_counting();
         break;
       case 5:
-        injected_ << "wipe " << store << "; ";
+        record("wipe " + store);
         wait_counting();
         system_.replace_disk(store);
         wait_counting();
@@ -232,11 +259,11 @@
         platform_fault(random() % 2 == 0 ? "outage" : "silent", pause);
         break;
       case 7:
-        injected_ << "lose answers; ";
+        record("lose answers");
         system_.platform_fault({{"lose_write_answers", 1 + random() % 2}});
         break;
       default:
-        injected_ << "runner; ";
+        record("runner");
         system_.runner_fault(runner, {{"refuse", random() % 2},
                                       {"cut_unanswered", random() % 2},
                                       {"cut_midway", random() % 2},
@@ -245,8 +272,31 @@
     }
   }
 
+  void harm_link(std::mt19937& random) {
+    const std::vector<std::string> names = system_.link_names();
+    const std::string& name = names[random() % names.size()];
+    fault_proxy& link = system_.link(name);
+    constexpr std::array faults{link_fault::slow, link_fault::cut_requests,
+                                link_fault::cut_answers, link_fault::silence};
+    const std::size_t picked = random() % (faults.size() + 1);
+    const auto pause = std::chrono::milliseconds(200 + random() % 1800);
+    record("link " + name + " " + std::to_string(picked));
+    if (picked == faults.size()) {
+      link.reset_all();
+      return;
+    }
+    link.set(faults[picked]);
+    std::this_thread::sleep_for(pause);
+    link.set(link_fault::none);
+  }
+
+  void record(const std::string& fault) {
+    const std::scoped_lock lock(guard_);
+    injected_ << fault << "; ";
+  }
+
   void freeze(const std::string& name, std::chrono::milliseconds pause) {
-    injected_ << "freeze " << name << "; ";
+    record("freeze " + name);
     system_.signal(name, SIGSTOP);
     std::this_thread::sleep_for(pause);
     system_.signal(name, SIGCONT);
@@ -254,7 +304,7 @@
 
   void platform_fault(const std::string& kind,
                       std::chrono::milliseconds pause) {
-    injected_ << "platform " << kind << "; ";
+    record("platform " + kind);
     system_.platform_fault({{kind, true}});
     std::this_thread::sleep_for(pause);
     system_.platform_fault({{kind, false}});
--- /dev/null
+++ b/test/kept_connection.cc
@@ -0,0 +1,104 @@
+#include "kept_connection.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <cstdlib>
+
+namespace trayrock::testing {
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+// How far an answer has come.
+enum class progress { unfinished, whole, whole_and_last };
+
+progress progress_of(const std::string& answer) {
+  const std::size_t head = answer.find("\r\n\r\n");
+  if (head == std::string::npos) {
+    return progress::unfinished;
+  }
+  const std::string headers = answer.substr(0, head);
+  const std::size_t body = answer.size() - head - 4;
+  const std::string length_name = "Content-Length: ";
+  const std::size_t length = headers.find(length_name);
+  const bool whole =
+      length == std::string::npos
+          ? answer.ends_with("0\r\n\r\n")
+          : body >= std::strtoull(headers.c_str() + length + length_name.size(),
+                                  nullptr, 10);
+  if (!whole) {
+    return progress::unfinished;
+  }
+  return headers.find("Connection: close") == std::string::npos
+             ? progress::whole
+             : progress::whole_and_last;
+}
+
+}  // namespace
+
+bool kept_connection::open() {
+  socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_port = htons(static_cast<std::uint16_t>(port_));
+  where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (connect(socket_, reinterpret_cast<const sockaddr*>(&where),
+              sizeof(where)) != 0) {
+    close();
+    return false;
+  }
+  return true;
+}
+
+void kept_connection::close() {
+  if (socket_ >= 0) {
+    ::close(socket_);
+    socket_ = -1;
+  }
+}
+
+bool kept_connection::closed_by_peer() const {
+  char byte = 0;
+  return recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+std::string kept_connection::exchange(const std::string& request, int seconds) {
+  if (socket_ >= 0 && closed_by_peer()) {
+    close();
+  }
+  if (socket_ < 0 && !open()) {
+    return {};
+  }
+  const auto sent = send(socket_, request.data(), request.size(), MSG_NOSIGNAL);
+  std::string answer;
+  const auto end = clock::now() + std::chrono::seconds(seconds);
+  progress reached = progress::unfinished;
+  while (sent >= 0 && reached == progress::unfinished) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        end - clock::now());
+    pollfd readable{socket_, POLLIN, 0};
+    if (left.count() <= 0 ||
+        poll(&readable, 1, static_cast<int>(left.count())) <= 0) {
+      break;
+    }
+    std::array<char, 16384> bytes{};
+    const ssize_t got = recv(socket_, bytes.data(), bytes.size(), 0);
+    if (got <= 0) {
+      break;
+    }
+    answer.append(bytes.data(), static_cast<std::size_t>(got));
+    reached = progress_of(answer);
+  }
+  if (reached != progress::whole) {
+    close();
+  }
+  return answer;
+}
+
+}  // namespace trayrock::testing
--- /dev/null
+++ b/test/kept_connection.h
@@ -0,0 +1,34 @@
+// A client's connection to one port of loopback that is kept from request to
+// request, until the server closes it.
+//
+// Example:
+//   kept_connection to_gateway(port);
+//   const std::string answer = to_gateway.exchange(request, 10);
+#pragma once
+
+#include <string>
+
+namespace trayrock::testing {
+
+class kept_connection {
+ public:
+  explicit kept_connection(int port) : port_(port) {}
+  kept_connection(const kept_connection&) = delete;
+  kept_connection& operator=(const kept_connection&) = delete;
+  ~kept_connection() { close(); }
+
+  // Sends a request once and reads its answer: head and body as they came,
+  // nothing more than what came before the connection or the time ended. A
+  // kept connection that the server has closed is replaced beforehand.
+  std::string exchange(const std::string& request, int seconds);
+
+ private:
+  bool open();
+  void close();
+  bool closed_by_peer() const;
+
+  int port_;
+  int socket_ = -1;
+};
+
+}  // namespace trayrock::testing
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -79,6 +79,28 @@
   return port;
 }
 
+int service_deployment::reached_at(const std::string& link, int port) {
+  if (!options_.links) {
+    return port;
+  }
+  const auto held = link_ports_.find(link);
+  if (held != link_ports_.end()) {
+    return held->second;
+  }
+  const int listening = take_port();
+  link_ports_[link] = listening;
+  links_[link] = std::make_unique<fault_proxy>(listening, port);
+  return listening;
+}
+
+std::vector<std::string> service_deployment::link_names() const {
+  std::vector<std::string> names;
+  for (const auto& [name, each] : links_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
 void service_deployment::add_store(const std::string& name) {
   process& store = processes_[name];
   store.port = take_port();
@@ -91,15 +113,17 @@
 void service_deployment::write_store_settings(const std::string& name,
                                               bool first_start) {
   const process& store = processes_.at(name);
-  const json settings = {{"name", name},
-                         {"box", name},
-                         {"data_centre", data_centre(name)},
-                         {"rpc_listen", local(store.port)},
-                         {"metrics_listen", local(store.second_port)},
-                         {"platform", local(port("objects"))},
-                         {"data_folder", folder_ + "/" + name + ".data"},
-                         {"tolerated_losses", 1},
-                         {"first_start", first_start}};
+  const json settings = {
+      {"name", name},
+      {"box", name},
+      {"data_centre", data_centre(name)},
+      {"rpc_listen", local(store.port)},
+      {"rpc_address", local(reached_at(name, store.port))},
+      {"metrics_listen", local(store.second_port)},
+      {"platform", local(reached_at("platform of " + name, port("objects")))},
+      {"data_folder", folder_ + "/" + name + ".data"},
+      {"tolerated_losses", 1},
+      {"first_start", first_start}};
   std::ofstream(folder_ + "/" + name + ".json") << settings.dump();
 }
 
@@ -109,15 +133,16 @@
   gateway.second_port = take_port();
   gateway.command = {binaries_ + "/trayrock-gateway", "--settings",
                      folder_ + "/" + name + ".json"};
-  const json settings = {{"name", name},
-                         {"box", name},
-                         {"data_centre", data_centre(name)},
-                         {"http_listen", local(gateway.port)},
-                         {"ready_listen", local(gateway.second_port)},
-                         {"rpc_listen", local(take_port())},
-                         {"metrics_listen", local(take_port())},
-                         {"platform", local(port("objects"))},
-                         {"stop_limit_s", options_.stop_limit_s}};
+  const json settings = {
+      {"name", name},
+      {"box", name},
+      {"data_centre", data_centre(name)},
+      {"http_listen", local(gateway.port)},
+      {"ready_listen", local(gateway.second_port)},
+      {"rpc_listen", local(take_port())},
+      {"metrics_listen", local(take_port())},
+      {"platform", local(reached_at("platform of " + name, port("objects")))},
+      {"stop_limit_s", options_.stop_limit_s}};
   std::ofstream(folder_ + "/" + name + ".json") << settings.dump();
 }
 
@@ -224,7 +249,7 @@
                                          const std::string& phase) {
   put_object("servers", name,
              {{"service", "assistant"},
-              {"address", local(port(name))},
+              {"address", local(reached_at(name, port(name)))},
               {"zone", "dc-1"},
               {"capacity", 8},
               {"phase", phase}});
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "deployment.h"
+#include "fault_proxy.h"
 
 namespace trayrock::testing {
 
@@ -19,6 +21,7 @@
   int max_endpoints = 2;
   int timeout_ms = 8000;
   double stop_limit_s = 8;  // of the gateways
+  bool links = false;       // calls between processes go through fault proxies
 };
 
 class service_deployment {
@@ -68,6 +71,11 @@
   std::string body_of(const std::string& attempt);
   json counts(const std::string& runner);
 
+  // With `links`: the way to a process ("store-1", "runner-1"), or the way of
+  // one to the platform ("platform of gateway-1").
+  fault_proxy& link(const std::string& name) { return *links_.at(name); }
+  std::vector<std::string> link_names() const;
+
   // The value of a store's metric; -1 if it has none.
   double metric(const std::string& store, const std::string& name);
 
@@ -90,7 +98,12 @@
   std::string binaries_;
   std::vector<int> ports_;
   std::map<std::string, process> processes_;
+  std::map<std::string, int> link_ports_;
+  std::map<std::string, std::unique_ptr<fault_proxy>> links_;
   int take_port();
+
+  // The port at which others reach what listens on `port`.
+  int reached_at(const std::string& link, int port);
 };
 
 }  // namespace trayrock::testing
