Gateways pass new configurations on to each other

Cause: a gateway whose watch was forgotten or answered into a lost connection keeps its configuration until the watch's time is over (5 s), though the platform may be well again by then; one that the platform turns away keeps it for the whole outage.

Change: failure reports become news (gateway/peer_news.h), which also say which configuration a gateway has taken; whoever holds an older one fetches the document from the sender. Versions never go back. News wait until peers are known.

--- /dev/null
+++ b/include/trayrock/internal/gateway/peer_news.h
@@ -0,0 +1,81 @@
+// What gateways tell each other: endpoints that failed requests, and the
+// configuration that is in force.
+//
+// With many gateways each sees too few requests of one endpoint to notice soon
+// that it fails; together they notice within some tenths of a second. And one
+// that the platform turns away, or whose watch was forgotten, learns of a new
+// configuration from the others. News are sent in batches, to a bounded number
+// of peers; nobody waits for an answer. Lost news of a failure are no harm; the
+// configuration also comes by each gateway's own watch.
+//
+// Example:
+//   peer_news news(loop, pool, relays, own);
+//   news.serve(rpc, {on_failure, on_configuration, held_document});
+//   news.note_failure("endpoint-1");
+//   news.note_configuration(7);
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "platform/gateway_registry.h"
+#include "trayrock/internal/gateway/peer_relays.h"
+#include "trayrock/internal/net/loop.h"
+#include "trayrock/internal/net/rpc.h"
+
+namespace trayrock {
+
+// A configuration as the operator wrote it.
+struct configuration_document {
+  std::uint64_t version = 0;  // 0: none
+  std::string text;
+};
+
+struct news_handlers {
+  // A request of another gateway failed at an endpoint.
+  std::function<void(const std::string& endpoint, const std::string& gateway)>
+      failure;
+  // Another gateway has sent its configuration, newer than the held one.
+  std::function<void(const configuration_document&)> configuration;
+  // The configuration that this gateway holds.
+  std::function<const configuration_document&()> held;
+};
+
+class peer_news {
+ public:
+  // All that is passed in by reference outlives the object.
+  peer_news(event_loop& loop, rpc_pool& pool, peer_relays& peers,
+            platform::gateway_entry own);
+  peer_news(const peer_news&) = delete;
+  peer_news& operator=(const peer_news&) = delete;
+
+  // Hears of news by this server, and hands out the held configuration.
+  void serve(rpc_server& server, news_handlers handlers);
+
+  // A request of this gateway failed at the endpoint.
+  void note_failure(const std::string& endpoint);
+
+  // This gateway has a new configuration.
+  void note_configuration(std::uint64_t version);
+
+ private:
+  void send_soon();
+  void send();
+  void fetch_configuration(const std::string& from);
+
+  event_loop& loop_;
+  rpc_pool& pool_;
+  peer_relays& peers_;
+  platform::gateway_entry own_;
+  news_handlers handlers_;
+  std::set<std::string> failed_endpoints_;   // since the last batch
+  std::uint64_t configuration_ = 0;          // to be told with the next batch
+  std::map<std::string, rpc_call> sending_;  // by the peer's address
+  rpc_call fetching_;
+  timer batch_;
+};
+
+}  // namespace trayrock
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -5,7 +5,7 @@
 #include "platform/collection_watcher.h"
 #include "platform/documents.h"
 #include "platform/group_registry.h"
-#include "trayrock/internal/gateway/failure_reports.h"
+#include "trayrock/internal/gateway/peer_news.h"
 #include "trayrock/internal/gateway/request_flow.h"
 #include "trayrock/internal/log.h"
 #include "trayrock/internal/process.h"
@@ -70,7 +70,7 @@
                          endpoints_pause(settings.endpoint_notice)),
         gateways_(platform_),
         relays_(loop_, gateways_, entry_of(settings.service)),
-        failures_(loop_, rpc_, relays_, entry_of(settings.service)),
+        news_(loop_, rpc_, relays_, entry_of(settings.service)),
         peers_(loop_, {}),
         records_(loop_, rpc_, settings.service.data_centre, metrics_),
         chains_(chain_cache_bytes),
@@ -85,7 +85,7 @@
                [this] { return configuration_; },
                [this] { return endpoints_watch_.silence_ms(); },
                [this] { return time_to_end(); },
-               [this](const std::string& id) { failures_.note(id); }},
+               [this](const std::string& id) { news_.note_failure(id); }},
         clients_(
             loop_, [this] { return limits(); },
             [this](http1_request request, http1_exchange_ptr out) {
@@ -123,10 +123,15 @@
     });
     serve_relays(peers_, rpc_, records_);
     records_.use_relays(relays_.source());
-    failures_.serve(peers_, [this](const std::string& endpoint,
-                                   const std::string& gateway) {
-      take_failure_report(endpoint, gateway);
-    });
+    news_.serve(
+        peers_,
+        {[this](const std::string& endpoint, const std::string& gateway) {
+           take_failure_report(endpoint, gateway);
+         },
+         [this](const configuration_document& document) {
+           take_peer_configuration(document);
+         },
+         [this]() -> const configuration_document& { return document_; }});
     relays_.start();
     clients_.pause_accepting();
     starting_ = loop_.after(longest_start, [this] { begin_serving(); });
@@ -223,9 +228,28 @@
               {"routes", std::to_string(decoded.value().routes.size())}});
     configuration_ =
         std::make_shared<const configuration>(std::move(decoded.value()));
+    document_ = {configuration_->version, platform::text_of(object)};
+    news_.note_configuration(configuration_->version);
     serve_if_ready();
   }
 
+  // Another gateway has a newer configuration: this one's watch is late.
+  void take_peer_configuration(const configuration_document& document) {
+    const result<platform::stored_object> object =
+        platform::object_of(document.text);
+    if (!object) {
+      log_error("peer_configuration_unusable",
+                {{"version", std::to_string(document.version)},
+                 {"cause", object.error().message()}});
+      return;
+    }
+    log_info(
+        "configuration_from_peer",
+        {{"version", std::to_string(document.version)},
+         {"platform_silent_ms", std::to_string(configurations_.silence_ms())}});
+    take_configuration(object.value());
+  }
+
   void take_endpoints(const platform::object_listing& found, bool after_loss) {
     std::vector<endpoint> listed;
     for (const platform::stored_object& each : found.objects) {
@@ -325,13 +349,14 @@
   platform::collection_watcher endpoints_watch_;
   platform::gateway_registry gateways_;
   peer_relays relays_;
-  failure_reports failures_;
+  peer_news news_;
   rpc_server peers_;
   record_client records_;
   endpoint_directory endpoints_;
   chain_cache chains_;
   duration_book durations_;
   configuration_ptr configuration_;
+  configuration_document document_;  // that `configuration_` was read from
   gateway_parts parts_;
   http1_server clients_;
   http1_server readiness_;
--- /dev/null
+++ b/src/gateway/peer_news.cc
@@ -0,0 +1,115 @@
+#include "trayrock/internal/gateway/peer_news.h"
+
+#include <vector>
+
+#include "records.pb.h"
+#include "trayrock/internal/log.h"
+
+namespace trayrock {
+namespace {
+
+// News wait this long for others to be sent with them.
+constexpr milliseconds batch_delay{120};
+// Endpoints that one batch names at the most.
+constexpr std::size_t most_endpoints = 32;
+// Peers that get a batch. With more gateways each still tells this many, so
+// that the work of one event does not grow with the fleet; a configuration is
+// passed on by each that has taken it.
+constexpr std::size_t most_peers = 24;
+constexpr milliseconds news_limit{500};
+// Peers are read from the platform soon after the start; until then news wait.
+constexpr milliseconds no_peers_pause{1000};
+constexpr milliseconds fetch_limit{1000};
+
+}  // namespace
+
+peer_news::peer_news(event_loop& loop, rpc_pool& pool, peer_relays& peers,
+                     platform::gateway_entry own)
+    : loop_(loop), pool_(pool), peers_(peers), own_(std::move(own)) {}
+
+void peer_news::serve(rpc_server& server, news_handlers handlers) {
+  handlers_ = std::move(handlers);
+  server.handle_typed<records::GatewayNews>(
+      "News", [this](records::GatewayNews& news, const rpc_reply_ptr& reply) {
+        reply->finish();
+        peers_.add({news.gateway(), news.address(), news.data_centre()});
+        for (const std::string& endpoint : news.failed_endpoints()) {
+          handlers_.failure(endpoint, news.gateway());
+        }
+        if (news.configuration() > handlers_.held().version) {
+          fetch_configuration(news.address());
+        }
+      });
+  server.handle_typed<records::ConfigurationRequest>(
+      "Configuration",
+      [this](records::ConfigurationRequest&, const rpc_reply_ptr& reply) {
+        records::ConfigurationReply answer;
+        answer.set_version(handlers_.held().version);
+        answer.set_document(handlers_.held().text);
+        reply->send(answer);
+        reply->finish();
+      });
+}
+
+void peer_news::note_failure(const std::string& endpoint) {
+  if (failed_endpoints_.size() < most_endpoints) {
+    failed_endpoints_.insert(endpoint);
+    send_soon();
+  }
+}
+
+void peer_news::note_configuration(std::uint64_t version) {
+  configuration_ = version;
+  send_soon();
+}
+
+void peer_news::send_soon() {
+  if (!batch_.pending()) {
+    batch_ = loop_.after(batch_delay, [this] { send(); });
+  }
+}
+
+void peer_news::send() {
+  const std::vector<std::string> peers = peers_.addresses(most_peers);
+  if (peers.empty()) {
+    batch_ = loop_.after(no_peers_pause, [this] { send(); });
+    return;
+  }
+  records::GatewayNews news;
+  news.set_gateway(own_.name);
+  news.set_address(own_.address);
+  news.set_data_centre(own_.data_centre);
+  news.set_configuration(configuration_);
+  for (const std::string& endpoint : failed_endpoints_) {
+    news.add_failed_endpoints(endpoint);
+  }
+  failed_endpoints_.clear();
+  configuration_ = 0;
+  for (const std::string& peer : peers) {
+    if (!sending_[peer].running()) {  // a silent peer gets no second batch
+      sending_[peer] =
+          pool_.start(peer, "News", news, news_limit, nullptr, nullptr);
+    }
+  }
+}
+
+void peer_news::fetch_configuration(const std::string& from) {
+  if (fetching_.running()) {
+    return;
+  }
+  fetching_ = pool_.ask<records::ConfigurationReply>(
+      from, "Configuration", records::ConfigurationRequest(), fetch_limit,
+      [this, from](const result<records::ConfigurationReply>& answer) {
+        if (!answer) {
+          log_info("peer_configuration_unknown",
+                   {{"peer", from}, {"cause", answer.error().message()}});
+          return;
+        }
+        if (answer.value().version() > handlers_.held().version) {
+          handlers_.configuration(
+              {answer.value().version(), answer.value().document()});
+        }
+      });
+}
+
+}  // namespace trayrock
--- a/test/gateway_path_test.cc
+++ b/test/gateway_path_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(stopping_gateway_serves_as_long_as_it_has_time);
   CPPUNIT_TEST(stopping_gateway_answers_what_it_cannot_finish);
   CPPUNIT_TEST(gateway_serves_while_the_platform_is_out);
+  CPPUNIT_TEST(configuration_comes_from_another_gateway);
   CPPUNIT_TEST(gateway_recovers_from_garbled_answers_of_the_platform);
   CPPUNIT_TEST_SUITE_END();
 
@@ -288,6 +289,28 @@
     CPPUNIT_ASSERT_EQUAL(200, call.status);
   }
 
+  // A gateway that the platform does not answer keeps up by the others.
+  void configuration_comes_from_another_gateway() {
+    service_options options;
+    options.links = true;
+    service_deployment system(options);
+    system.start_all();
+    system.link("platform of gateway-1").set(link_fault::cut_answers);
+    system.configure(2, {{{"name", "added"},
+                          {"host", "local"},
+                          {"pathPrefix", "/added/"},
+                          {"type", "unsafe"},
+                          {"timeoutMs", 1000},
+                          {"service", "assistant"},
+                          {"attempts", 1}}});
+
+    int last = 0;
+    wait_until("gateway-1 serves the added route", [&] {
+      const std::string attempt = "u" + std::to_string(++last);
+      return system.request("gateway-1", "/added/a", attempt).status == 200;
+    });
+  }
+
   void gateway_recovers_from_garbled_answers_of_the_platform() {
     service_deployment system;
     system.start_all();
