--- a/include/trayrock/internal/records/record_client.h
+++ b/include/trayrock/internal/records/record_client.h
@@ -13,17 +13,15 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
 
 #include "records.pb.h"
-#include "trayrock/internal/decide/relay_choice.h"
 #include "trayrock/internal/decide/token_budget.h"
 #include "trayrock/internal/metrics.h"
 #include "trayrock/internal/net/rpc.h"
-#include "trayrock/internal/records/store_paths.h"
+#include "trayrock/internal/records/store_calls.h"
 
 namespace trayrock {
 
@@ -34,17 +32,6 @@
   std::string endpoint;      // that made the newest turn's output
 };
 
-// Ways around a store that cannot be reached directly.
-struct relay_source {
-  std::function<std::string()> pick;  // address of a relay; empty: none
-  std::function<void(const std::string&, relay_failure)> failed;
-  std::function<void(const std::string&)> passed_on;
-  // A store that has left calls unanswered for this long may be out of reach,
-  // and is asked by a relay as well. One that is only slow answers somebody;
-  // asking it twice would make it slower. Answers take 2 to 10 ms.
-  milliseconds silence{350};
-};
-
 class record_client {
  public:
   using reserve_callback = std::function<void(result<reserved_turn>)>;
@@ -57,7 +44,7 @@
   ~record_client();
 
   // Calls to a store that does not answer at once also go by a relay.
-  void use_relays(relay_source relays) { relays_ = std::move(relays); }
+  void use_relays(relay_source relays) { reach_.relays = std::move(relays); }
 
   // Takes a group unless a newer one is known.
   void adopt(const records::Group& group);
@@ -66,7 +53,9 @@
   const records::Group& group() const { return group_; }
 
   // False while direct calls to the store stay unanswered.
-  bool reaches(const std::string& store) const { return !is_silent(store); }
+  bool reaches(const std::string& store) const {
+    return !reach_.is_silent(store);
+  }
 
   // Makes the reservation durable (if it names a program) and reads the chain
   // of `previous` (if it is not empty), from several voters if no single one
@@ -83,16 +72,10 @@
  private:
   friend struct operation;
   void begin(const std::shared_ptr<operation>& made, milliseconds limit);
-  bool is_silent(const std::string& store) const;
-  void note_answer(const std::string& store, bool relayed);
 
-  event_loop& loop_;
-  rpc_pool& pool_;
+  store_reach reach_;
   std::string data_centre_;
-  metrics_registry& metrics_;
   records::Group group_;
-  relay_source relays_;
-  store_paths paths_;
   std::set<std::shared_ptr<operation>> running_;
 };
 
