--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -5,6 +5,7 @@
 #include "platform/collection_watcher.h"
 #include "platform/documents.h"
 #include "platform/group_registry.h"
+#include "trayrock/internal/gateway/gateway_stages.h"
 #include "trayrock/internal/gateway/peer_news.h"
 #include "trayrock/internal/gateway/request_flow.h"
 #include "trayrock/internal/log.h"
@@ -31,21 +32,6 @@
 constexpr double endpoints_pause_share = 0.35;
 constexpr milliseconds longest_endpoints_pause{1000};
 constexpr milliseconds sweep_period{250};
-// After SIGTERM the balancer needs two misses of its question, one a second. It
-// may also go on sending connections, when too few gateways of a data centre
-// are ready: all of them may be stopping. So they are taken nearly to the end;
-// each request is refused if those of its route take longer than what is left.
-// The quickest routes take 0.3 s.
-constexpr milliseconds last_connections{700};
-constexpr milliseconds drain_check_period{50};
-// The process ends this long before it would be killed.
-constexpr milliseconds stop_margin{300};
-// Final answers to what cannot be ended go out this long before the process
-// ends: a busy processor runs timers late by some 100 ms.
-constexpr milliseconds final_answers{300};
-// A process that has just started lets connections wait until it can serve
-// them, which takes some tens of ms, and no longer than this.
-constexpr milliseconds longest_start{600};
 
 platform::gateway_entry entry_of(const service_settings& from) {
   return {from.name, from.rpc_address.text(), from.data_centre};
@@ -86,13 +72,14 @@
                settings.service.data_centre,
                [this] { return configuration_; },
                [this] { return endpoints_watch_.silence_ms(); },
-               [this] { return time_to_end(); },
+               [this] { return stages_.time_to_end(); },
                [this](const std::string& id) { news_.note_failure(id); }},
         clients_(
             loop_, [this] { return limits(); },
             [this](http1_request request, http1_exchange_ptr out) {
               serve_request(parts_, std::move(request), std::move(out));
             }),
+        stages_(loop_, clients_, settings.service.stop_limit),
         readiness_(
             loop_, [] { return http1_limits{}; },
             [this](const http1_request&, const http1_exchange_ptr& out) {
@@ -115,6 +102,25 @@
     }
     log_info("gateway_started", {{"gateway", settings_.service.name},
                                  {"version", TRAYROCK_VERSION}});
+    observe_connections();
+    serve_peers();
+    relays_.start();
+    stages_.begin([this] { return ready(); });
+    watch_platform();
+    const timer terminate =
+        loop_.on_signal(SIGTERM, [this] { stages_.begin_drain(); });
+    const timer reload = loop_.on_signal(SIGHUP, [] {
+      log_info("reload", {{"outcome", "no setting can change while running"}});
+    });
+    const timer sweeping =
+        loop_.every(sweep_period, [this] { endpoints_.sweep(loop_.now_ms()); });
+    loop_.run();
+    log_info("gateway_stopped", {{"gateway", settings_.service.name}});
+    return stages_.exit_code();
+  }
+
+ private:
+  void observe_connections() {
     clients_.on_refusal([this](int status) {
       metrics_.add("unreadable_requests_total",
                    {{"status", std::to_string(status)}});
@@ -123,6 +129,9 @@
     pool_.on_connect([this](std::string_view) {
       metrics_.add("endpoint_connections_total");
     });
+  }
+
+  void serve_peers() {
     serve_relays(peers_, rpc_, records_);
     records_.use_relays(relays_.source());
     news_.serve(
@@ -134,22 +143,8 @@
            take_peer_configuration(document);
          },
          [this]() -> const configuration_document& { return document_; }});
-    relays_.start();
-    clients_.pause_accepting();
-    starting_ = loop_.after(longest_start, [this] { begin_serving(); });
-    watch_platform();
-    const timer terminate = loop_.on_signal(SIGTERM, [this] { begin_drain(); });
-    const timer reload = loop_.on_signal(SIGHUP, [] {
-      log_info("reload", {{"outcome", "no setting can change while running"}});
-    });
-    const timer sweeping =
-        loop_.every(sweep_period, [this] { endpoints_.sweep(loop_.now_ms()); });
-    loop_.run();
-    log_info("gateway_stopped", {{"gateway", settings_.service.name}});
-    return exit_code_;
   }
 
- private:
   http1_limits limits() const {
     http1_limits made;
     if (configuration_ != nullptr) {
@@ -163,23 +158,13 @@
   }
 
   bool ready() const {
-    return !draining_ && configuration_ != nullptr && endpoints_.size() > 0 &&
-           records_.has_group();
-  }
-
-  void begin_serving() {
-    if (serving_) {
-      return;
-    }
-    serving_ = true;
-    starting_.cancel();
-    log_info("serving_begun", {{"ready", ready() ? "yes" : "no"}});
-    clients_.resume_accepting();
+    return !stages_.draining() && configuration_ != nullptr &&
+           endpoints_.size() > 0 && records_.has_group();
   }
 
   void serve_if_ready() {
-    if (!serving_ && ready()) {
-      begin_serving();
+    if (!stages_.serving() && ready()) {
+      stages_.begin_serving();
     }
   }
 
@@ -297,48 +282,6 @@
     }
   }
 
-  milliseconds time_to_end() const {
-    if (!draining_) {
-      return milliseconds::max();
-    }
-    const std::uint64_t now = loop_.now_ms();
-    const milliseconds left(now < ends_at_ms_ ? ends_at_ms_ - now : 0);
-    return std::max(left - final_answers, milliseconds(0));
-  }
-
-  // The balancer sees "not ready"; what it sends all the same is served for as
-  // long as there is time to end it.
-  void begin_drain() {
-    if (draining_) {
-      return;
-    }
-    const milliseconds left = settings_.service.stop_limit - stop_margin;
-    draining_ = true;
-    ends_at_ms_ = loop_.now_ms() + static_cast<std::uint64_t>(left.count());
-    log_info("drain_begun", {{"open", std::to_string(clients_.open_requests())},
-                             {"ends_in_ms", std::to_string(left.count())}});
-    clients_.close_after_answers();
-    const milliseconds taking = left - last_connections;
-    taking_ = loop_.after(std::max(taking, milliseconds(0)), [this] {
-      clients_.stop_accepting();
-      clients_.close_idle();
-      checking_ = loop_.every(drain_check_period, [this] { check_drained(); });
-    });
-    last_moment_ = loop_.after(left, [this] {
-      log_warn("drain_unfinished",
-               {{"open", std::to_string(clients_.open_requests())}});
-      exit_code_ = exit_unfinished;
-      loop_.stop();
-    });
-  }
-
-  void check_drained() {
-    clients_.close_idle();
-    if (clients_.open_requests() == 0) {
-      loop_.stop();
-    }
-  }
-
   gateway_settings settings_;
   event_loop loop_;
   metrics_registry metrics_;
@@ -360,16 +303,9 @@
   configuration_document document_;  // that `configuration_` was read from
   gateway_parts parts_;
   http1_server clients_;
+  gateway_stages stages_;
   http1_server readiness_;
   http1_server figures_;
-  timer starting_;
-  timer taking_;
-  timer checking_;
-  timer last_moment_;
-  bool serving_ = false;  // connections are accepted
-  bool draining_ = false;
-  std::uint64_t ends_at_ms_ = 0;  // once draining
-  int exit_code_ = exit_done;
 };
 
 }  // namespace
