Request flow: terms of a request apart, Retry-After by the error alone

Moved: route, service and time to request_terms; the times after which a client should come back to error_answer, in one table by error. They were given by the callers, but hung on the error only. Behaviour is unchanged.

--- /dev/null
+++ b/include/trayrock/internal/gateway/request_terms.h
@@ -0,0 +1,69 @@
+// On what terms the gateway takes a request: its route and service, and how
+// long it is held.
+//
+// The configuration that a request began with stays its own to the end.
+//
+// Example:
+//   request_terms terms;
+//   if (const auto why = terms.find(configuration, request, facts)) {
+//     refuse(*why);
+//   }
+//   if (const auto why = terms.fit(facts, durations, time_to_end)) {
+//     refuse(*why);
+//   }
+//   terms.route().name;
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "trayrock/errors.h"
+#include "trayrock/internal/decide/duration_book.h"
+#include "trayrock/internal/gateway/configuration.h"
+#include "trayrock/internal/gateway/request_facts.h"
+#include "trayrock/internal/net/http1_server.h"
+#include "trayrock/internal/net/loop.h"
+
+namespace trayrock {
+
+class request_terms {
+ public:
+  // Finds the route and the service. Refused with errc::not_configured,
+  // errc::unknown_route or errc::missing_header; what was found until then is
+  // there for the report.
+  std::optional<errc> find(configuration_ptr from, const http1_request& request,
+                           const request_facts& facts);
+
+  // Fits the request into the time of its client, of its route, and that which
+  // is left until the process ends. Refused with errc::stopping. Called once
+  // the route is found.
+  std::optional<errc> fit(const request_facts& facts,
+                          const duration_book& durations,
+                          milliseconds time_to_end);
+
+  // nullptr until found.
+  const configuration* from() const { return from_.get(); }
+  const trayrock::route* found_route() const { return route_; }
+
+  // Of a request whose route was found.
+  const trayrock::route& route() const { return *route_; }
+  std::string_view service() const { return service_; }
+  bool repeatable() const { return route_->kind == repetition::repeatable; }
+  bool once() const { return route_->kind == repetition::once; }
+  bool stream() const { return route_->kind == repetition::stream; }
+
+  // How long the request is held, from its coming.
+  milliseconds hold() const { return hold_; }
+
+  // Of the service's engine; one where it is not known.
+  std::uint64_t tokens_per_event() const;
+
+ private:
+  configuration_ptr from_;
+  const trayrock::route* route_ = nullptr;
+  std::string_view service_;
+  milliseconds hold_{0};
+};
+
+}  // namespace trayrock
--- a/src/gateway/error_answer.cc
+++ b/src/gateway/error_answer.cc
@@ -3,9 +3,37 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "trayrock/internal/net/loop.h"
+
 namespace trayrock {
 namespace {
 
+// When a client should come back, by why the request was given up.
+constexpr milliseconds back_after_full{150};
+constexpr milliseconds back_after_history{250};
+constexpr milliseconds back_after_reserved{200};
+constexpr milliseconds back_after_unconfigured{500};
+constexpr milliseconds back_after_stopping{50};
+
+// Zero: the client is not told.
+milliseconds back_after(errc why) {
+  switch (why) {
+    case errc::no_runner:
+    case errc::endpoints_full:
+      return back_after_full;
+    case errc::history_unavailable:
+      return back_after_history;
+    case errc::tokens_reserved:
+      return back_after_reserved;
+    case errc::not_configured:
+      return back_after_unconfigured;
+    case errc::stopping:
+      return back_after_stopping;
+    default:
+      return milliseconds(0);
+  }
+}
+
 // A duration as seconds with three decimals.
 std::string seconds_text(milliseconds delay) {
   constexpr std::size_t decimals = 3;
@@ -17,7 +45,8 @@
 
 }  // namespace
 
-void respond_error(http1_exchange& out, errc why, milliseconds come_back) {
+void respond_error(http1_exchange& out, errc why) {
+  const milliseconds come_back = back_after(why);
   header_list headers;
   if (come_back.count() > 0) {
     headers.add("Retry-After", seconds_text(come_back));
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -9,6 +9,7 @@
 #include "trayrock/internal/gateway/endpoint_attempt.h"
 #include "trayrock/internal/gateway/error_answer.h"
 #include "trayrock/internal/gateway/request_report.h"
+#include "trayrock/internal/gateway/request_terms.h"
 #include "trayrock/internal/gateway/turn_history.h"
 #include "trayrock/internal/log.h"
 
@@ -27,29 +28,8 @@
 // Connections that could not be made do not count as tries; this many end
 // the request all the same.
 constexpr int most_unreachable = 4;
-// Of a route that names no timeout.
-constexpr milliseconds default_timeout{10000};
-
-// When a client should come back, by why the request was given up.
-constexpr milliseconds back_after_full{150};
-constexpr milliseconds back_after_history{250};
-constexpr milliseconds back_after_reserved{200};
-constexpr milliseconds back_after_unconfigured{500};
-constexpr milliseconds back_after_stopping{50};
-
-// When a client should come back after its turn was refused; zero: it is not
-// told.
-milliseconds back_after(errc why) {
-  switch (why) {
-    case errc::history_unavailable:
-      return back_after_history;
-    case errc::tokens_reserved:
-      return back_after_reserved;
-    default:
-      return milliseconds(0);
-  }
-}
 
+// One request, from its coming to the end of its answer.
 class request_flow : public std::enable_shared_from_this<request_flow> {
  public:
   request_flow(const gateway_parts& parts, http1_request request,
@@ -63,35 +43,18 @@
 
   void start() {
     facts_ = platform::decode_request(request_);
-    configuration_ = parts_.configuration();
-    if (configuration_ == nullptr) {
-      refuse(errc::not_configured, back_after_unconfigured);
-      return;
-    }
-    route_ = find_route(*configuration_, request_.headers.find("Host"),
-                        request_.target);
-    if (route_ == nullptr) {
-      refuse(errc::unknown_route);
-      return;
-    }
-    if (facts_.attempt.empty()) {
-      refuse(errc::missing_header);
-      return;
+    std::optional<errc> refused =
+        terms_.find(parts_.configuration(), request_, facts_);
+    if (!refused) {
+      refused = terms_.fit(facts_, parts_.durations, parts_.time_to_end());
     }
-    service_ = pick_service(*route_, placement_key());
-    hold_ = route_->timeout.count() > 0 ? route_->timeout : default_timeout;
-    hold_ = std::min(hold_, facts_.time_left.value_or(hold_));
-    const milliseconds to_end = parts_.time_to_end();
-    const stops_midway midway = route_->kind == repetition::stream
-                                    ? stops_midway::yes
-                                    : stops_midway::no;
-    if (parts_.durations.needed(route_->name, midway) > to_end) {
-      refuse(errc::stopping, back_after_stopping);
+    if (refused) {
+      refuse(*refused);
       return;
     }
-    hold_ = std::min(hold_, to_end);
     watch_ends();
-    if (route_->keeps_history && history_.begin(route_->retention)) {
+    if (terms_.route().keeps_history &&
+        history_.begin(terms_.route().retention)) {
       reserve();
     } else {
       send_next();
@@ -103,7 +66,7 @@
   void watch_ends() {
     const std::weak_ptr<request_flow> weak = weak_from_this();
     deadline_ = parts_.loop.after(
-        std::max(hold_ - answer_margin, milliseconds(0)), [weak] {
+        std::max(terms_.hold() - answer_margin, milliseconds(0)), [weak] {
           if (const auto held = weak.lock()) {
             held->deadline_passed();
           }
@@ -129,33 +92,22 @@
     }
     const std::optional<errc> refused = history_.judge(std::move(made));
     if (refused) {
-      refuse(*refused, back_after(*refused));
+      refuse(*refused);
       return;
     }
     send_next();
   }
 
-  std::uint64_t tokens_per_event() const {
-    const auto found = configuration_->services.find(service_);
-    const bool engine = found != configuration_->services.end() &&
-                        found->second.engine.has_value();
-    return engine ? found->second.engine->tokens_per_event : 1;
-  }
-
   // Every event that has begun may have reached the client.
   void settle_begun_events() {
-    history_.settle(events_.started_events() * tokens_per_event());
+    history_.settle(events_.started_events() * terms_.tokens_per_event());
   }
 
   // ---- Sending ------------------------------------------------------------
 
-  std::string_view placement_key() const {
-    return facts_.program.empty() ? std::string_view(facts_.attempt)
-                                  : std::string_view(facts_.program);
-  }
-
   milliseconds time_left() const {
-    return std::max(hold_ - answer_margin - elapsed_ms(), milliseconds(0));
+    return std::max(terms_.hold() - answer_margin - elapsed_ms(),
+                    milliseconds(0));
   }
 
   void send_next() {
@@ -164,12 +116,12 @@
       return;
     }
     endpoint_choice wanted;
-    wanted.service = service_;
+    wanted.service = terms_.service();
     wanted.preferred = history_.chain() == nullptr ? std::string_view()
                                                    : history_.chain()->endpoint;
     wanted.data_centre = parts_.data_centre;
     wanted.excluded = &tried_;
-    wanted.once = route_->kind == repetition::once;
+    wanted.once = terms_.once();
     wanted.connected = [this](const endpoint& each) {
       return parts_.pool.has_idle(each.address, each.id);
     };
@@ -182,11 +134,7 @@
     tried_.insert(to.id);
     attempt_.carry(
         parts_.pool.start(to.address, to.id, outgoing(), observer()));
-    if (route_->kind == repetition::repeatable) {
-      arm_attempt_guard();
-    } else if (route_->kind == repetition::once) {
-      arm_stall_guard();
-    }
+    arm_late_guard();
   }
 
   http1_request outgoing() const {
@@ -211,36 +159,34 @@
     return made;
   }
 
-  // A repeatable request does not wait for one slow endpoint forever.
-  void arm_attempt_guard() {
-    const bool last = report_.sends + 1 >= route_->max_endpoints;
-    if (last || route_->latency_objective.count() == 0) {
+  // An endpoint that has not begun its answer within the route's objective is
+  // late. A stream waits on for its first event.
+  void arm_late_guard() {
+    const milliseconds objective = terms_.route().latency_objective;
+    const bool last_send = report_.sends + 1 >= terms_.route().max_endpoints;
+    const bool guarded = terms_.once() || (terms_.repeatable() && !last_send);
+    if (!guarded || objective.count() == 0) {
       return;
     }
     const std::weak_ptr<request_flow> weak = weak_from_this();
-    attempt_guard_ = parts_.loop.after(route_->latency_objective, [weak] {
+    late_guard_ = parts_.loop.after(objective, [weak] {
       const auto held = weak.lock();
       if (held != nullptr && !held->ended_ && held->attempt_.status() == 0) {
-        held->attempt_.cancel();
-        held->attempt_ended(http1_end::broken);
+        held->endpoint_late();
       }
     });
   }
 
-  // A request that may run only once waits on, but an endpoint that is this
-  // late is a warning to others.
-  void arm_stall_guard() {
-    if (route_->latency_objective.count() == 0) {
+  // A repeatable request does not wait for one slow endpoint forever. One that
+  // may run only once waits on, but its endpoint is a warning to others.
+  void endpoint_late() {
+    if (terms_.repeatable()) {
+      attempt_.cancel();
+      attempt_ended(http1_end::broken);
       return;
     }
-    const std::weak_ptr<request_flow> weak = weak_from_this();
-    attempt_guard_ = parts_.loop.after(route_->latency_objective, [weak] {
-      const auto held = weak.lock();
-      if (held != nullptr && !held->ended_ && held->attempt_.status() == 0) {
-        held->attempt_.suspect();
-        held->parts_.endpoint_failed(held->attempt_.endpoint_id());
-      }
-    });
+    attempt_.suspect();
+    parts_.endpoint_failed(attempt_.endpoint_id());
   }
 
   // ---- The endpoint's answer ----------------------------------------------
@@ -260,8 +206,7 @@
   }
 
   bool passes_through() const {
-    return route_->kind == repetition::stream && attempt_.succeeded() &&
-           !attempt_.invalid();
+    return terms_.stream() && attempt_.succeeded() && !attempt_.invalid();
   }
 
   void take_body(std::string_view bytes) {
@@ -284,7 +229,7 @@
   }
 
   void attempt_ended(http1_end how) {
-    attempt_guard_.cancel();
+    late_guard_.cancel();
     if (ended_) {
       return;
     }
@@ -304,7 +249,7 @@
         return;
       case attempt_outcome::refused:
         ++report_.sends;
-        if (report_.sends < route_->max_endpoints) {
+        if (report_.sends < terms_.route().max_endpoints) {
           send_next();
         } else {
           give_up(errc::endpoints_full);
@@ -320,8 +265,9 @@
   }
 
   void answer_broken() {
-    const bool again = route_->kind == repetition::repeatable &&
-                       report_.sends < route_->max_endpoints && !out_->begun();
+    const bool again = terms_.repeatable() &&
+                       report_.sends < terms_.route().max_endpoints &&
+                       !out_->begun();
     if (again) {
       send_next();
       return;
@@ -344,7 +290,7 @@
       return;
     }
     begin_answer();
-    if (!route_->keeps_history) {
+    if (!terms_.route().keeps_history) {
       end("answered", attempt_.status());
       out_->finish();
       return;
@@ -358,7 +304,7 @@
     finished_turn turn;
     turn.input = request_.body;
     turn.output = events_.data();
-    turn.tokens = events_.whole_events() * tokens_per_event();
+    turn.tokens = events_.whole_events() * terms_.tokens_per_event();
     turn.endpoint = attempt_.endpoint_id();
     const std::uint64_t began = elapsed_us();
     history_.keep(std::move(turn), finish_limit,
@@ -412,16 +358,12 @@
   // No endpoint is left to try. That nothing has run is said only if it is so.
   void give_up(errc why) {
     history_.settle(0);
-    if (may_have_run_) {
-      refuse(errc::runner_failed);
-    } else {
-      refuse(why, back_after_full);
-    }
+    refuse(may_have_run_ ? errc::runner_failed : why);
   }
 
-  void refuse(errc why, milliseconds come_back = milliseconds(0)) {
+  void refuse(errc why) {
     end(make_error_code(why).message(), http_status(why));
-    respond_error(*out_, why, come_back);
+    respond_error(*out_, why);
   }
 
   milliseconds elapsed_ms() const {
@@ -441,24 +383,30 @@
     return kept ? "previous_turn" : "load";
   }
 
+  // Refused requests may have no route, or not even a configuration.
+  void report_terms(bool answered) {
+    if (terms_.from() != nullptr) {
+      report_.configuration = terms_.from()->version;
+    }
+    if (terms_.found_route() == nullptr) {
+      return;
+    }
+    report_.route = terms_.route().name;
+    if (answered) {
+      parts_.durations.add(terms_.route().name, elapsed_ms());
+    }
+  }
+
   void end(std::string_view outcome, int status) {
     ended_ = true;
     deadline_.cancel();
-    attempt_guard_.cancel();
-    if (route_ != nullptr) {
-      report_.route = route_->name;
-    }
-    if (configuration_ != nullptr) {
-      report_.configuration = configuration_->version;
-    }
+    late_guard_.cancel();
+    report_terms(outcome == "answered");
     report_.endpoint = attempt_.endpoint_id();
     report_.placed_by = placed_by();
     report_.endpoints_age_ms = parts_.endpoints_age_ms();
     report_.epoch = parts_.records.group().epoch();
     report_.total_us = elapsed_us();
-    if (route_ != nullptr && outcome == "answered") {
-      parts_.durations.add(route_->name, elapsed_ms());
-    }
     report_.events = events_.whole_events();
     report_.status = status;
     report_.outcome = outcome;
@@ -469,10 +417,7 @@
   http1_request request_;
   http1_exchange_ptr out_;
   request_facts facts_;
-  configuration_ptr configuration_;
-  const route* route_ = nullptr;
-  std::string_view service_;
-  milliseconds hold_{0};
+  request_terms terms_;
 
   turn_history history_;
   std::set<std::string> tried_;
@@ -481,7 +426,7 @@
   event_stream events_;
   bool ended_ = false;
   timer deadline_;
-  timer attempt_guard_;
+  timer late_guard_;
   std::uint64_t began_us_;
   request_report report_;  // filled in as the request goes on
 };
