--- a/include/trayrock/internal/net/http1_client.h
+++ b/include/trayrock/internal/net/http1_client.h
@@ -8,7 +8,7 @@
 //
 // Example:
 //   http1_pool pool(loop);
-//   http1_call call = pool.start(peer, request, observer);
+//   http1_call call = pool.start(peer, endpoint_id, request, observer);
 //   call.cancel();  // closes the connection under it
 #pragma once
 
