An answer counts as open until it has left the process

A request was open until its answer was written, not until it was sent, as the header says.

Ruled out: a request taken too late (0.34 s of 0.77 s left were used) and an unread channel.

Change: connections with unsent bytes count as open requests.

Test: answer_that_is_not_sent_yet_counts_as_open (http1_test) failed before (expected 1, seen 0) and passes; http1_test 14, gateway_path_test 20, record_client_test 10, gateway_rules_test 17, record_stores_test 8, all passed.

--- a/src/net/http1_server.cc
+++ b/src/net/http1_server.cc
@@ -2,6 +2,7 @@
 
 #include <event2/listener.h>
 
+#include <algorithm>
 #include <vector>
 
 #include "http1_server_connection.h"
@@ -75,6 +76,11 @@
   }
 }
 
-std::size_t http1_server::open_requests() const { return impl_->open; }
+std::size_t http1_server::open_requests() const {
+  const auto unsent =
+      std::count_if(impl_->connections.begin(), impl_->connections.end(),
+                    [](const auto& each) { return each.second->unsent(); });
+  return impl_->open + static_cast<std::size_t>(unsent);
+}
 
 }  // namespace trayrock
--- a/src/net/http1_server_connection.h
+++ b/src/net/http1_server_connection.h
@@ -10,6 +10,7 @@
 //   made->open(socket);
 #pragma once
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <http_parser.h>
 
@@ -72,6 +73,11 @@
   // No request has begun on it.
   bool idle() const { return !serving_ && !reading_ && !closing_; }
 
+  // Its answer is complete, but not all of it has left the process.
+  bool unsent() const {
+    return !serving_ && evbuffer_get_length(bufferevent_get_output(bev_)) > 0;
+  }
+
   void send(std::string_view bytes) {
     bufferevent_write(bev_, bytes.data(), bytes.size());
   }
--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -107,6 +107,7 @@
   CPPUNIT_TEST(headers_over_the_limit_are_refused);
   CPPUNIT_TEST(body_over_the_limit_is_refused);
   CPPUNIT_TEST(slow_headers_are_refused);
+  CPPUNIT_TEST(answer_that_is_not_sent_yet_counts_as_open);
   CPPUNIT_TEST(requests_sent_ahead_are_answered_in_order);
   CPPUNIT_TEST(chunked_body_is_joined);
   CPPUNIT_TEST(answer_without_length_is_whole_at_its_close);
@@ -156,6 +157,36 @@
     check_refused("GET / HTTP/1.1\r\nHost: a\r\n", 408);
   }
 
+  // Found on a grown site of the users' bench: a process that waited for no
+  // open request ended with an answer still in its buffer.
+  void answer_that_is_not_sent_yet_counts_as_open() {
+    std::size_t open_behind_answer = 0;
+    http1_server* asked = nullptr;
+    http1_server server(
+        *loop_, [] { return http1_limits(); },
+        [&](const http1_request&, const http1_exchange_ptr& out) {
+          out->respond(200, {}, "answer");
+          open_behind_answer = asked->open_requests();
+          loop_->stop();
+        });
+    asked = &server;
+    CPPUNIT_ASSERT(server.listen(local(port_)));
+    std::jthread client([&] {
+      send_raw(port_, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n", answer_seconds);
+    });
+    loop_->run();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, open_behind_answer);
+    const timer sent = loop_->every(milliseconds(10), [&] {
+      if (server.open_requests() == 0) {
+        loop_->stop();
+      }
+    });
+    loop_->run();
+    server.close_idle();
+    const timer closed = loop_->after(milliseconds(50), [&] { loop_->stop(); });
+    loop_->run();
+  }
+
   void requests_sent_ahead_are_answered_in_order() {
     const std::string seen = serve(
         "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
