Tests: the loopback address is made in one place

Moved: what stood in fault_proxy, deployment, kept_connection, http1_test and http_client_test to test/loopback.h. Nothing that is checked has changed.

--- a/test/deployment.cc
+++ b/test/deployment.cc
@@ -17,6 +17,7 @@
 #include <sstream>
 #include <thread>
 
+#include "loopback.h"
 #include "test_support.h"
 
 namespace trayrock::testing {
@@ -26,14 +27,6 @@
 
 constexpr int poll_pause_ms = 20;
 
-sockaddr_in loopback(int port) {
-  sockaddr_in where{};
-  where.sin_family = AF_INET;
-  where.sin_port = htons(static_cast<std::uint16_t>(port));
-  where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return where;
-}
-
 std::string read_to_close(int socket, clock::time_point deadline) {
   std::string bytes;
   char buffer[16384];
--- a/test/fault_proxy.cc
+++ b/test/fault_proxy.cc
@@ -11,6 +11,7 @@
 #include <cerrno>
 #include <vector>
 
+#include "loopback.h"
 #include "test_support.h"
 
 namespace trayrock::testing {
@@ -21,14 +22,6 @@
 constexpr std::chrono::milliseconds slow_delay{150};
 constexpr std::size_t read_bytes = 65536;
 
-sockaddr_in loopback(int port) {
-  sockaddr_in made{};
-  made.sin_family = AF_INET;
-  made.sin_port = htons(static_cast<std::uint16_t>(port));
-  made.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return made;
-}
-
 int open_socket() {
   return socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
 }
--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "deployment.h"
+#include "loopback.h"
 #include "test_support.h"
 #include "trayrock/internal/net/http1_client.h"
 #include "trayrock/internal/net/http1_server.h"
@@ -29,10 +30,7 @@
 
   scripted_peer(event_loop& loop, int port, std::string answer, ending how)
       : loop_(loop), answer_(std::move(answer)), how_(how) {
-    sockaddr_in where{};
-    where.sin_family = AF_INET;
-    where.sin_port = htons(static_cast<std::uint16_t>(port));
-    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    sockaddr_in where = loopback(port);
     listener_ = evconnlistener_new_bind(
         loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
         16, reinterpret_cast<sockaddr*>(&where), sizeof(where));
--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "deployment.h"
+#include "loopback.h"
 #include "test_support.h"
 
 namespace trayrock::testing {
@@ -21,9 +22,7 @@
  public:
   explicit rude_server(int answers) : answers_(answers) {
     listener_ = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in where{};
-    where.sin_family = AF_INET;
-    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    sockaddr_in where = loopback(0);
     const int bound =
         bind(listener_, reinterpret_cast<sockaddr*>(&where), sizeof(where));
     TRAYROCK_CHECK(bound == 0, "cannot bind");
--- a/test/kept_connection.cc
+++ b/test/kept_connection.cc
@@ -10,6 +10,8 @@
 #include <chrono>
 #include <cstdlib>
 
+#include "loopback.h"
+
 namespace trayrock::testing {
 namespace {
 
@@ -44,10 +46,7 @@
 
 bool kept_connection::open() {
   socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in where{};
-  where.sin_family = AF_INET;
-  where.sin_port = htons(static_cast<std::uint16_t>(port_));
-  where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const sockaddr_in where = loopback(port_);
   if (connect(socket_, reinterpret_cast<const sockaddr*>(&where),
               sizeof(where)) != 0) {
     close();
