--- a/src/gateway/gateway_stages.cc
+++ b/src/gateway/gateway_stages.cc
@@ -63,8 +63,8 @@
                            {"ends_in_ms", std::to_string(left.count())}});
   clients_.close_after_answers();
   const milliseconds taking = left - last_connections;
-  taking_ = loop_.after(std::max(taking, milliseconds(0)),
-                        [this] { stop_taking(); });
+  taking_ =
+      loop_.after(std::max(taking, milliseconds(0)), [this] { stop_taking(); });
   last_moment_ = loop_.after(left, [this] { end_unfinished(); });
 }
 
