A voter that lost its disk is asked again twice a second, not sixteen times

Change: the pause before such a voter is asked again is 0.5 s; a newer group asks everybody anew in any case.

Test: lost_voter_is_not_asked_over_and_over failed before (15 questions in 0.9 s, three at the most expected) and passes; record_client_test 11 of 11, record_stores_test 8 of 8.

--- a/src/records/record_client.cc
+++ b/src/records/record_client.cc
@@ -12,6 +12,9 @@
 
 // Before a voter that gave no usable answer is asked again.
 constexpr milliseconds retry_pause{60};
+// Before a voter is asked again at whose address another store sits. Its
+// successor is named by a newer group, with which all is asked anew.
+constexpr milliseconds lost_voter_pause{500};
 // A chain's text is asked for at a second voter when the first is this late.
 constexpr milliseconds text_patience{300};
 
@@ -94,12 +97,12 @@
     calls->copy(to, copy);
   }
 
-  void retry(const std::string& id) {
+  void retry(const std::string& id, milliseconds pause = retry_pause) {
     if (done) {
       return;
     }
     const std::weak_ptr<operation> weak = weak_from_this();
-    retries[id] = client.reach_.loop.after(retry_pause, [weak, id] {
+    retries[id] = client.reach_.loop.after(pause, [weak, id] {
       const auto held = weak.lock();
       const records::Store* to =
           held == nullptr ? nullptr : find_store(held->group.voters(), id);
@@ -135,8 +138,11 @@
         tell_of_group(id, reply);
         retry(id);
         break;
-      case records::OUTCOME_STALE_EPOCH:
       case records::OUTCOME_WRONG_STORE:
+        leave_for_text(id);
+        retry(id, lost_voter_pause);
+        break;
+      case records::OUTCOME_STALE_EPOCH:
         leave_for_text(id);
         retry(id);
         break;
--- a/test/record_client_test.cc
+++ b/test/record_client_test.cc
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(operation_goes_on_in_the_next_epoch);
   CPPUNIT_TEST(stores_out_of_reach_are_reached_by_a_relay);
   CPPUNIT_TEST(relay_that_cannot_reach_the_store_is_left_for_another);
+  CPPUNIT_TEST(lost_voter_is_not_asked_over_and_over);
   CPPUNIT_TEST(slow_stores_are_not_asked_by_relays_as_well);
   CPPUNIT_TEST(records_survive_a_restart_of_the_stores);
   CPPUNIT_TEST_SUITE_END();
@@ -244,6 +245,34 @@
     CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
   }
 
+  // Of hundreds of turns that wait, each asked a voter that had lost its disk
+  // sixteen times a second.
+  void lost_voter_is_not_asked_over_and_over() {
+    records::Group group;
+    group.set_epoch(1);
+    group.set_tolerated(0);
+    records::Store& voter = *group.add_voters();
+    voter.set_id("lost");
+    voter.set_address(local(ports_[3]));
+    rpc_server server(*loop_, {});
+    int asked = 0;
+    server.handle_typed<records::WriteRequest>(
+        "Write", [&](records::WriteRequest&, const rpc_reply_ptr& reply) {
+          ++asked;
+          records::WriteReply answer;
+          answer.set_outcome(records::OUTCOME_WRONG_STORE);
+          reply->send(answer);
+          reply->finish();
+        });
+    CPPUNIT_ASSERT(server.listen(address::parse(local(ports_[3])).value()));
+    client_->adopt(group);
+    const std::error_code failed =
+        keep(turn("t1", "", "one"), milliseconds(900));
+    CPPUNIT_ASSERT_EQUAL(make_error_code(errc::not_durable), failed);
+    TRAYROCK_CHECK(asked >= 1 && asked <= 3,
+                   "expected one to three questions, seen " << asked);
+  }
+
   // Found on a grown site of the users' bench: stores that were slow were asked
   // again by relays, which made them slower until nothing was served.
   void slow_stores_are_not_asked_by_relays_as_well() {
