--- a/test/endpoint_health_test.cc
+++ b/test/endpoint_health_test.cc
@@ -48,8 +48,8 @@
 
   void rare_failures_are_borne() {
     endpoint_health health;
-    for (int i = 0; i < 20; ++i) {
-      const std::uint64_t at = start_ms + 1500U * static_cast<unsigned>(i);
+    for (std::uint64_t i = 0; i < 20; ++i) {
+      const std::uint64_t at = start_ms + 1500 * i;
       health.failed(at);
       health.answered(at);
       CPPUNIT_ASSERT(!health.avoided(at));
@@ -66,7 +66,7 @@
 
   void reports_of_one_gateway_do_not() {
     endpoint_health health;
-    for (unsigned i = 0; i < 200; ++i) {
+    for (std::uint64_t i = 0; i < 200; ++i) {
       health.reported("gateway-1", start_ms + 20 * i);
       CPPUNIT_ASSERT(!health.avoided(start_ms + 20 * i));
     }
