Stores that have learned stay ready for the next place

Change: a change of voters leaves the other learners; as many learn as places are open or losses are borne, whichever is more.

--- a/include/trayrock/internal/decide/store_membership.h
+++ b/include/trayrock/internal/decide/store_membership.h
@@ -7,8 +7,10 @@
 // that is to be retired waits for a successor and leaves without one if none
 // is there.
 //
-// Only as many stores learn as places are open, since all of them read from the
-// same voters; more do when those have had some seconds.
+// Only as many stores learn as places are open or may be lost at once, since
+// all of them read from the same voters; more do when those have had some
+// seconds. Those that have learned go on, so that the next place is taken at
+// once.
 //
 // Example:
 //   const membership_action next = next_membership_action(view);
--- a/include/trayrock/internal/records/group_rules.h
+++ b/include/trayrock/internal/records/group_rules.h
@@ -68,8 +68,8 @@
                            std::uint32_t tolerated);
 
 // The group with `joining` as a voter: in place of `leaving`, or added where
-// `leaving` is empty. Raises the epoch. Stores that learn go on only if there
-// is another place: they say so anew.
+// `leaving` is empty. Raises the epoch. Other stores that
+// learn go on, and are ready for the next place.
 records::Group with_voter(const records::Group& from,
                           const records::Store& joining,
                           const std::string& leaving);
--- a/src/decide/store_membership.cc
+++ b/src/decide/store_membership.cc
@@ -1,5 +1,6 @@
 #include "trayrock/internal/decide/store_membership.h"
 
+#include <algorithm>
 #include <vector>
 
 #include "trayrock/internal/records/group_rules.h"
@@ -92,8 +93,10 @@
 // Whether the stores that learn already should have the places to themselves.
 bool learners_suffice(const membership_view& view, std::size_t places) {
   const auto learners = static_cast<std::size_t>(view.group.learners_size());
-  return learners >= places &&
-         view.place_open_ms < learner_time_ms * (1 + learners - places);
+  const auto wanted =
+      std::max(places, static_cast<std::size_t>(view.group.tolerated()));
+  return learners >= wanted &&
+         view.place_open_ms < learner_time_ms * (1 + learners - wanted);
 }
 
 membership_action next_of_voter(const membership_view& view) {
--- a/src/records/group_rules.cc
+++ b/src/records/group_rules.cc
@@ -115,7 +115,9 @@
   erase_stores(*next.mutable_voters(), [&](const records::Store& each) {
     return each.id() == leaving || each.id() == joining.id();
   });
-  next.clear_learners();
+  erase_stores(*next.mutable_learners(), [&](const records::Store& each) {
+    return each.id() == joining.id();
+  });
   *next.add_voters() = joining;
   return next;
 }
--- a/test/gateway_rules_test.cc
+++ b/test/gateway_rules_test.cc
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(lost_disk_is_replaced_at_once_and_silence_after_a_while);
   CPPUNIT_TEST(store_that_has_not_read_enough_does_not_vote);
   CPPUNIT_TEST(as_many_stores_learn_as_places_are_open);
+  CPPUNIT_TEST(learners_stay_ready_behind_a_change_of_voters);
   CPPUNIT_TEST(one_change_at_a_time);
   CPPUNIT_TEST(retiring_voter_leaves_only_if_enough_remain);
   CPPUNIT_TEST(headers_are_decoded_and_the_systems_replaced);
@@ -236,6 +237,17 @@
     CPPUNIT_ASSERT(is<become_learner>(next_membership_action(view)));
   }
 
+  // Reading all records takes seconds; a store that has done so takes the next
+  // place at once.
+  void learners_stay_ready_behind_a_change_of_voters() {
+    records::Group group = spare_view().group;
+    *group.add_learners() = store_of("d", "4");
+    *group.add_learners() = store_of("e", "5");
+    const records::Group next = with_voter(group, store_of("d", "4"), "a");
+    CPPUNIT_ASSERT(!is_learner(next, "d"));
+    CPPUNIT_ASSERT(is_learner(next, "e"));
+  }
+
   void one_change_at_a_time() {
     membership_view view = spare_view();
     *view.group.add_learners() = view.self;
