Endpoints that refuse are no longer taken for the least loaded ones

The endpoints had come back under new ids; records of the former ids came late from behind the cut. Requests sent to a former id were refused at once with 421, so that it had nothing to do and was chosen first by every gateway; routes that allow one attempt ended there, with 503.

Ruled out: full endpoints (of the 363 refusals in those seconds all were 421) and the platform (the records were listed as they stood there).

Change: an endpoint that says that it is another instance is not used again, also when a late record or listing brings its id back (256 such ids are remembered). Any other refusal leaves the endpoint alone for 60 ms, doubled in a row up to 960 ms, until it answers. A client that goes away counts as neither.

--- a/include/trayrock/internal/decide/endpoint_health.h
+++ b/include/trayrock/internal/decide/endpoint_health.h
@@ -6,7 +6,8 @@
 // be the cause. An endpoint that fails again soon after a pause is left alone
 // for longer. After a pause it is on trial until it has answered: requests that
 // may run only once go elsewhere, since those that it leaves unanswered are
-// lost.
+// lost. One that refuses is left alone for a moment only: it does no harm, but
+// having nothing to do makes it look like the best choice.
 //
 // Example:
 //   endpoint_health health;
@@ -34,17 +35,22 @@
   // No connection could be made.
   bool unreachable(std::uint64_t now_ms);
 
+  // A request was refused, and not run.
+  bool refused(std::uint64_t now_ms);
+
   // A request was answered.
   void answered(std::uint64_t now_ms);
 
   bool avoided(std::uint64_t now_ms) const {
-    return avoided_until_ms_ > now_ms;
+    return paused(now_ms) || refused_until_ms_ > now_ms;
   }
 
   // True behind a pause, while the endpoint has not answered.
   bool on_trial(std::uint64_t now_ms) const;
 
  private:
+  // Left alone for its failures.
+  bool paused(std::uint64_t now_ms) const { return avoided_until_ms_ > now_ms; }
   void fade(std::uint64_t now_ms);
   bool avoid_if_due(bool due, std::uint64_t now_ms);
 
@@ -53,6 +59,8 @@
   std::uint32_t failures_in_row_ = 0;
   std::uint32_t pauses_in_row_ = 0;
   std::uint64_t avoided_until_ms_ = 0;
+  std::uint32_t refusals_in_row_ = 0;
+  std::uint64_t refused_until_ms_ = 0;
   bool answered_since_pause_ = true;
   // When each gateway's last counted report came.
   std::map<std::string, std::uint64_t, std::less<>> reported_at_ms_;
--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -34,9 +34,11 @@
 // How an attempt at an endpoint ended.
 enum class attempt_outcome {
   answered,
-  refused,      // the endpoint says that it did not run the request
-  unreachable,  // never sent
-  broken        // sent, and the answer did not come whole
+  refused,         // the endpoint says that it did not run the request
+  other_instance,  // likewise, since it is not the one that was meant
+  cancelled,       // the client went away first
+  unreachable,     // never sent
+  broken           // sent, and the answer did not come whole
 };
 
 struct endpoint_state {
@@ -45,6 +47,9 @@
   endpoint_health health;
   double latency_ms = 0;  // smoothed, of answered attempts; 0: none yet
   std::uint64_t removed_at_ms = 0;  // 0: still listed
+  // Another instance sits at its address. Ids are used once, so that this one
+  // does not come back, whatever a late record of the platform says.
+  bool superseded = false;
 };
 
 struct endpoint_choice {
@@ -92,6 +97,16 @@
   std::map<std::string, state_ptr> by_id_;
   std::map<std::string, std::vector<state_ptr>, std::less<>> by_service_;
 
+  // A superseded endpoint that is listed no more; numbered in their order.
+  struct former_endpoint {
+    state_ptr state;
+    std::uint64_t number = 0;
+  };
+  std::map<std::string, former_endpoint> former_;
+  std::uint64_t former_numbers_ = 0;
+
+  state_ptr& held(const std::string& id);
+  void note_former(const std::string& id, const state_ptr& state);
   void index();
   static bool trusted(const endpoint_state& at, const endpoint_choice& wanted,
                       std::uint64_t now_ms);
--- a/include/trayrock/internal/gateway/request_facts.h
+++ b/include/trayrock/internal/gateway/request_facts.h
@@ -35,10 +35,11 @@
 };
 
 struct answer_facts {
-  std::string attempt;        // of the request that it answers; may be empty
-  bool sealed = false;        // carries the endpoint's authentication code
-  bool not_executed = false;  // the endpoint says that it did not run it
-  bool encoded = false;       // the body is not the endpoint's own bytes
+  std::string attempt;          // of the request that it answers; may be empty
+  bool sealed = false;          // carries the endpoint's authentication code
+  bool not_executed = false;    // the endpoint says that it did not run it
+  bool other_instance = false;  // and that it is not the one that was meant
+  bool encoded = false;         // the body is not the endpoint's own bytes
 };
 
 // What the gateway adds for the endpoint.
--- a/src/decide/endpoint_health.cc
+++ b/src/decide/endpoint_health.cc
@@ -23,6 +23,10 @@
 // An endpoint that gets no request of the kinds that try it is taken back after
 // this long; the longest pause.
 constexpr std::uint64_t longest_trial_ms = 4000;
+// An endpoint that refuses has a full queue, which empties within some tens of
+// ms, or is broken: then it goes on refusing.
+constexpr std::uint64_t first_refusal_pause_ms = 60;
+constexpr std::uint32_t most_refusal_doublings = 4;
 // What is kept in view over a pause, so that a relapse shows sooner.
 constexpr double evidence_after_pause = 1;
 
@@ -35,7 +39,7 @@
 }
 
 bool endpoint_health::avoid_if_due(bool due, std::uint64_t now_ms) {
-  if (!due || avoided(now_ms)) {
+  if (!due || paused(now_ms)) {
     return false;
   }
   const bool relapse =
@@ -51,17 +55,18 @@
 
 void endpoint_health::answered(std::uint64_t now_ms) {
   failures_in_row_ = 0;
-  answered_since_pause_ = answered_since_pause_ || !avoided(now_ms);
+  refusals_in_row_ = 0;
+  answered_since_pause_ = answered_since_pause_ || !paused(now_ms);
 }
 
 bool endpoint_health::on_trial(std::uint64_t now_ms) const {
-  return !answered_since_pause_ && !avoided(now_ms) &&
+  return !answered_since_pause_ && !paused(now_ms) &&
          now_ms - avoided_until_ms_ < longest_trial_ms;
 }
 
 bool endpoint_health::failed(std::uint64_t now_ms) {
   ++failures_in_row_;
-  if (avoided(now_ms)) {
+  if (paused(now_ms)) {
     return false;
   }
   fade(now_ms);
@@ -72,7 +77,7 @@
 }
 
 bool endpoint_health::reported(std::string_view gateway, std::uint64_t now_ms) {
-  if (avoided(now_ms)) {
+  if (paused(now_ms)) {
     return false;
   }
   std::erase_if(reported_at_ms_, [&](const auto& held) {
@@ -86,6 +91,15 @@
   return avoid_if_due(evidence_ >= evidence_to_avoid, now_ms);
 }
 
+bool endpoint_health::refused(std::uint64_t now_ms) {
+  if (avoided(now_ms)) {
+    return false;
+  }
+  refused_until_ms_ = now_ms + (first_refusal_pause_ms << refusals_in_row_);
+  refusals_in_row_ = std::min(refusals_in_row_ + 1, most_refusal_doublings);
+  return true;
+}
+
 bool endpoint_health::unreachable(std::uint64_t now_ms) {
   ++failures_in_row_;
   return avoid_if_due(true, now_ms);
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -16,6 +16,10 @@
   switch (outcome) {
     case attempt_outcome::refused:
       return "not_executed";
+    case attempt_outcome::other_instance:
+      return "other_instance";
+    case attempt_outcome::cancelled:
+      return "cancelled";
     case attempt_outcome::unreachable:
       return "never_sent";
     default:
@@ -66,6 +70,9 @@
   if (how == http1_end::broken || invalid_) {
     return attempt_outcome::broken;
   }
+  if (answer_.other_instance) {
+    return attempt_outcome::other_instance;
+  }
   return answer_.not_executed ? attempt_outcome::refused
                               : attempt_outcome::answered;
 }
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -11,6 +11,9 @@
 // With fewer of a service's endpoints than this share well, all are used: what
 // fails then is more likely to be something else.
 constexpr double least_well_share = 0.5;
+// Superseded endpoints that are remembered once they are listed no more. Late
+// records come within seconds; endpoints are replaced by the dozen.
+constexpr std::size_t most_former = 256;
 constexpr double latency_weight = 0.2;
 // The preferred endpoint may have this many more requests of this gateway
 // than the least loaded one, before the latter takes over.
@@ -42,47 +45,83 @@
   std::set<std::string> seen;
   for (const endpoint& each : listed) {
     seen.insert(each.id);
-    state_ptr& held = by_id_[each.id];
-    if (held == nullptr) {
-      held = std::make_shared<endpoint_state>();
-    }
-    held->record = each;
-    held->removed_at_ms = 0;
+    const state_ptr& state = held(each.id);
+    state->record = each;
+    state->removed_at_ms = 0;
   }
-  std::erase_if(by_id_, [&](const auto& held) {
-    if (seen.contains(held.first)) {
+  std::erase_if(by_id_, [&](const auto& known) {
+    const state_ptr& state = known.second;
+    if (seen.contains(known.first)) {
       return false;
     }
-    if (after_loss && held.second->removed_at_ms == 0) {
-      held.second->removed_at_ms = now_ms;
+    if (after_loss && state->removed_at_ms == 0) {
+      state->removed_at_ms = now_ms;
+    }
+    if (!after_loss) {
+      note_former(known.first, state);
     }
     return !after_loss;
   });
   index();
 }
 
-void endpoint_directory::update(const endpoint& changed) {
-  state_ptr& held = by_id_[changed.id];
-  if (held == nullptr) {
-    held = std::make_shared<endpoint_state>();
+// The state of an endpoint that is listed, made if it is new.
+endpoint_directory::state_ptr& endpoint_directory::held(const std::string& id) {
+  state_ptr& state = by_id_[id];
+  if (state == nullptr) {
+    const auto former = former_.find(id);
+    state = former == former_.end() ? std::make_shared<endpoint_state>()
+                                    : former->second.state;
+  }
+  return state;
+}
+
+// Remembers an endpoint that is listed no more, if it must not come back.
+void endpoint_directory::note_former(const std::string& id,
+                                     const state_ptr& state) {
+  if (!state->superseded) {
+    return;
+  }
+  former_[id] = {state, former_numbers_++};
+  if (former_.size() > most_former) {
+    const auto oldest =
+        std::min_element(former_.begin(), former_.end(),
+                         [](const auto& left, const auto& right) {
+                           return left.second.number < right.second.number;
+                         });
+    former_.erase(oldest);
   }
-  if (changed.revision < held->record.revision) {
+}
+
+void endpoint_directory::update(const endpoint& changed) {
+  const state_ptr& state = held(changed.id);
+  if (changed.revision < state->record.revision) {
     return;
   }
-  held->record = changed;
-  held->removed_at_ms = 0;
+  state->record = changed;
+  state->removed_at_ms = 0;
   index();
 }
 
 void endpoint_directory::remove(const std::string& id) {
-  by_id_.erase(id);
+  const auto known = by_id_.find(id);
+  if (known == by_id_.end()) {
+    return;
+  }
+  note_former(id, known->second);
+  by_id_.erase(known);
   index();
 }
 
 void endpoint_directory::sweep(std::uint64_t now_ms) {
-  const auto gone = std::erase_if(by_id_, [&](const auto& held) {
-    return held.second->removed_at_ms != 0 &&
-           held.second->removed_at_ms + return_grace_ms < now_ms;
+  const auto gone = std::erase_if(by_id_, [&](const auto& known) {
+    const state_ptr& state = known.second;
+    const bool over = state->removed_at_ms != 0 &&
+                      state->removed_at_ms + return_grace_ms < now_ms;
+    if (over) {
+      note_former(known.first, state);
+    }
+    return over;
   });
   if (gone > 0) {
     index();
@@ -98,8 +137,9 @@
 
 bool endpoint_directory::usable(const endpoint_state& at,
                                 const endpoint_choice& wanted) {
-  return !at.record.draining && (wanted.excluded == nullptr ||
-                                 !wanted.excluded->contains(at.record.id));
+  const bool tried =
+      wanted.excluded != nullptr && wanted.excluded->contains(at.record.id);
+  return !at.record.draining && !at.superseded && !tried;
 }
 
 // An endpoint on trial gets one request at a time.
@@ -174,8 +214,13 @@
               ? latency_ms
               : at.latency_ms + latency_weight * (latency_ms - at.latency_ms);
       return false;
-    case attempt_outcome::refused:
+    case attempt_outcome::cancelled:
       return false;
+    case attempt_outcome::refused:
+      return at.health.refused(now_ms);
+    case attempt_outcome::other_instance:
+      at.superseded = true;
+      return true;
     case attempt_outcome::unreachable:
       return at.health.unreachable(now_ms);
     case attempt_outcome::broken:
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -248,6 +248,7 @@
         }
         return;
       case attempt_outcome::refused:
+      case attempt_outcome::other_instance:
         ++report_.sends;
         if (report_.sends < terms_.route().max_endpoints) {
           send_next();
@@ -261,6 +262,8 @@
         parts_.endpoint_failed(attempt_.endpoint_id());
         answer_broken();
         return;
+      case attempt_outcome::cancelled:
+        return;  // ended where the client's going was seen
     }
   }
 
@@ -334,7 +337,7 @@
       return;
     }
     attempt_.cancel();
-    attempt_.end(attempt_outcome::refused);
+    attempt_.end(attempt_outcome::cancelled);
     settle_begun_events();
     end("client_gone", attempt_.status());
   }
--- /dev/null
+++ b/test/endpoint_directory_test.cc
@@ -0,0 +1,114 @@
+// Which endpoint a request goes to, after what earlier requests saw.
+#include "trayrock/internal/gateway/endpoint_directory.h"
+
+#include "test_support.h"
+
+namespace trayrock::testing {
+namespace {
+
+constexpr std::uint64_t start_ms = 10000;
+constexpr const char* service = "ledger";
+
+class endpoint_directory_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(endpoint_directory_test);
+  CPPUNIT_TEST(instance_that_is_no_longer_there_gets_nothing_more);
+  CPPUNIT_TEST(late_record_of_a_former_instance_does_not_bring_it_back);
+  CPPUNIT_TEST(listing_with_a_former_instance_does_not_bring_it_back);
+  CPPUNIT_TEST(endpoint_that_refuses_is_not_the_least_loaded);
+  CPPUNIT_TEST(endpoint_that_refused_is_used_again_soon);
+  CPPUNIT_TEST(all_are_used_when_all_refuse);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Found on a day of the users' bench: endpoints came back under other ids
+  // at their addresses. They refused requests for the former ids at once,
+  // which made the former ids the least loaded ones.
+  void instance_that_is_no_longer_there_gets_nothing_more() {
+    endpoint_directory endpoints;
+    endpoints.replace({named("a"), named("b")}, false, start_ms);
+    attempt_at(endpoints, "a", attempt_outcome::other_instance);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 9000));
+  }
+
+  void late_record_of_a_former_instance_does_not_bring_it_back() {
+    endpoint_directory endpoints;
+    endpoints.replace({named("a"), named("b")}, false, start_ms);
+    attempt_at(endpoints, "a", attempt_outcome::other_instance);
+    endpoints.remove("a");
+    endpoints.update(named("a"));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 9000));
+  }
+
+  void listing_with_a_former_instance_does_not_bring_it_back() {
+    endpoint_directory endpoints;
+    endpoints.replace({named("a"), named("b")}, false, start_ms);
+    attempt_at(endpoints, "a", attempt_outcome::other_instance);
+    endpoints.replace({named("b")}, false, start_ms + 100);
+    endpoints.replace({named("a"), named("b")}, false, start_ms + 200);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 9000));
+  }
+
+  void endpoint_that_refuses_is_not_the_least_loaded() {
+    endpoint_directory endpoints;
+    endpoints.replace({named("a"), named("b"), named("c")}, false, start_ms);
+    attempt_at(endpoints, "a", attempt_outcome::refused);
+    CPPUNIT_ASSERT(chosen(endpoints, start_ms + 10) != "a");
+  }
+
+  void endpoint_that_refused_is_used_again_soon() {
+    endpoint_directory endpoints;
+    endpoints.replace({named("a")}, false, start_ms);
+    attempt_at(endpoints, "a", attempt_outcome::refused);
+    endpoints.update(named("b"));
+    endpoint_directory::begin(*state_of(endpoints, "b"));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(endpoints, start_ms + 500));
+  }
+
+  void all_are_used_when_all_refuse() {
+    endpoint_directory endpoints;
+    endpoints.replace({named("a"), named("b")}, false, start_ms);
+    attempt_at(endpoints, "a", attempt_outcome::refused);
+    attempt_at(endpoints, "b", attempt_outcome::refused);
+    CPPUNIT_ASSERT(!chosen(endpoints, start_ms + 10).empty());
+  }
+
+ private:
+  static endpoint named(const std::string& id) {
+    endpoint made;
+    made.id = id;
+    made.service = service;
+    made.capacity = 4;
+    return made;
+  }
+
+  static std::shared_ptr<endpoint_state> state_of(
+      const endpoint_directory& endpoints, const std::string& id) {
+    endpoint_choice wanted;
+    wanted.service = service;
+    wanted.preferred = id;
+    const auto found = endpoints.choose(wanted, start_ms);
+    TRAYROCK_CHECK(found != nullptr && found->record.id == id,
+                   "the endpoint asked for is chosen: " + id);
+    return found;
+  }
+
+  static void attempt_at(endpoint_directory& endpoints, const std::string& id,
+                         attempt_outcome outcome) {
+    const auto at = state_of(endpoints, id);
+    endpoint_directory::begin(*at);
+    endpoint_directory::end(*at, outcome, 1, start_ms);
+  }
+
+  static std::string chosen(const endpoint_directory& endpoints,
+                            std::uint64_t now_ms) {
+    endpoint_choice wanted;
+    wanted.service = service;
+    const auto found = endpoints.choose(wanted, now_ms);
+    return found == nullptr ? std::string() : found->record.id;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_directory_test);
+
+}  // namespace
+}  // namespace trayrock::testing
--- a/test/endpoint_health_test.cc
+++ b/test/endpoint_health_test.cc
@@ -19,6 +19,10 @@
   CPPUNIT_TEST(endpoint_without_connection_is_left_alone_at_once);
   CPPUNIT_TEST(trial_behind_a_pause_ends_with_an_answer);
   CPPUNIT_TEST(answer_within_a_pause_does_not_end_the_trial);
+  CPPUNIT_TEST(refusal_pauses_for_a_moment);
+  CPPUNIT_TEST(refusals_in_a_row_pause_for_longer);
+  CPPUNIT_TEST(answer_ends_a_row_of_refusals);
+  CPPUNIT_TEST(failure_within_a_refusal_pause_counts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -46,6 +50,37 @@
                    "two answers behind it: still in use");
   }
 
+  void refusal_pauses_for_a_moment() {
+    endpoint_health health;
+    CPPUNIT_ASSERT(health.refused(start_ms));
+    CPPUNIT_ASSERT(health.avoided(start_ms + 59));
+    CPPUNIT_ASSERT(!health.avoided(start_ms + 60));
+    CPPUNIT_ASSERT(!health.on_trial(start_ms + 60));
+  }
+
+  void refusals_in_a_row_pause_for_longer() {
+    endpoint_health health;
+    health.refused(start_ms);
+    health.refused(start_ms + 100);
+    CPPUNIT_ASSERT(health.avoided(start_ms + 219));
+    CPPUNIT_ASSERT(!health.avoided(start_ms + 220));
+  }
+
+  void answer_ends_a_row_of_refusals() {
+    endpoint_health health;
+    health.refused(start_ms);
+    health.answered(start_ms + 100);
+    health.refused(start_ms + 200);
+    CPPUNIT_ASSERT(!health.avoided(start_ms + 260));
+  }
+
+  void failure_within_a_refusal_pause_counts() {
+    endpoint_health health;
+    health.refused(start_ms);
+    health.failed(start_ms + 10);
+    CPPUNIT_ASSERT(health.failed(start_ms + 20));
+  }
+
   void rare_failures_are_borne() {
     endpoint_health health;
     for (std::uint64_t i = 0; i < 20; ++i) {
