Learners that are gone keep no spare store from learning

The group's list of learners held a store whose disk had been lost and one whose box had been taken away. The only living spare took them for two stores that were learning and waited five seconds for each. The retired store had entered the list by itself, a moment after its retirement was reported: the finished retirement no longer told it that it was leaving. And the group had shrunk to two, because the retiring voter gave its successor 2.5 s, of the 3 to 5 s that learning takes.

Change: stores also ask the learners whether they live (a state call every 400 ms, by spares and retiring voters only). Those that have been silent for 1 s, or at whose address another store sits, do not count and leave the list with the next entry. A retiring voter waits 5 s while a successor learns, a retired one takes no part any more.

--- a/include/trayrock/internal/decide/store_membership.h
+++ b/include/trayrock/internal/decide/store_membership.h
@@ -23,6 +23,7 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "records.pb.h"
 
@@ -48,8 +49,10 @@
 };
 
 struct do_nothing {};
-// Tell the gateways to copy writes here.
-struct become_learner {};
+// Tell the gateways to copy writes here, and no more to learners that are gone.
+struct become_learner {
+  std::vector<std::string> gone;  // their ids
+};
 // Become a voter; `leaving` is empty where the group lacks one.
 struct take_place {
   std::string leaving;
--- a/include/trayrock/internal/decide/store_peers.h
+++ b/include/trayrock/internal/decide/store_peers.h
@@ -28,6 +28,7 @@
 
 struct store_peer {
   records::Store store;
+  bool learner = false;  // only asked whether it lives
   std::uint64_t first_asked_ms = 0;
   std::uint64_t answered_ms = 0;  // 0: never
   std::string id_at_address;      // which store answers there; empty: none yet
@@ -41,8 +42,8 @@
 
 class store_peers {
  public:
-  // Follows the group of the store's state: its voters, and those of the epoch
-  // before.
+  // Follows the group of the store's state: its voters, those of the epoch
+  // before, and its learners.
   void follow(const records::StoreState& own, std::uint64_t now_ms);
 
   void pull_began(const std::string& id);
--- a/include/trayrock/internal/records/group_rules.h
+++ b/include/trayrock/internal/records/group_rules.h
@@ -78,8 +78,10 @@
 records::Group without_voter(const records::Group& from,
                              const std::string& leaving);
 
-// The group with one more learner; older ones of the same address go.
+// The group with one more learner and without those named as gone; older ones
+// of the same address go too.
 records::Group with_learner(const records::Group& from,
-                            const records::Store& joining);
+                            const records::Store& joining,
+                            std::span<const std::string> gone);
 
 }  // namespace trayrock
--- a/include/trayrock/internal/records/store_membership_driver.h
+++ b/include/trayrock/internal/records/store_membership_driver.h
@@ -60,7 +60,7 @@
   void finish_joining();
   membership_view view();
   void act(const do_nothing&) {}
-  void act(const become_learner&);
+  void act(const become_learner& learning);
   void act(const take_place& place);
   void act(const leave_group&);
   void act(const finish_retirement&);
@@ -80,6 +80,9 @@
   std::string full_source_;
   std::set<std::string> retiring_;
   std::uint64_t retiring_since_ms_ = 0;
+  // The platform knows that this box's data is no longer needed: it may be
+  // taken away at any moment and takes no part any more.
+  bool retired_ = false;
   bool announced_ = false;
   bool creating_ = false;
   bool changing_ = false;
--- a/src/decide/store_membership.cc
+++ b/src/decide/store_membership.cc
@@ -14,6 +14,15 @@
 // How long a retiring voter waits for a successor before it leaves alone.
 constexpr std::uint64_t successor_wait_ms = 2500;
 
+// A retiring voter waits this long while a successor learns, which takes 3 to 5
+// s: a group that shrinks bears no loss until it has grown again. Retirements
+// are asked for with 8 s and more.
+constexpr std::uint64_t learning_successor_wait_ms = 5000;
+
+// A learner that has not answered for this long is taken as gone. Learners are
+// asked every 400 ms; a busy one answers within some tens of ms.
+constexpr std::uint64_t learner_silence_ms = 1000;
+
 // How long the stores that learn have before one more joins them. Reading
 // 38,000 records took 8 s at 0.3 cores, and takes longer with each reader.
 constexpr std::uint64_t learner_time_ms = 5000;
@@ -90,9 +99,37 @@
   return places;
 }
 
+// True if a store that is listed as a learner can not be one any more.
+bool is_gone(const membership_view& view, const records::Store& learner) {
+  if (learner.id() == view.self.id()) {
+    return false;
+  }
+  const peer_view* peer = view_of(view, learner.id());
+  const bool asked = peer != nullptr;
+  const bool replaced = asked && !peer->id_at_address.empty() &&
+                        peer->id_at_address != learner.id();
+  return replaced || learner.address() == view.self.address() ||
+         (asked && peer->silent_ms >= learner_silence_ms);
+}
+
+std::vector<std::string> gone_learners(const membership_view& view) {
+  std::vector<std::string> gone;
+  for (const records::Store& each : view.group.learners()) {
+    if (is_gone(view, each)) {
+      gone.push_back(each.id());
+    }
+  }
+  return gone;
+}
+
+std::size_t living_learners(const membership_view& view) {
+  return static_cast<std::size_t>(view.group.learners_size()) -
+         gone_learners(view).size();
+}
+
 // Whether the stores that learn already should have the places to themselves.
 bool learners_suffice(const membership_view& view, std::size_t places) {
-  const auto learners = static_cast<std::size_t>(view.group.learners_size());
+  const std::size_t learners = living_learners(view);
   const auto wanted =
       std::max(places, static_cast<std::size_t>(view.group.tolerated()));
   return learners >= wanted &&
@@ -103,7 +140,10 @@
   const auto voters = static_cast<std::size_t>(view.group.voters_size());
   const bool retiring = view.retiring_boxes.contains(view.self.box());
   const bool can_shrink = voters > view.group.tolerated() + 1U;
-  if (retiring && can_shrink && view.retiring_ms >= successor_wait_ms &&
+  const std::uint64_t wait = living_learners(view) > 0
+                                 ? learning_successor_wait_ms
+                                 : successor_wait_ms;
+  if (retiring && can_shrink && view.retiring_ms >= wait &&
       !voter_is_catching_up(view)) {
     return leave_group{};
   }
@@ -134,7 +174,7 @@
   if (!is_learner(view.group, view.self.id())) {
     return learners_suffice(view, places.size())
                ? membership_action(do_nothing{})
-               : membership_action(become_learner{});
+               : membership_action(become_learner{gone_learners(view)});
   }
   if (!has_read_enough(view) || voter_is_catching_up(view)) {
     return do_nothing{};
--- a/src/decide/store_peers.cc
+++ b/src/decide/store_peers.cc
@@ -16,19 +16,25 @@
       each.read_since_fence = false;
     }
   }
-  const auto wanted = [&](const std::string& id) {
-    return id != own.id() &&
-           (is_voter(group, id) ||
-            find_store(group.previous_voters(), id) != nullptr);
+  const auto votes = [&](const std::string& id) {
+    return is_voter(group, id) ||
+           find_store(group.previous_voters(), id) != nullptr;
   };
-  std::erase_if(peers_, [&](const auto& held) { return !wanted(held.first); });
-  for (const auto* stores : {&group.voters(), &group.previous_voters()}) {
+  std::erase_if(peers_, [&](const auto& held) {
+    return !votes(held.first) && !is_learner(group, held.first);
+  });
+  for (const auto* stores :
+       {&group.voters(), &group.previous_voters(), &group.learners()}) {
     for (const records::Store& each : *stores) {
-      if (wanted(each.id()) && !peers_.contains(each.id())) {
-        store_peer& made = peers_[each.id()];
-        made.store = each;
-        made.first_asked_ms = now_ms;
+      if (each.id() == own.id()) {
+        continue;
       }
+      store_peer& followed = peers_[each.id()];
+      if (followed.first_asked_ms == 0) {
+        followed.first_asked_ms = now_ms;
+      }
+      followed.store = each;
+      followed.learner = !votes(each.id());
     }
   }
 }
@@ -97,6 +103,9 @@
 
 bool store_peers::joined(const records::StoreState& own) const {
   const records::Group& group = own.group();
+  if (group.epoch() != epoch_) {
+    return false;  // what was read belongs to an older epoch
+  }
   const auto before = static_cast<std::size_t>(group.previous_voters_size());
   return before == 0 ||
          read_since_fence(own) >= read_quorum(before, group.tolerated());
--- a/src/records/group_rules.cc
+++ b/src/records/group_rules.cc
@@ -133,10 +133,12 @@
 }
 
 records::Group with_learner(const records::Group& from,
-                            const records::Store& joining) {
+                            const records::Store& joining,
+                            std::span<const std::string> gone) {
   records::Group next = from;
   erase_stores(*next.mutable_learners(), [&](const records::Store& each) {
-    return each.id() == joining.id() || each.address() == joining.address();
+    return each.id() == joining.id() || each.address() == joining.address() ||
+           std::find(gone.begin(), gone.end(), each.id()) != gone.end();
   });
   *next.add_learners() = joining;
   return next;
--- a/src/records/store_membership_driver.cc
+++ b/src/records/store_membership_driver.cc
@@ -56,7 +56,7 @@
     finish_joining();
     return;
   }
-  if (!changing_ && loop_.now_ms() >= changed_ms_) {
+  if (!retired_ && !changing_ && loop_.now_ms() >= changed_ms_) {
     std::visit([this](const auto& action) { act(action); },
                next_membership_action(view()));
   }
@@ -119,9 +119,10 @@
   for (const auto& [id, each] : peers_.all()) {
     const std::uint64_t since =
         now - std::max(each.answered_ms, each.first_asked_ms);
-    const bool behind = reads_records() && !each.read_to_end;
+    const bool behind = reads_records() && !each.learner && !each.read_to_end;
     const bool due = since >= calm_pull_period_ms || each.answered_ms == 0;
-    if (!readings_[id].pulling.running() && (behind || joining || due)) {
+    const bool joins_from = joining && !each.learner;
+    if (!readings_[id].pulling.running() && (behind || joins_from || due)) {
       pull(each);
     }
   }
@@ -137,7 +138,8 @@
 // An empty store reads one voter in full, and of the others, after that, only
 // what is missing.
 records::PullKind store_membership_driver::pull_kind(const store_peer& from) {
-  if (!reads_records() || from.id_at_address != from.store.id()) {
+  if (!reads_records() || from.learner ||
+      from.id_at_address != from.store.id()) {
     return records::PULL_STATE;
   }
   if (full_source_.empty() && server_.book().size() == 0) {
@@ -163,7 +165,7 @@
   std::string picked;
   std::uint64_t least = 0;
   for (const auto& [id, each] : peers_.all()) {
-    if (each.id_at_address != id) {
+    if (each.learner || each.id_at_address != id) {
       continue;
     }
     const std::uint64_t order = id_of(settings_.self.id() + id).low;
@@ -353,9 +355,9 @@
   });
 }
 
-void store_membership_driver::act(const become_learner&) {
-  change(with_learner(server_.state().group(), settings_.self), "learn", "new",
-         "");
+void store_membership_driver::act(const become_learner& learning) {
+  change(with_learner(server_.state().group(), settings_.self, learning.gone),
+         "learn", "new", "");
 }
 
 void store_membership_driver::act(const take_place& place) {
@@ -400,6 +402,7 @@
   registry_.report_retirement(
       settings_.self.box(), true, [this](std::error_code failed) {
         reporting_ = false;
+        retired_ = retired_ || !failed;
         log_info("retirement_reported",
                  {{"box", settings_.self.box()},
                   {"outcome", failed ? failed.message() : "finished"}});
