A gateway that stops with all others of its data centre says so in Retry-After

A gateway takes no request that it cannot end, for its last 2.6 s or more, and its successor answers 1.5 s after its end. In a data centre with one gateway nobody serves for 4.2 s. Clients were told to come back after 50 ms, which is right when another gateway takes their next connection. Here all six tries of a turn were used up in a second.

Change: decide/return_time. While the balancer goes on sending connections 3 s after the drain began, clients are told 1.5 s, else 50 ms as before.

Tests: return_time_test.

--- a/include/trayrock/internal/gateway/gateway_stages.h
+++ b/include/trayrock/internal/gateway/gateway_stages.h
@@ -52,6 +52,9 @@
   // largest value while it goes on.
   milliseconds time_to_end() const;
 
+  // When clients that are turned away while draining should come back.
+  milliseconds back_after_stopping() const;
+
   // Of the process, once the loop was stopped.
   int exit_code() const { return exit_code_; }
 
@@ -70,6 +73,7 @@
   timer last_moment_;
   bool serving_ = false;  // connections are accepted
   bool draining_ = false;
+  std::uint64_t drain_began_ms_ = 0;
   std::uint64_t ends_at_ms_ = 0;  // once draining
   int exit_code_ = exit_done;
 };
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -44,6 +44,9 @@
   // Until the process ends; the largest value while it goes on. What has begun
   // by then and is not answered gets its final answer.
   std::function<milliseconds()> time_to_end;
+  // When clients that are turned away because the process stops should come
+  // back.
+  std::function<milliseconds()> back_after_stopping;
   // Told of each endpoint that began a request and did not answer it whole.
   std::function<void(const std::string& endpoint)> endpoint_failed;
 };
--- a/include/trayrock/internal/net/http1_server.h
+++ b/include/trayrock/internal/net/http1_server.h
@@ -99,6 +99,10 @@
   // Closes the connections on which no request has begun.
   void close_idle();
 
+  // Since the last connection was accepted; the largest value if there was
+  // none.
+  milliseconds since_last_connection() const;
+
   // Requests handed on whose answers have not been sent in full.
   std::size_t open_requests() const;
 
--- /dev/null
+++ b/src/decide/return_time.cc
@@ -0,0 +1,30 @@
+#include "trayrock/internal/decide/return_time.h"
+
+namespace trayrock {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Another gateway serves the next connection.
+constexpr milliseconds at_once{50};
+// The balancer asks once a second and goes by two answers; one more second for
+// a late one.
+constexpr milliseconds balancer_notice{3000};
+// Connections that come more seldom than this are none that the balancer sends
+// for want of another gateway. The smallest site opens some dozen a second.
+constexpr milliseconds still_sent{1000};
+// Six tries, after which clients give up, outlast with this pause the 4.2 s
+// from a gateway's last request to its successor's first (measured on the
+// users' bench). They wait no longer than a third of the time that they have
+// left, mostly 1.7 s.
+constexpr milliseconds for_a_successor{1500};
+
+}  // namespace
+
+milliseconds return_time(const drain_view& view) {
+  const bool elsewhere = view.draining_for < balancer_notice ||
+                         view.since_last_connection > still_sent;
+  return elsewhere ? at_once : for_a_successor;
+}
+
+}  // namespace trayrock
--- a/src/gateway/error_answer.cc
+++ b/src/gateway/error_answer.cc
@@ -13,9 +13,9 @@
 constexpr milliseconds back_after_history{250};
 constexpr milliseconds back_after_reserved{200};
 constexpr milliseconds back_after_unconfigured{500};
-constexpr milliseconds back_after_stopping{50};
 
-// Zero: the client is not told.
+}  // namespace
+
 milliseconds back_after(errc why) {
   switch (why) {
     case errc::no_runner:
@@ -27,13 +27,13 @@
       return back_after_reserved;
     case errc::not_configured:
       return back_after_unconfigured;
-    case errc::stopping:
-      return back_after_stopping;
     default:
       return milliseconds(0);
   }
 }
 
+namespace {
+
 // A duration as seconds with three decimals.
 std::string seconds_text(milliseconds delay) {
   constexpr std::size_t decimals = 3;
@@ -45,8 +45,7 @@
 
 }  // namespace
 
-void respond_error(http1_exchange& out, errc why) {
-  const milliseconds come_back = back_after(why);
+void respond_error(http1_exchange& out, errc why, milliseconds come_back) {
   header_list headers;
   if (come_back.count() > 0) {
     headers.add("Retry-After", seconds_text(come_back));
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -73,6 +73,7 @@
                [this] { return configuration_; },
                [this] { return endpoints_watch_.silence_ms(); },
                [this] { return stages_.time_to_end(); },
+               [this] { return stages_.back_after_stopping(); },
                [this](const std::string& id) { news_.note_failure(id); }},
         clients_(
             loop_, [this] { return limits(); },
--- a/src/gateway/gateway_stages.cc
+++ b/src/gateway/gateway_stages.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "trayrock/internal/decide/return_time.h"
 #include "trayrock/internal/log.h"
 
 namespace trayrock {
@@ -50,6 +51,13 @@
   return std::max(left - final_answers, milliseconds(0));
 }
 
+milliseconds gateway_stages::back_after_stopping() const {
+  drain_view view;
+  view.draining_for = milliseconds(loop_.now_ms() - drain_began_ms_);
+  view.since_last_connection = clients_.since_last_connection();
+  return return_time(view);
+}
+
 // The balancer sees "not ready"; what it sends all the same is served for as
 // long as there is time to end it.
 void gateway_stages::begin_drain() {
@@ -58,6 +66,7 @@
   }
   const milliseconds left = stop_limit_ - stop_margin;
   draining_ = true;
+  drain_began_ms_ = loop_.now_ms();
   ends_at_ms_ = loop_.now_ms() + static_cast<std::uint64_t>(left.count());
   log_info("drain_begun", {{"open", std::to_string(clients_.open_requests())},
                            {"ends_in_ms", std::to_string(left.count())}});
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -366,7 +366,9 @@
 
   void refuse(errc why) {
     end(make_error_code(why).message(), http_status(why));
-    respond_error(*out_, why);
+    respond_error(
+        *out_, why,
+        why == errc::stopping ? parts_.back_after_stopping() : back_after(why));
   }
 
   milliseconds elapsed_ms() const {
--- a/src/net/http1_server.cc
+++ b/src/net/http1_server.cc
@@ -20,6 +20,7 @@
   auto* self = static_cast<impl*>(context);
   auto made = std::make_shared<internal::http1_server_connection>(*self);
   self->connections[made.get()] = made;
+  self->accepted_at_ms = self->loop.now_ms();
   made->open(socket);
 }
 
@@ -76,6 +77,13 @@
   }
 }
 
+milliseconds http1_server::since_last_connection() const {
+  if (!impl_->accepted_at_ms) {
+    return milliseconds::max();
+  }
+  return milliseconds(impl_->loop.now_ms() - *impl_->accepted_at_ms);
+}
+
 std::size_t http1_server::open_requests() const {
   const auto unsent =
       std::count_if(impl_->connections.begin(), impl_->connections.end(),
--- a/src/net/http1_server_connection.h
+++ b/src/net/http1_server_connection.h
@@ -15,6 +15,7 @@
 #include <http_parser.h>
 
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 
@@ -40,6 +41,7 @@
   evconnlistener* listener = nullptr;
   bool closing = false;
   std::size_t open = 0;
+  std::optional<std::uint64_t> accepted_at_ms;  // the last connection
   std::unordered_map<internal::http1_server_connection*,
                      std::shared_ptr<internal::http1_server_connection>>
       connections;
