Idle connections beside one that failed are not used again

Cause: connections may fall silent for good while new ones work, and an endpoint may go dark. Each idle connection to it then cost one more request, of which those that may run only once were lost.

Change: when an attempt breaks, is late or finds no connection, the idle connections to that endpoint are closed. The next request has to connect; if that fails it has not run and goes elsewhere.

--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -186,9 +186,27 @@
       return;
     }
     attempt_.suspect();
+    forget_idle_connections();
     parts_.endpoint_failed(attempt_.endpoint_id());
   }
 
+  // The next request gets a new connection to the endpoint. If none can be
+  // made it has not run, and goes elsewhere; on a connection that has fallen
+  // silent it would be lost.
+  void forget_idle_connections() {
+    const endpoint& silent = *attempt_.to();
+    parts_.pool.forget(silent.address, silent.id);
+  }
+
+  void end_attempt(attempt_outcome outcome) {
+    const bool failed = outcome == attempt_outcome::broken ||
+                        outcome == attempt_outcome::unreachable;
+    if (failed && attempt_.in_flight()) {
+      forget_idle_connections();
+    }
+    attempt_.end(outcome);
+  }
+
   // ---- The endpoint's answer ----------------------------------------------
 
   bool take_head(const http1_answer_head& head) {
@@ -234,7 +252,7 @@
       return;
     }
     const attempt_outcome outcome = attempt_.outcome_of(how);
-    attempt_.end(outcome);
+    end_attempt(outcome);
     switch (outcome) {
       case attempt_outcome::answered:
         ++report_.sends;
@@ -337,7 +355,7 @@
       return;
     }
     attempt_.cancel();
-    attempt_.end(attempt_outcome::cancelled);
+    end_attempt(attempt_outcome::cancelled);
     settle_begun_events();
     end("client_gone", attempt_.status());
   }
@@ -348,7 +366,7 @@
     }
     const bool sent = attempt_.in_flight() || report_.sends > 0;
     attempt_.cancel();
-    attempt_.end(attempt_outcome::broken);
+    end_attempt(attempt_outcome::broken);
     settle_begun_events();
     if (out_->begun()) {
       end("deadline", attempt_.status());
--- a/test/fault_proxy.cc
+++ b/test/fault_proxy.cc
@@ -65,7 +65,9 @@
       accept_one();
     }
     const bool reset = reset_.exchange(false);
+    const bool mute = mute_.exchange(false);
     for (auto each = connections_.begin(); each != connections_.end();) {
+      each->muted = each->muted || mute;
       carry(*each);
       const bool done = each->requests.told_end && each->answers.told_end;
       if (!reset && !each->lost && !done) {
@@ -101,6 +103,9 @@
 }
 
 void fault_proxy::carry(connection& each) {
+  if (each.muted) {
+    return;
+  }
   const clock::time_point due =
       clock::now() +
       (fault_ == link_fault::slow ? slow_delay : std::chrono::milliseconds(0));
--- a/test/fault_proxy.h
+++ b/test/fault_proxy.h
@@ -39,6 +39,10 @@
   // Resets every open connection at both ends.
   void reset_all() { reset_ = true; }
 
+  // From now on the connections that are open carry nothing, without a word;
+  // new ones work.
+  void mute_open() { mute_ = true; }
+
  private:
   using clock = std::chrono::steady_clock;
 
@@ -60,6 +64,7 @@
     direction requests;
     direction answers;
     bool lost = false;
+    bool muted = false;
   };
 
   void run();
@@ -74,6 +79,7 @@
   int target_port_;
   std::atomic<link_fault> fault_ = link_fault::none;
   std::atomic<bool> reset_ = false;
+  std::atomic<bool> mute_ = false;
   std::atomic<bool> over_ = false;
   std::list<connection> connections_;
   std::thread thread_;
--- a/test/gateway_path_test.cc
+++ b/test/gateway_path_test.cc
@@ -1,5 +1,6 @@
 // The whole path through gateways, record stores and stand-ins.
 #include <csignal>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -36,6 +37,7 @@
   CPPUNIT_TEST(stopping_gateway_answers_what_it_cannot_finish);
   CPPUNIT_TEST(stopping_gateway_sends_every_answer);
   CPPUNIT_TEST(gateway_serves_while_the_platform_is_out);
+  CPPUNIT_TEST(connections_beside_a_silent_one_are_not_used);
   CPPUNIT_TEST(configuration_comes_from_another_gateway);
   CPPUNIT_TEST(gateway_recovers_from_garbled_answers_of_the_platform);
   CPPUNIT_TEST_SUITE_END();
@@ -328,6 +330,24 @@
     CPPUNIT_ASSERT_EQUAL(200, call.status);
   }
 
+  // Connections may fall silent while new ones work. One that does costs a
+  // request; those beside it need not.
+  void connections_beside_a_silent_one_are_not_used() {
+    service_options options;
+    options.runners = 1;
+    options.timeout_ms = 1500;
+    options.links = true;
+    service_deployment system(options);
+    system.start_all();
+    open_two_connections(system);
+    system.link("runner-1").mute_open();
+    const http_answer lost = system.request("gateway-1", "/unsafe/a", "u1");
+    const http_answer next = system.request("gateway-1", "/unsafe/a", "u2");
+
+    CPPUNIT_ASSERT_EQUAL(504, lost.status);
+    CPPUNIT_ASSERT_EQUAL(200, next.status);
+  }
+
   // A gateway that the platform does not answer keeps up by the others.
   void configuration_comes_from_another_gateway() {
     service_options options;
@@ -365,6 +385,19 @@
   }
 
  private:
+  // Two requests at once, over a link that is too slow for one connection.
+  static void open_two_connections(service_deployment& system) {
+    fault_proxy& link = system.link("runner-1");
+    link.set(link_fault::slow);
+    auto other = std::async(std::launch::async, [&system] {
+      return system.request("gateway-1", "/unsafe/a", "w1");
+    });
+    const http_answer here = system.request("gateway-1", "/unsafe/a", "w2");
+    CPPUNIT_ASSERT_EQUAL(200, here.status);
+    CPPUNIT_ASSERT_EQUAL(200, other.get().status);
+    link.set(link_fault::none);
+  }
+
   static void fault_everywhere(service_deployment& system,
                                const json& switches) {
     system.runner_fault("runner-1", switches);
