Gateways tell each other of instances that are no longer there

Change: news between gateways also name the endpoints at whose addresses another instance answered; they count like own findings, also if the late record comes after the news.

Tests: gateway_path_test former_instance_is_told_to_the_other_gateways, endpoint_directory_test (two). They need the new news and could not be run on the former code.

--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -89,6 +89,10 @@
   bool report_failure(const std::string& id, std::string_view gateway,
                       std::uint64_t now_ms);
 
+  // Another gateway has met another instance at the endpoint's address. True
+  // if this was not known.
+  bool supersede(const std::string& id);
+
   std::size_t count(std::string_view service) const;
   std::size_t size() const { return by_id_.size(); }
 
--- a/include/trayrock/internal/gateway/peer_news.h
+++ b/include/trayrock/internal/gateway/peer_news.h
@@ -1,5 +1,5 @@
-// What gateways tell each other: endpoints that failed requests, and the
-// configuration that is in force.
+// What gateways tell each other: endpoints that failed requests, endpoints at
+// whose addresses other instances sit, and the configuration that is in force.
 //
 // With many gateways each sees too few requests of one endpoint to notice soon
 // that it fails; together they notice within some tenths of a second. And one
@@ -10,8 +10,10 @@
 //
 // Example:
 //   peer_news news(loop, pool, relays, own);
-//   news.serve(rpc, {on_failure, on_configuration, held_document});
+//   news.serve(rpc,
+//              {on_failure, on_superseded, on_configuration, held_document});
 //   news.note_failure("endpoint-1");
+//   news.note_superseded("endpoint-2");
 //   news.note_configuration(7);
 #pragma once
 
@@ -38,6 +40,9 @@
   // A request of another gateway failed at an endpoint.
   std::function<void(const std::string& endpoint, const std::string& gateway)>
       failure;
+  // Another gateway has met another instance at the endpoint's address.
+  std::function<void(const std::string& endpoint, const std::string& gateway)>
+      superseded;
   // Another gateway has sent its configuration, newer than the held one.
   std::function<void(const configuration_document&)> configuration;
   // The configuration that this gateway holds.
@@ -58,6 +63,9 @@
   // A request of this gateway failed at the endpoint.
   void note_failure(const std::string& endpoint);
 
+  // This gateway has met another instance at the endpoint's address.
+  void note_superseded(const std::string& endpoint);
+
   // This gateway has a new configuration.
   void note_configuration(std::uint64_t version);
 
@@ -71,7 +79,8 @@
   peer_relays& peers_;
   platform::gateway_entry own_;
   news_handlers handlers_;
-  std::set<std::string> failed_endpoints_;   // since the last batch
+  std::set<std::string> failed_endpoints_;      // since the last batch
+  std::set<std::string> superseded_endpoints_;  // likewise
   std::uint64_t configuration_ = 0;          // to be told with the next batch
   std::map<std::string, rpc_call> sending_;  // by the peer's address
   rpc_call fetching_;
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -49,6 +49,8 @@
   std::function<milliseconds()> back_after_stopping;
   // Told of each endpoint that began a request and did not answer it whole.
   std::function<void(const std::string& endpoint)> endpoint_failed;
+  // Told of each endpoint at whose address another instance answered.
+  std::function<void(const std::string& endpoint)> endpoint_superseded;
 };
 
 // Serves one request; the flow lives until its answer has ended.
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -237,6 +237,19 @@
          found->second->health.reported(gateway, now_ms);
 }
 
+bool endpoint_directory::supersede(const std::string& id) {
+  const auto known = by_id_.find(id);
+  if (known == by_id_.end()) {
+    const auto unlisted = std::make_shared<endpoint_state>();
+    unlisted->superseded = true;
+    note_former(id, unlisted);
+    return false;
+  }
+  const bool news = !known->second->superseded;
+  known->second->superseded = true;
+  return news;
+}
+
 std::size_t endpoint_directory::count(std::string_view service) const {
   const auto found = by_service_.find(service);
   return found == by_service_.end() ? 0 : found->second.size();
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -74,7 +74,8 @@
                [this] { return endpoints_watch_.silence_ms(); },
                [this] { return stages_.time_to_end(); },
                [this] { return stages_.back_after_stopping(); },
-               [this](const std::string& id) { news_.note_failure(id); }},
+               [this](const std::string& id) { news_.note_failure(id); },
+               [this](const std::string& id) { news_.note_superseded(id); }},
         clients_(
             loop_, [this] { return limits(); },
             [this](http1_request request, http1_exchange_ptr out) {
@@ -140,6 +141,9 @@
         {[this](const std::string& endpoint, const std::string& gateway) {
            take_failure_report(endpoint, gateway);
          },
+         [this](const std::string& endpoint, const std::string& gateway) {
+           take_superseded_report(endpoint, gateway);
+         },
          [this](const configuration_document& document) {
            take_peer_configuration(document);
          },
@@ -283,6 +287,15 @@
     }
   }
 
+  void take_superseded_report(const std::string& endpoint,
+                              const std::string& gateway) {
+    metrics_.add("superseded_endpoints_reported_total");
+    if (endpoints_.supersede(endpoint)) {
+      log_info("endpoint_avoided",
+               {{"endpoint", endpoint}, {"by", "report of " + gateway}});
+    }
+  }
+
   gateway_settings settings_;
   event_loop loop_;
   metrics_registry metrics_;
--- a/src/gateway/peer_news.cc
+++ b/src/gateway/peer_news.cc
@@ -10,8 +10,11 @@
 
 // News wait this long for others to be sent with them.
 constexpr milliseconds batch_delay{120};
-// Endpoints that one batch names at the most.
+// Failing endpoints that one batch names at the most.
 constexpr std::size_t most_endpoints = 32;
+// Superseded ones: all endpoints of a service may start anew at once, 84 on
+// the largest site.
+constexpr std::size_t most_superseded = 128;
 // Peers that get a batch. With more gateways each still tells this many, so
 // that the work of one event does not grow with the fleet; a configuration is
 // passed on by each that has taken it.
@@ -36,6 +39,9 @@
         for (const std::string& endpoint : news.failed_endpoints()) {
           handlers_.failure(endpoint, news.gateway());
         }
+        for (const std::string& endpoint : news.superseded_endpoints()) {
+          handlers_.superseded(endpoint, news.gateway());
+        }
         if (news.configuration() > handlers_.held().version) {
           fetch_configuration(news.address());
         }
@@ -58,6 +64,13 @@
   }
 }
 
+void peer_news::note_superseded(const std::string& endpoint) {
+  if (superseded_endpoints_.size() < most_superseded) {
+    superseded_endpoints_.insert(endpoint);
+    send_soon();
+  }
+}
+
 void peer_news::note_configuration(std::uint64_t version) {
   configuration_ = version;
   send_soon();
@@ -83,7 +96,11 @@
   for (const std::string& endpoint : failed_endpoints_) {
     news.add_failed_endpoints(endpoint);
   }
+  for (const std::string& endpoint : superseded_endpoints_) {
+    news.add_superseded_endpoints(endpoint);
+  }
   failed_endpoints_.clear();
+  superseded_endpoints_.clear();
   configuration_ = 0;
   for (const std::string& peer : peers) {
     if (!sending_[peer].running()) {  // a silent peer gets no second batch
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -265,14 +265,12 @@
           give_up(errc::no_runner);
         }
         return;
-      case attempt_outcome::refused:
       case attempt_outcome::other_instance:
-        ++report_.sends;
-        if (report_.sends < terms_.route().max_endpoints) {
-          send_next();
-        } else {
-          give_up(errc::endpoints_full);
-        }
+        parts_.endpoint_superseded(attempt_.endpoint_id());
+        refused_by_endpoint();
+        return;
+      case attempt_outcome::refused:
+        refused_by_endpoint();
         return;
       case attempt_outcome::broken:
         ++report_.sends;
@@ -285,6 +283,15 @@
     }
   }
 
+  void refused_by_endpoint() {
+    ++report_.sends;
+    if (report_.sends < terms_.route().max_endpoints) {
+      send_next();
+    } else {
+      give_up(errc::endpoints_full);
+    }
+  }
+
   void answer_broken() {
     const bool again = terms_.repeatable() &&
                        report_.sends < terms_.route().max_endpoints &&
--- a/test/endpoint_directory_test.cc
+++ b/test/endpoint_directory_test.cc
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(endpoint_that_refuses_is_not_the_least_loaded);
   CPPUNIT_TEST(endpoint_that_refused_is_used_again_soon);
   CPPUNIT_TEST(all_are_used_when_all_refuse);
+  CPPUNIT_TEST(instance_that_another_gateway_missed_gets_nothing);
+  CPPUNIT_TEST(report_that_comes_before_the_late_record_counts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -72,6 +74,22 @@
     CPPUNIT_ASSERT(!chosen(endpoints, start_ms + 10).empty());
   }
 
+  void instance_that_another_gateway_missed_gets_nothing() {
+    endpoint_directory endpoints;
+    endpoints.replace({named("a"), named("b")}, false, start_ms);
+    CPPUNIT_ASSERT(endpoints.supersede("a"));
+    CPPUNIT_ASSERT(!endpoints.supersede("a"));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 10));
+  }
+
+  void report_that_comes_before_the_late_record_counts() {
+    endpoint_directory endpoints;
+    endpoints.replace({named("b")}, false, start_ms);
+    endpoints.supersede("a");
+    endpoints.update(named("a"));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 10));
+  }
+
  private:
   static endpoint named(const std::string& id) {
     endpoint made;
--- a/test/gateway_path_test.cc
+++ b/test/gateway_path_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(stopping_gateway_sends_every_answer);
   CPPUNIT_TEST(gateway_serves_while_the_platform_is_out);
   CPPUNIT_TEST(connections_beside_a_silent_one_are_not_used);
+  CPPUNIT_TEST(former_instance_is_told_to_the_other_gateways);
   CPPUNIT_TEST(configuration_comes_from_another_gateway);
   CPPUNIT_TEST(gateway_recovers_from_garbled_answers_of_the_platform);
   CPPUNIT_TEST_SUITE_END();
@@ -348,6 +349,27 @@
     CPPUNIT_ASSERT_EQUAL(200, next.status);
   }
 
+  // The platform still lists an instance at whose address another one sits.
+  void former_instance_is_told_to_the_other_gateways() {
+    service_options options;
+    options.runners = 1;
+    service_deployment system(options);
+    system.start_all();
+    system.register_runner("runner-1", "draining");
+    system.put_object(
+        "servers", "former",
+        {{"service", "assistant"},
+         {"address", "127.0.0.1:" + std::to_string(system.port("runner-1"))},
+         {"zone", "dc-1"},
+         {"capacity", 8},
+         {"phase", "ready"}});
+    wait_until("gateway-2 is told of the former instance", [&system] {
+      system.request("gateway-1", "/unsafe/a", "u1");
+      return system.metric("gateway-2",
+                           "superseded_endpoints_reported_total") >= 1;
+    });
+  }
+
   // A gateway that the platform does not answer keeps up by the others.
   void configuration_comes_from_another_gateway() {
     service_options options;
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -104,7 +104,7 @@
 void service_deployment::add_store(const std::string& name) {
   process& store = processes_[name];
   store.port = take_port();
-  store.second_port = take_port();
+  store.metrics_port = take_port();
   store.command = {binaries_ + "/trayrock-store", "--settings",
                    folder_ + "/" + name + ".json"};
   write_store_settings(name, true);
@@ -119,7 +119,7 @@
       {"data_centre", data_centre(name)},
       {"rpc_listen", local(store.port)},
       {"rpc_address", local(reached_at(name, store.port))},
-      {"metrics_listen", local(store.second_port)},
+      {"metrics_listen", local(store.metrics_port)},
       {"platform", local(reached_at("platform of " + name, port("objects")))},
       {"data_folder", folder_ + "/" + name + ".data"},
       {"tolerated_losses", 1},
@@ -131,6 +131,7 @@
   process& gateway = processes_[name];
   gateway.port = take_port();
   gateway.second_port = take_port();
+  gateway.metrics_port = take_port();
   gateway.command = {binaries_ + "/trayrock-gateway", "--settings",
                      folder_ + "/" + name + ".json"};
   const json settings = {
@@ -140,7 +141,7 @@
       {"http_listen", local(gateway.port)},
       {"ready_listen", local(gateway.second_port)},
       {"rpc_listen", local(take_port())},
-      {"metrics_listen", local(take_port())},
+      {"metrics_listen", local(gateway.metrics_port)},
       {"platform", local(reached_at("platform of " + name, port("objects")))},
       {"stop_limit_s", options_.stop_limit_s}};
   std::ofstream(folder_ + "/" + name + ".json") << settings.dump();
@@ -360,11 +361,11 @@
   return {};
 }
 
-double service_deployment::metric(const std::string& store,
+double service_deployment::metric(const std::string& process,
                                   const std::string& name) {
-  const std::string page =
-      exchange(processes_.at(store).second_port, "GET", "/metrics", "", {}, 5)
-          .body;
+  const std::string page = exchange(processes_.at(process).metrics_port, "GET",
+                                    "/metrics", "", {}, 5)
+                               .body;
   const std::string line = "\ntrayrock_" + name + " ";
   const std::size_t at = ("\n" + page).find(line);
   return at == std::string::npos
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -78,8 +78,8 @@
   fault_proxy& link(const std::string& name) { return *links_.at(name); }
   std::vector<std::string> link_names() const;
 
-  // The value of a store's metric; -1 if it has none.
-  double metric(const std::string& store, const std::string& name);
+  // The value of a store's or gateway's metric; -1 if it has none.
+  double metric(const std::string& process, const std::string& name);
 
   int port(const std::string& name) const;
   json group();  // as the platform holds it
@@ -89,6 +89,7 @@
     std::vector<std::string> command;
     int port = 0;
     int second_port = 0;
+    int metrics_port = 0;
     pid_t id = 0;
   };
 
