--- a/src/gateway/error_answer.cc
+++ b/src/gateway/error_answer.cc
@@ -14,6 +14,15 @@
 constexpr milliseconds back_after_reserved{200};
 constexpr milliseconds back_after_unconfigured{500};
 
+// A duration as seconds with three decimals.
+std::string seconds_text(milliseconds delay) {
+  constexpr std::size_t decimals = 3;
+  constexpr long ms_per_second = 1000;
+  std::string digits = std::to_string(delay.count() % ms_per_second);
+  digits.insert(0, decimals - digits.size(), '0');
+  return std::to_string(delay.count() / ms_per_second) + "." + digits;
+}
+
 }  // namespace
 
 milliseconds back_after(errc why) {
@@ -32,19 +41,6 @@
   }
 }
 
-namespace {
-
-// A duration as seconds with three decimals.
-std::string seconds_text(milliseconds delay) {
-  constexpr std::size_t decimals = 3;
-  constexpr long ms_per_second = 1000;
-  std::string digits = std::to_string(delay.count() % ms_per_second);
-  digits.insert(0, decimals - digits.size(), '0');
-  return std::to_string(delay.count() / ms_per_second) + "." + digits;
-}
-
-}  // namespace
-
 void respond_error(http1_exchange& out, errc why, milliseconds come_back) {
   header_list headers;
   if (come_back.count() > 0) {
