--- a/include/trayrock/internal/gateway/endpoint_attempt.h
+++ b/include/trayrock/internal/gateway/endpoint_attempt.h
@@ -19,7 +19,7 @@
 #include <string>
 #include <string_view>
 
-#include "trayrock/internal/gateway/endpoint_directory.h"
+#include "trayrock/internal/gateway/endpoint_state.h"
 #include "trayrock/internal/gateway/request_facts.h"
 #include "trayrock/internal/net/http1_client.h"
 #include "trayrock/internal/net/loop.h"
--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -1,13 +1,9 @@
-// The endpoints that are known, how they have been doing, and which one a
-// request goes to.
+// The endpoints that are known, and how they have been doing.
 //
 // No I/O; the caller gives the time. The platform's records say which
 // endpoints there are; what requests see says which to leave alone for a
-// while (decide/endpoint_health.h). A turn goes to the endpoint that made the
-// turn before, whose cache holds its prompt, unless that one has much more to
-// do than others. Else the least loaded endpoint is taken, where those of the
-// same data centre and those to which a connection is open count as less
-// loaded.
+// while (decide/endpoint_health.h). Which of them a request goes to is decided
+// by endpoint_choice.h.
 //
 // Example:
 //   endpoint_directory endpoints;
@@ -20,48 +16,17 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "trayrock/internal/decide/endpoint_health.h"
-#include "trayrock/internal/gateway/configuration.h"
+#include "trayrock/internal/gateway/endpoint_choice.h"
+#include "trayrock/internal/gateway/endpoint_state.h"
+#include "trayrock/internal/gateway/former_endpoints.h"
 
 namespace trayrock {
 
-// How an attempt at an endpoint ended.
-enum class attempt_outcome {
-  answered,
-  refused,         // the endpoint says that it did not run the request
-  other_instance,  // likewise, since it is not the one that was meant
-  cancelled,       // the client went away first
-  unreachable,     // never sent
-  broken           // sent, and the answer did not come whole
-};
-
-struct endpoint_state {
-  endpoint record;
-  std::uint32_t in_flight = 0;  // of this gateway
-  endpoint_health health;
-  double latency_ms = 0;  // smoothed, of answered attempts; 0: none yet
-  std::uint64_t removed_at_ms = 0;  // 0: still listed
-  // Another instance sits at its address. Ids are used once, so that this one
-  // does not come back, whatever a late record of the platform says.
-  bool superseded = false;
-};
-
-struct endpoint_choice {
-  std::string_view service;
-  std::string_view preferred;  // endpoint with the prompt in its cache, if any
-  std::string_view data_centre;
-  std::function<bool(const endpoint&)> connected;
-  const std::set<std::string>* excluded = nullptr;
-  // May run only once: not for endpoints on trial.
-  bool once = false;
-};
-
 class endpoint_directory {
  public:
   // Replaces the whole list. After a loss of the platform, an endpoint that
@@ -76,8 +41,8 @@
   void sweep(std::uint64_t now_ms);
 
   // Nothing if no endpoint of the service may be sent to.
-  std::shared_ptr<endpoint_state> choose(const endpoint_choice& wanted,
-                                         std::uint64_t now_ms) const;
+  endpoint_state_ptr choose(const endpoint_choice& wanted,
+                            std::uint64_t now_ms) const;
 
   // Bookkeeping of one attempt.
   static void begin(endpoint_state& at);
@@ -93,27 +58,19 @@
   std::size_t size() const { return by_id_.size(); }
 
  private:
-  using state_ptr = std::shared_ptr<endpoint_state>;
-  std::map<std::string, state_ptr> by_id_;
-  std::map<std::string, std::vector<state_ptr>, std::less<>> by_service_;
-
-  // A superseded endpoint that is listed no more; numbered in their order.
-  struct former_endpoint {
-    state_ptr state;
-    std::uint64_t number = 0;
-  };
-  std::map<std::string, former_endpoint> former_;
-  std::uint64_t former_numbers_ = 0;
+  using condition =
+      std::function<bool(const std::string& id, const endpoint_state& at)>;
 
-  state_ptr& held(const std::string& id);
-  void note_former(const std::string& id, const state_ptr& state);
+  endpoint_state& found_or_made(const std::string& id);
+  void keep_for_a_moment(const std::set<std::string>& listed,
+                         std::uint64_t now_ms);
+  std::size_t drop_if(const condition& holds);
   void index();
-  static bool trusted(const endpoint_state& at, const endpoint_choice& wanted,
-                      std::uint64_t now_ms);
-  static bool usable(const endpoint_state& at, const endpoint_choice& wanted);
-  static std::vector<state_ptr> candidates_of(
-      const std::vector<state_ptr>& from, const endpoint_choice& wanted,
-      std::uint64_t now_ms);
+
+  std::map<std::string, endpoint_state_ptr> by_id_;
+  std::map<std::string, std::vector<endpoint_state_ptr>, std::less<>>
+      by_service_;
+  former_endpoints former_;
 };
 
 }  // namespace trayrock
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -1,5 +1,6 @@
 #include "trayrock/internal/gateway/endpoint_attempt.h"
 
+#include "trayrock/internal/gateway/endpoint_directory.h"
 #include "trayrock/internal/log.h"
 
 namespace trayrock {
