--- a/include/trayrock/internal/decide/store_membership.h
+++ b/include/trayrock/internal/decide/store_membership.h
@@ -19,9 +19,9 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
--- a/include/trayrock/internal/decide/store_peers.h
+++ b/include/trayrock/internal/decide/store_peers.h
@@ -72,6 +72,10 @@
   std::map<std::string, peer_view> views(std::uint64_t now_ms) const;
 
  private:
+  void begin_epoch(std::uint64_t epoch);
+  void follow_one(const records::Store& store, bool is_voting,
+                  std::uint64_t now_ms);
+
   std::map<std::string, store_peer> peers_;  // by id
   std::uint64_t epoch_ = 0;
 };
--- a/src/decide/store_peers.cc
+++ b/src/decide/store_peers.cc
@@ -5,40 +5,54 @@
 #include "trayrock/internal/records/group_rules.h"
 
 namespace trayrock {
+namespace {
+
+// Votes in the present epoch, or did in the one before.
+bool votes(const records::Group& group, const std::string& id) {
+  return is_voter(group, id) ||
+         find_store(group.previous_voters(), id) != nullptr;
+}
+
+}  // namespace
 
 void store_peers::follow(const records::StoreState& own, std::uint64_t now_ms) {
   const records::Group& group = own.group();
   if (group.epoch() != epoch_) {
-    epoch_ = group.epoch();
-    for (auto& [id, each] : peers_) {
-      each.counts = false;
-      each.fenced = false;
-      each.read_since_fence = false;
-    }
+    begin_epoch(group.epoch());
   }
-  const auto votes = [&](const std::string& id) {
-    return is_voter(group, id) ||
-           find_store(group.previous_voters(), id) != nullptr;
-  };
   std::erase_if(peers_, [&](const auto& held) {
-    return !votes(held.first) && !is_learner(group, held.first);
+    return !votes(group, held.first) && !is_learner(group, held.first);
   });
   for (const auto* stores :
        {&group.voters(), &group.previous_voters(), &group.learners()}) {
     for (const records::Store& each : *stores) {
-      if (each.id() == own.id()) {
-        continue;
-      }
-      store_peer& followed = peers_[each.id()];
-      if (followed.first_asked_ms == 0) {
-        followed.first_asked_ms = now_ms;
+      if (each.id() != own.id()) {
+        follow_one(each, votes(group, each.id()), now_ms);
       }
-      followed.store = each;
-      followed.learner = !votes(each.id());
     }
   }
 }
 
+// What was known for the epoch before does not hold for this one.
+void store_peers::begin_epoch(std::uint64_t epoch) {
+  epoch_ = epoch;
+  for (auto& [id, each] : peers_) {
+    each.counts = false;
+    each.fenced = false;
+    each.read_since_fence = false;
+  }
+}
+
+void store_peers::follow_one(const records::Store& store, bool is_voting,
+                             std::uint64_t now_ms) {
+  store_peer& followed = peers_[store.id()];
+  if (followed.first_asked_ms == 0) {
+    followed.first_asked_ms = now_ms;
+  }
+  followed.store = store;
+  followed.learner = !is_voting;
+}
+
 void store_peers::pull_began(const std::string& id) {
   const auto held = peers_.find(id);
   if (held != peers_.end()) {
