endpoint_health: evidence is added in one place

Failures and reports each faded the evidence and added to it. Behaviour is unchanged.

Tests: endpoint_health_test and endpoint_directory_test passed.

--- a/include/trayrock/internal/decide/endpoint_health.h
+++ b/include/trayrock/internal/decide/endpoint_health.h
@@ -51,7 +51,7 @@
  private:
   // Left alone for its failures.
   bool paused(std::uint64_t now_ms) const { return avoided_until_ms_ > now_ms; }
-  void fade(std::uint64_t now_ms);
+  void add_evidence(std::uint64_t now_ms);
   bool avoid_if_due(bool due, std::uint64_t now_ms);
 
   double evidence_ = 0;
--- a/src/decide/endpoint_health.cc
+++ b/src/decide/endpoint_health.cc
@@ -32,9 +32,11 @@
 
 }  // namespace
 
-void endpoint_health::fade(std::uint64_t now_ms) {
+// One more failure; older ones count for less.
+void endpoint_health::add_evidence(std::uint64_t now_ms) {
   const auto passed = static_cast<double>(now_ms - evidence_at_ms_);
   evidence_ *= std::exp(-passed / fade_ms);
+  evidence_ += 1;
   evidence_at_ms_ = now_ms;
 }
 
@@ -69,8 +71,7 @@
   if (paused(now_ms)) {
     return false;
   }
-  fade(now_ms);
-  evidence_ += 1;
+  add_evidence(now_ms);
   return avoid_if_due(evidence_ >= evidence_to_avoid ||
                           failures_in_row_ >= failures_in_row_to_avoid,
                       now_ms);
@@ -86,8 +87,7 @@
   if (!reported_at_ms_.try_emplace(std::string(gateway), now_ms).second) {
     return false;
   }
-  fade(now_ms);
-  evidence_ += 1;
+  add_evidence(now_ms);
   return avoid_if_due(evidence_ >= evidence_to_avoid, now_ms);
 }
 
