--- a/include/trayrock/internal/records/store_membership_driver.h
+++ b/include/trayrock/internal/records/store_membership_driver.h
@@ -1,20 +1,22 @@
-// Carries out what decide/store_membership.h decides: reads other stores,
-// changes the group on the platform, fences, and reports retirements.
+// Carries out what decide/store_membership.h decides: changes the group on the
+// platform, joins it, and reports retirements. What is known of the other
+// stores comes from a store_reader.
 //
 // Example:
 //   store_membership_driver membership(loop, server, pool, registry, settings);
 //   membership.start();  // once the server knows its id
 #pragma once
 
-#include <map>
-#include <memory>
+#include <cstdint>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "platform/group_registry.h"
 #include "trayrock/internal/decide/store_membership.h"
-#include "trayrock/internal/decide/store_peers.h"
 #include "trayrock/internal/records/record_server.h"
+#include "trayrock/internal/records/store_reader.h"
 
 namespace trayrock {
 
@@ -35,28 +37,10 @@
   void start();
 
  private:
-  // The calls to one other store, and how far it has been read.
-  struct reading {
-    std::uint64_t log = 0;
-    std::uint64_t position = 0;
-    rpc_call pulling;
-    rpc_call fencing;
-  };
-
   void tick();
+  bool needs_others() const;
   void create_group();
   void create_group_of(const std::vector<records::Store>& announced);
-  void pull_due_peers();
-  bool reads_records() const;
-  std::string pick_full_source() const;
-  records::PullKind pull_kind(const store_peer& from);
-  void pull(const store_peer& from);
-  void pulled(const std::string& id, records::PullKind kind,
-              result<records::PullReply> answer);
-  void take_pulled(const std::string& id, const records::PullReply& reply);
-  void fetch_missing(const std::string& id, const records::PullReply& listed);
-  void read_up_to(const std::string& id, const records::PullReply& reply);
-  void fence(const store_peer& voter);
   void finish_joining();
   membership_view view();
   void act(const do_nothing&) {}
@@ -70,14 +54,9 @@
 
   event_loop& loop_;
   record_server& server_;
-  rpc_pool& pool_;
+  store_reader reader_;
   platform::group_registry& registry_;
   membership_settings settings_;
-  store_peers peers_;
-  std::map<std::string, reading> readings_;  // by the store's id
-  // The voter whose records are read in full; of the others only what is
-  // still missing.
-  std::string full_source_;
   std::set<std::string> retiring_;
   std::uint64_t retiring_since_ms_ = 0;
   // The platform knows that this box's data is no longer needed: it may be
