request_flow: what is wanted of an endpoint and what follows an attempt are named

send_next and attempt_ended were the longest functions; the limit of sends was written out twice. Behaviour is unchanged.

--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -115,18 +115,8 @@
       deadline_passed();
       return;
     }
-    endpoint_choice wanted;
-    wanted.service = terms_.service();
-    wanted.preferred = history_.chain() == nullptr ? std::string_view()
-                                                   : history_.chain()->endpoint;
-    wanted.data_centre = parts_.data_centre;
-    wanted.excluded = &tried_;
-    wanted.once = terms_.once();
-    wanted.connected = [this](const endpoint& each) {
-      return parts_.pool.has_idle(each.address, each.id);
-    };
     if (!attempt_.begin(
-            parts_.endpoints.choose(wanted, parts_.loop.now_ms()))) {
+            parts_.endpoints.choose(wanted(), parts_.loop.now_ms()))) {
       give_up(tried_.empty() ? errc::no_runner : errc::endpoints_full);
       return;
     }
@@ -137,6 +127,26 @@
     arm_late_guard();
   }
 
+  // What the next endpoint should be like.
+  endpoint_choice wanted() const {
+    endpoint_choice made;
+    made.service = terms_.service();
+    made.preferred = turn_before();
+    made.data_centre = parts_.data_centre;
+    made.excluded = &tried_;
+    made.once = terms_.once();
+    made.connected = [this](const endpoint& each) {
+      return parts_.pool.has_idle(each.address, each.id);
+    };
+    return made;
+  }
+
+  // The endpoint that made the turn before; empty if there is none.
+  std::string_view turn_before() const {
+    return history_.chain() == nullptr ? std::string_view()
+                                       : history_.chain()->endpoint;
+  }
+
   http1_request outgoing() const {
     endpoint_directions directions;
     directions.time_left = time_left();
@@ -259,20 +269,13 @@
         answer_client();
         return;
       case attempt_outcome::unreachable:
-        if (++report_.unreachable < most_unreachable) {
-          send_next();
-        } else {
-          give_up(errc::no_runner);
-        }
+        ++report_.unreachable;
+        after_unreachable();
         return;
       case attempt_outcome::refused:
       case attempt_outcome::other_instance:
         ++report_.sends;
-        if (report_.sends < terms_.route().max_endpoints) {
-          send_next();
-        } else {
-          give_up(errc::endpoints_full);
-        }
+        after_refusal();
         return;
       case attempt_outcome::broken:
         ++report_.sends;
@@ -285,11 +288,28 @@
     }
   }
 
+  bool sends_are_left() const {
+    return report_.sends < terms_.route().max_endpoints;
+  }
+
+  void after_unreachable() {
+    if (report_.unreachable < most_unreachable) {
+      send_next();
+    } else {
+      give_up(errc::no_runner);
+    }
+  }
+
+  void after_refusal() {
+    if (sends_are_left()) {
+      send_next();
+    } else {
+      give_up(errc::endpoints_full);
+    }
+  }
+
   void answer_broken() {
-    const bool again = terms_.repeatable() &&
-                       report_.sends < terms_.route().max_endpoints &&
-                       !out_->begun();
-    if (again) {
+    if (terms_.repeatable() && sends_are_left() && !out_->begun()) {
       send_next();
       return;
     }
@@ -384,9 +404,9 @@
 
   void refuse(errc why) {
     end(make_error_code(why).message(), http_status(why));
-    respond_error(
-        *out_, why,
-        why == errc::stopping ? parts_.back_after_stopping() : back_after(why));
+    const milliseconds come_back =
+        why == errc::stopping ? parts_.back_after_stopping() : back_after(why);
+    respond_error(*out_, why, come_back);
   }
 
   milliseconds elapsed_ms() const {
