endpoint_attempt sends the request and forgets idle connections itself

request_flow sent on behalf of the attempt and watched each of its ends to drop the idle connections behind a failure. Both belong to the attempt, which knows the endpoint. Logging of a failed attempt is a function. Behaviour is unchanged.

Tests: gateway_path_test, stopping_test and at_most_once_test passed.

--- a/include/trayrock/internal/gateway/endpoint_attempt.h
+++ b/include/trayrock/internal/gateway/endpoint_attempt.h
@@ -2,12 +2,13 @@
 // object serves for the next sending.
 //
 // Keeps the books of the endpoint: every attempt that was begun is ended once,
-// with its outcome.
+// with its outcome. Behind one that breaks, is late or finds no connection, the
+// idle connections to the endpoint are not used any more.
 //
 // Example:
-//   endpoint_attempt attempt(loop, facts);
+//   endpoint_attempt attempt(loop, pool, facts);
 //   if (attempt.begin(endpoints.choose(wanted, now))) {
-//     attempt.carry(pool.start(..., observer));
+//     attempt.send(request, observer);
 //   }
 //   // in the observer's on_end:
 //   const attempt_outcome outcome = attempt.outcome_of(how);
@@ -15,7 +16,6 @@
 #pragma once
 
 #include <cstdint>
-#include <memory>
 #include <string>
 #include <string_view>
 
@@ -28,17 +28,18 @@
 
 class endpoint_attempt {
  public:
-  // Both outlive the object.
-  endpoint_attempt(event_loop& loop, const request_facts& facts)
-      : loop_(loop), facts_(facts) {}
+  // All outlive the object.
+  endpoint_attempt(event_loop& loop, http1_pool& pool,
+                   const request_facts& facts)
+      : loop_(loop), pool_(pool), facts_(facts) {}
   endpoint_attempt(const endpoint_attempt&) = delete;
   endpoint_attempt& operator=(const endpoint_attempt&) = delete;
 
   // Begins an attempt at an endpoint. False if it is nullptr.
-  bool begin(std::shared_ptr<endpoint_state> to);
+  bool begin(endpoint_state_ptr to);
 
-  // Takes the call that carries the request.
-  void carry(http1_call call) { call_ = std::move(call); }
+  // Sends the request to the endpoint.
+  void send(const http1_request& request, http1_observer observer);
   void cancel() { call_.cancel(); }
 
   // The endpoint's record; nullptr if there is no endpoint.
@@ -76,10 +77,13 @@
 
  private:
   void log_avoided() const;
+  void log_failed(attempt_outcome outcome, double ms) const;
+  void forget_idle_connections();
 
   event_loop& loop_;
+  http1_pool& pool_;
   const request_facts& facts_;
-  std::shared_ptr<endpoint_state> endpoint_;
+  endpoint_state_ptr endpoint_;
   http1_call call_;
   bool in_flight_ = false;
   std::uint64_t sent_at_us_ = 0;
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -30,7 +30,7 @@
 
 }  // namespace
 
-bool endpoint_attempt::begin(std::shared_ptr<endpoint_state> to) {
+bool endpoint_attempt::begin(endpoint_state_ptr to) {
   endpoint_ = std::move(to);
   if (endpoint_ == nullptr) {
     return false;
@@ -44,6 +44,12 @@
   return true;
 }
 
+void endpoint_attempt::send(const http1_request& request,
+                            http1_observer observer) {
+  const endpoint& to = endpoint_->record;
+  call_ = pool_.start(to.address, to.id, request, std::move(observer));
+}
+
 std::string endpoint_attempt::endpoint_id() const {
   return endpoint_ == nullptr ? std::string() : endpoint_->record.id;
 }
@@ -84,6 +90,14 @@
   if (endpoint_->health.failed(loop_.now_ms())) {
     log_avoided();
   }
+  forget_idle_connections();
+}
+
+// The next request gets a new connection to the endpoint. If none can be made
+// it has not run, and goes elsewhere; on a connection that has fallen silent it
+// would be lost.
+void endpoint_attempt::forget_idle_connections() {
+  pool_.forget(endpoint_->record.address, endpoint_->record.id);
 }
 
 void endpoint_attempt::log_avoided() const {
@@ -96,6 +110,10 @@
     return;
   }
   in_flight_ = false;
+  if (outcome == attempt_outcome::broken ||
+      outcome == attempt_outcome::unreachable) {
+    forget_idle_connections();
+  }
   constexpr double us_per_ms = 1000;
   const double ms =
       static_cast<double>(loop_.now_us() - sent_at_us_) / us_per_ms;
@@ -104,9 +122,12 @@
   if (avoided) {
     log_avoided();
   }
-  if (outcome == attempt_outcome::answered) {
-    return;
+  if (outcome != attempt_outcome::answered) {
+    log_failed(outcome, ms);
   }
+}
+
+void endpoint_attempt::log_failed(attempt_outcome outcome, double ms) const {
   log_info("attempt_failed",
            {{"request", facts_.attempt},
             {"endpoint", endpoint_->record.id},
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -38,7 +38,7 @@
         request_(std::move(request)),
         out_(std::move(out)),
         history_(parts.loop, parts.records, parts.chains, facts_),
-        attempt_(parts.loop, facts_),
+        attempt_(parts.loop, parts.pool, facts_),
         began_us_(parts.loop.now_us()) {}
 
   void start() {
@@ -120,10 +120,8 @@
       give_up(tried_.empty() ? errc::no_runner : errc::endpoints_full);
       return;
     }
-    const endpoint& to = *attempt_.to();
-    tried_.insert(to.id);
-    attempt_.carry(
-        parts_.pool.start(to.address, to.id, outgoing(), observer()));
+    tried_.insert(attempt_.endpoint_id());
+    attempt_.send(outgoing(), observer());
     arm_late_guard();
   }
 
@@ -196,27 +194,9 @@
       return;
     }
     attempt_.suspect();
-    forget_idle_connections();
     parts_.endpoint_failed(attempt_.endpoint_id());
   }
 
-  // The next request gets a new connection to the endpoint. If none can be
-  // made it has not run, and goes elsewhere; on a connection that has fallen
-  // silent it would be lost.
-  void forget_idle_connections() {
-    const endpoint& silent = *attempt_.to();
-    parts_.pool.forget(silent.address, silent.id);
-  }
-
-  void end_attempt(attempt_outcome outcome) {
-    const bool failed = outcome == attempt_outcome::broken ||
-                        outcome == attempt_outcome::unreachable;
-    if (failed && attempt_.in_flight()) {
-      forget_idle_connections();
-    }
-    attempt_.end(outcome);
-  }
-
   // ---- The endpoint's answer ----------------------------------------------
 
   bool take_head(const http1_answer_head& head) {
@@ -262,7 +242,7 @@
       return;
     }
     const attempt_outcome outcome = attempt_.outcome_of(how);
-    end_attempt(outcome);
+    attempt_.end(outcome);
     switch (outcome) {
       case attempt_outcome::answered:
         ++report_.sends;
@@ -375,7 +355,7 @@
       return;
     }
     attempt_.cancel();
-    end_attempt(attempt_outcome::cancelled);
+    attempt_.end(attempt_outcome::cancelled);
     settle_begun_events();
     end("client_gone", attempt_.status());
   }
@@ -386,7 +366,7 @@
     }
     const bool sent = attempt_.in_flight() || report_.sends > 0;
     attempt_.cancel();
-    end_attempt(attempt_outcome::broken);
+    attempt_.end(attempt_outcome::broken);
     settle_begun_events();
     if (out_->begun()) {
       end("deadline", attempt_.status());
