An attempt begins without what was read of the one before

Cause: found at reading. The facts of an answer outlived their attempt until the next head came. No effect is known, since each use follows a head; the state is now as its name says.

--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -39,6 +39,7 @@
   endpoint_directory::begin(*endpoint_);
   in_flight_ = true;
   head_ = {};
+  answer_ = {};
   body_.clear();
   invalid_ = false;
   return true;
