--- a/test/endpoint_directory_test.cc
+++ b/test/endpoint_directory_test.cc
@@ -104,7 +104,7 @@
     endpoint_choice wanted;
     wanted.service = service;
     wanted.preferred = id;
-    const auto found = endpoints.choose(wanted, start_ms);
+    auto found = endpoints.choose(wanted, start_ms);
     TRAYROCK_CHECK(found != nullptr && found->record.id == id,
                    "the endpoint asked for is chosen: " + id);
     return found;
