Budgets hold on routes that keep no history

Cause: a turn reserved and settled its tokens only where its route keeps history, but turns of other routes carry the program's budget too (a program with a budget of 576 tokens got 3,672 in 22 turns). Ruled out: the record stores; they count whatever is reserved. Change: every turn with a budget reserves before it is sent; a turn whose route keeps no history settles what was handed out at each of its ends.

--- a/include/trayrock/internal/gateway/turn_history.h
+++ b/include/trayrock/internal/gateway/turn_history.h
@@ -3,11 +3,12 @@
 //
 // A turn reserves the most tokens that it may use before it is sent. It either
 // becomes a record, which says what it used, or settles what it handed out.
-// Requests that keep no history may settle as well, which does nothing.
+// Turns of routes that keep no history always settle; requests without a budget
+// may settle as well, which does nothing.
 //
 // Example:
 //   turn_history history(loop, records, chains, facts);
-//   if (history.begin(retention)) {
+//   if (history.begin(route)) {
 //     history.reserve(limit, [&](result<reserved_turn> made) {
 //       const std::optional<errc> refused = history.judge(std::move(made));
 //       ...
@@ -25,6 +26,7 @@
 #include <system_error>
 
 #include "trayrock/internal/gateway/chain_cache.h"
+#include "trayrock/internal/gateway/configuration.h"
 #include "trayrock/internal/gateway/request_facts.h"
 #include "trayrock/internal/net/loop.h"
 #include "trayrock/internal/records/record_client.h"
@@ -49,10 +51,11 @@
   turn_history(const turn_history&) = delete;
   turn_history& operator=(const turn_history&) = delete;
 
-  // Looks the chain before this turn up in the cache. True when `reserve` has
-  // to be called before the turn is sent: there is a budget, or the chain is
-  // not cached.
-  bool begin(std::chrono::seconds retention);
+  // Looks the chain before this turn up in the cache, if its route keeps
+  // history. True when `reserve` has to be called before the turn is sent:
+  // there is a budget, which turns of all routes share, or the chain is not
+  // cached.
+  bool begin(const route& from);
 
   // Asks the record stores for the reservation, and for the chain if needed.
   void reserve(milliseconds limit, record_client::reserve_callback done);
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -53,8 +53,7 @@
       return;
     }
     watch_ends();
-    if (terms_.route().keeps_history &&
-        history_.begin(terms_.route().retention)) {
+    if (history_.begin(terms_.route())) {
       reserve();
     } else {
       send_next();
@@ -316,6 +315,7 @@
     }
     begin_answer();
     if (!terms_.route().keeps_history) {
+      settle_begun_events();
       end("answered", attempt_.status());
       out_->finish();
       return;
--- a/src/gateway/turn_history.cc
+++ b/src/gateway/turn_history.cc
@@ -15,9 +15,12 @@
   return facts_.token_budget.has_value() && !facts_.program.empty();
 }
 
-bool turn_history::begin(std::chrono::seconds retention) {
-  retention_ = retention;
+bool turn_history::begin(const route& from) {
   reserved_ = has_budget();
+  if (!from.keeps_history) {
+    return reserved_;
+  }
+  retention_ = from.retention;
   chain_ = chains_.find(facts_.previous_turn, loop_.now_ms());
   asked_ = chain_ == nullptr ? facts_.previous_turn : std::string();
   return reserved_ || !asked_.empty();
--- a/test/gateway_path_test.cc
+++ b/test/gateway_path_test.cc
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(turn_goes_on_from_the_turn_before_at_another_gateway);
   CPPUNIT_TEST(turn_without_a_known_previous_one_never_runs);
   CPPUNIT_TEST(program_with_spent_tokens_gets_402_and_does_not_run);
+  CPPUNIT_TEST(budget_holds_over_turns_that_keep_no_history);
+  CPPUNIT_TEST(turn_that_no_endpoint_ran_uses_no_budget);
   CPPUNIT_TEST(request_that_may_run_once_is_not_sent_again_after_a_cut);
   CPPUNIT_TEST(repeatable_request_goes_on_to_another_endpoint);
   CPPUNIT_TEST(refusal_by_all_endpoints_says_when_to_come_back);
@@ -82,6 +84,40 @@
     CPPUNIT_ASSERT_EQUAL(0, system.runs("t2"));
   }
 
+  void budget_holds_over_turns_that_keep_no_history() {
+    service_deployment system;
+    system.start_all();
+    // Each turn makes three events of two tokens and may make ten.
+    const std::string path = "/resumable-stream/a";
+    const http_answer first =
+        system.turn("gateway-1", "t1", "", "one", 20, path);
+    const http_answer second =
+        system.turn("gateway-2", "t2", "", "two", 20, path);
+    const http_answer third =
+        system.turn("gateway-1", "t3", "", "three", 20, path);
+
+    CPPUNIT_ASSERT_EQUAL(200, first.status);
+    CPPUNIT_ASSERT_EQUAL(200, second.status);
+    CPPUNIT_ASSERT_EQUAL(402, third.status);
+    CPPUNIT_ASSERT_EQUAL(code_tokens_spent, third.error_code());
+    CPPUNIT_ASSERT_EQUAL(0, system.runs("t3"));
+  }
+
+  void turn_that_no_endpoint_ran_uses_no_budget() {
+    service_deployment system;
+    system.start_all();
+    const std::string path = "/resumable-stream/a";
+    fault_everywhere(system, {{"refuse", 1}});
+    const http_answer refused =
+        system.turn("gateway-1", "t1", "", "one", 10, path);
+    wait_until("the turn fits again", [&] {
+      return system.turn("gateway-2", "t2", "", "two", 10, path).status == 200;
+    });
+
+    CPPUNIT_ASSERT_EQUAL(503, refused.status);
+    CPPUNIT_ASSERT_EQUAL(0, system.runs("t1"));
+  }
+
   void request_that_may_run_once_is_not_sent_again_after_a_cut() {
     service_deployment system;
     system.start_all();
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -281,7 +281,10 @@
   json turns = route("/stream/", "streaming");
   turns["retained"] = true;
   turns["retentionS"] = 60;
-  json routes = {turns, route("/safe/", "safe"), route("/unsafe/", "unsafe")};
+  json resumable = route("/resumable-stream/", "streaming");
+  resumable["resumable"] = true;
+  json routes = {turns, resumable, route("/safe/", "safe"),
+                 route("/unsafe/", "unsafe")};
   for (const json& each : more_routes) {
     routes.push_back(each);
   }
@@ -324,7 +327,8 @@
                                      const std::string& attempt,
                                      const std::string& previous,
                                      const std::string& input,
-                                     std::uint64_t budget) {
+                                     std::uint64_t budget,
+                                     const std::string& path) {
   std::map<std::string, std::string> headers{
       {"Trayrock-Program-Id", "program"},
       {"Trayrock-Session-Id", "session"},
@@ -333,7 +337,7 @@
   if (!previous.empty()) {
     headers["Trayrock-Previous-Turn"] = previous;
   }
-  return request(gateway, "/stream/a", attempt, headers, input);
+  return request(gateway, path, attempt, headers, input);
 }
 
 json service_deployment::counts(const std::string& runner) {
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -66,7 +66,8 @@
                       const std::string& body = "");
   http_answer turn(const std::string& gateway, const std::string& attempt,
                    const std::string& previous, const std::string& input,
-                   std::uint64_t budget = 1000);
+                   std::uint64_t budget = 1000,
+                   const std::string& path = "/stream/a");
 
   // How often the runners together have run an attempt, and its body.
   int runs(const std::string& attempt);
