Resumable streams go on at another endpoint

Cause: a stream of a resumable route is idempotent, but was treated like any stream: an endpoint that broke off or hung ended it. Ruled out: passing bytes on as they come and letting the client resume; it may then hold half an event, and needs a new connection and a new reservation. Change: decide/whole_events cuts such streams into whole events and refuses a run that repeats one; decide/resend_rule says what goes on, from the start or behind the last event; client_answer holds what the client gets. The head stays the first run's, tokens count once, the route's number of endpoints bounds it.

--- a/fakes/fake_runner.cc
+++ b/fakes/fake_runner.cc
@@ -30,6 +30,10 @@
   int refuse = 0;          // 503, not executed
   int cut_unanswered = 0;  // run, then the connection is closed
   int cut_midway = 0;      // the stream breaks off after its first event
+  int hang_midway = 0;     // the stream falls silent after its first event
+  // The next stream breaks off so many bytes behind its first event; -1: none.
+  int cut_at_byte = -1;
+  int ignore_last_event = 0;  // streams start at their first event all the same
   int without_seal = 0;
   int hang = 0;  // run, and never answered
 };
@@ -58,6 +62,10 @@
     faults_.cut_midway = body.value("cut_midway", faults_.cut_midway);
     faults_.without_seal = body.value("without_seal", faults_.without_seal);
     faults_.hang = body.value("hang", faults_.hang);
+    faults_.hang_midway = body.value("hang_midway", faults_.hang_midway);
+    faults_.cut_at_byte = body.value("cut_at_byte", faults_.cut_at_byte);
+    faults_.ignore_last_event =
+        body.value("ignore_last_event", faults_.ignore_last_event);
   }
 
   json counts() const {
@@ -104,7 +112,7 @@
     header_list headers;
     headers.add("Trayrock-Attempt-Id", attempt);
     if (!take(faults_.without_seal)) {
-      headers.add("Trayrock-Response-Seal", "seal." + attempt);
+      headers.add("Trayrock-Response-Seal", "seal." + id_ + "." + attempt);
     }
     if (request.target.find("stream") == std::string::npos) {
       out->respond(status_ok, headers, "answer to " + attempt);
@@ -112,14 +120,56 @@
     }
     headers.add("Content-Type", "text/event-stream");
     out->begin(status_ok, headers);
-    stream(out, attempt, 1, take(faults_.cut_midway));
+    const int first = first_event(request);
+    if (first > events_) {
+      out->finish();
+      return;
+    }
+    stream(out, attempt, first, midway_fault(attempt, first));
+  }
+
+  // The number of the event that the stream starts with.
+  int first_event(const http1_request& request) {
+    const std::string last(request.headers.find("Last-Event-Id"));
+    if (last.empty() || take(faults_.ignore_last_event)) {
+      return 1;
+    }
+    return std::stoi(last) + 1;
+  }
+
+  static std::string event_of(const std::string& attempt, int number) {
+    const std::string text = std::to_string(number);
+    return "id: " + text + "\ndata: " + attempt + "-" + text + "\n\n";
+  }
+
+  // What comes behind the first event in place of the others.
+  struct midway {
+    bool cut = false;
+    bool hang = false;
+    std::string half;  // of the next event, before the cut
+  };
+
+  midway midway_fault(const std::string& attempt, int first) {
+    midway made;
+    made.cut = take(faults_.cut_midway);
+    made.hang = take(faults_.hang_midway);
+    if (faults_.cut_at_byte >= 0) {
+      made.cut = true;
+      made.half = event_of(attempt, first + 1).substr(0, faults_.cut_at_byte);
+      faults_.cut_at_byte = -1;
+    }
+    return made;
   }
 
   void stream(const http1_exchange_ptr& out, const std::string& attempt,
-              int number, bool cut) {
-    out->write("id: " + std::to_string(number) + "\ndata: " + attempt + "-" +
-               std::to_string(number) + "\n\n");
-    if (cut) {  // once the event is on its way
+              int number, const midway& fault) {
+    out->write(event_of(attempt, number) + fault.half);
+    if (fault.hang) {
+      hung_.push_back(out);
+      out->on_gone([this] { ++cancelled_; });
+      return;
+    }
+    if (fault.cut) {  // once the event is on its way
       timers_[++next_] = loop_.after(pause_, [out] { out->abort(); });
       return;
     }
@@ -129,7 +179,7 @@
     }
     const std::uint64_t key = ++next_;
     timers_[key] = loop_.after(pause_, [this, key, out, attempt, number] {
-      stream(out, attempt, number + 1, false);
+      stream(out, attempt, number + 1, {});
       timers_.erase(key);
     });
   }
--- a/include/trayrock/internal/gateway/configuration.h
+++ b/include/trayrock/internal/gateway/configuration.h
@@ -23,7 +23,7 @@
 enum class repetition {
   repeatable,  // any number of times
   once,        // at most once
-  stream       // at most once; the answer is a stream of events
+  stream       // at most once unless resumable; the answer is events
 };
 
 struct weighted_service {
@@ -43,6 +43,10 @@
   std::uint32_t max_endpoints = 1;  // endpoints that may be tried
   bool keeps_history = false;
   std::chrono::seconds retention{0};
+  // A stream may go on at another endpoint behind an event; it is idempotent.
+  bool resumable = false;
+  // Longest pause between events that keeps a stream in time; 0: none named.
+  std::chrono::milliseconds longest_pause{0};
 };
 
 // What is known of the model engines of a service.
--- a/include/trayrock/internal/gateway/request_facts.h
+++ b/include/trayrock/internal/gateway/request_facts.h
@@ -47,6 +47,8 @@
   std::chrono::milliseconds time_left{0};
   std::string instance;        // the life of the endpoint that is meant
   std::optional<int> urgency;  // 0 (first) to 9
+  // The event behind which a stream goes on; nothing: as its client asked.
+  std::optional<std::uint64_t> resume_after;
 };
 
 }  // namespace trayrock
--- a/include/trayrock/internal/gateway/request_terms.h
+++ b/include/trayrock/internal/gateway/request_terms.h
@@ -52,6 +52,7 @@
   bool repeatable() const { return route_->kind == repetition::repeatable; }
   bool once() const { return route_->kind == repetition::once; }
   bool stream() const { return route_->kind == repetition::stream; }
+  bool resumable() const { return stream() && route_->resumable; }
 
   // How long the request is held, from its coming.
   milliseconds hold() const { return hold_; }
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -5,7 +5,8 @@
 #include <set>
 
 #include "platform/messages.h"
-#include "trayrock/internal/decide/event_stream.h"
+#include "trayrock/internal/decide/resend_rule.h"
+#include "trayrock/internal/gateway/client_answer.h"
 #include "trayrock/internal/gateway/endpoint_attempt.h"
 #include "trayrock/internal/gateway/error_answer.h"
 #include "trayrock/internal/gateway/request_report.h"
@@ -36,7 +37,7 @@
                http1_exchange_ptr out)
       : parts_(parts),
         request_(std::move(request)),
-        out_(std::move(out)),
+        answer_(std::move(out)),
         history_(parts.loop, parts.records, parts.chains, facts_),
         attempt_(parts.loop, parts.pool, facts_),
         began_us_(parts.loop.now_us()) {}
@@ -52,6 +53,9 @@
       refuse(*refused);
       return;
     }
+    if (terms_.resumable()) {
+      answer_.make_resumable();
+    }
     watch_ends();
     if (history_.begin(terms_.route())) {
       reserve();
@@ -70,7 +74,7 @@
             held->deadline_passed();
           }
         });
-    out_->on_gone([self = shared_from_this()] { self->client_gone(); });
+    answer_.out().on_gone([self = shared_from_this()] { self->client_gone(); });
   }
 
   // ---- History and budget --------------------------------------------------
@@ -99,7 +103,8 @@
 
   // Every event that has begun may have reached the client.
   void settle_begun_events() {
-    history_.settle(events_.started_events() * terms_.tokens_per_event());
+    history_.settle(answer_.events().started_events() *
+                    terms_.tokens_per_event());
   }
 
   // ---- Sending ------------------------------------------------------------
@@ -148,6 +153,7 @@
     endpoint_directions directions;
     directions.time_left = time_left();
     directions.instance = attempt_.to()->id;
+    directions.resume_after = answer_.last_event_id();
     http1_request made = platform::endpoint_request(request_, directions);
     if (history_.chain() != nullptr) {
       made.body = history_.chain()->text + request_.body;
@@ -167,29 +173,33 @@
   }
 
   // An endpoint that has not begun its answer within the route's objective is
-  // late. A stream waits on for its first event.
+  // late. A stream that can not go on elsewhere waits on for its first event.
   void arm_late_guard() {
-    const milliseconds objective = terms_.route().latency_objective;
-    const bool last_send = report_.sends + 1 >= terms_.route().max_endpoints;
-    const bool guarded = terms_.once() || (terms_.repeatable() && !last_send);
-    if (!guarded || objective.count() == 0) {
+    if (terms_.once() || may_leave_late_endpoint(resend_state())) {
+      guard_against_silence(terms_.route().latency_objective);
+    }
+  }
+
+  // The endpoint is late when nothing comes from it for this long; zero: it
+  // never is.
+  void guard_against_silence(milliseconds longest) {
+    if (longest.count() == 0) {
       return;
     }
     const std::weak_ptr<request_flow> weak = weak_from_this();
-    late_guard_ = parts_.loop.after(objective, [weak] {
+    late_guard_ = parts_.loop.after(longest, [weak] {
       const auto held = weak.lock();
-      if (held != nullptr && !held->ended_ && held->attempt_.status() == 0) {
+      if (held != nullptr && !held->ended_) {
         held->endpoint_late();
       }
     });
   }
 
-  // A repeatable request does not wait for one slow endpoint forever. One that
+  // What may go on elsewhere does not wait for one slow endpoint forever. What
   // may run only once waits on, but its endpoint is a warning to others.
   void endpoint_late() {
-    if (terms_.repeatable()) {
-      attempt_.cancel();
-      attempt_ended(http1_end::broken);
+    if (may_leave_late_endpoint(resend_state())) {
+      leave_endpoint();
       return;
     }
     attempt_.suspect();
@@ -207,11 +217,20 @@
                                   {"endpoint", attempt_.endpoint_id()}});
       return false;
     }
+    late_guard_.cancel();
     attempt_.take_head(head, std::move(answer));
     report_.head_us = elapsed_us();
+    guard_pauses();
     return true;
   }
 
+  // A stream that may go on elsewhere does so when it pauses too long.
+  void guard_pauses() {
+    if (terms_.resumable() && may_leave_late_endpoint(resend_state())) {
+      guard_against_silence(terms_.route().longest_pause);
+    }
+  }
+
   bool passes_through() const {
     return terms_.stream() && attempt_.succeeded() && !attempt_.invalid();
   }
@@ -225,14 +244,23 @@
       return;
     }
     begin_answer();
-    events_.add(bytes);
-    out_->write(bytes);
+    if (!answer_.pass(bytes)) {
+      log_warn("stream_repeated", {{"request", facts_.attempt},
+                                   {"endpoint", attempt_.endpoint_id()}});
+      leave_endpoint();
+      return;
+    }
+    guard_pauses();
   }
 
   void begin_answer() {
-    if (!out_->begun()) {
-      out_->begin(attempt_.status(), platform::client_headers(attempt_.head()));
-    }
+    answer_.begin(attempt_.status(), platform::client_headers(attempt_.head()));
+  }
+
+  // Ends the work at the endpoint; the request may go on at another one.
+  void leave_endpoint() {
+    attempt_.cancel();
+    attempt_ended(http1_end::broken);
   }
 
   void attempt_ended(http1_end how) {
@@ -275,6 +303,17 @@
     return report_.sends < terms_.route().max_endpoints;
   }
 
+  resend_view resend_state() const {
+    resend_view made;
+    made.kind = terms_.route().kind;
+    made.resumable = terms_.route().resumable;
+    made.sends = static_cast<std::uint32_t>(report_.sends);
+    made.most_sends = terms_.route().max_endpoints;
+    made.answer_begun = answer_.begun();
+    made.has_last_event = answer_.last_event_id().has_value();
+    return made;
+  }
+
   void after_unreachable() {
     if (report_.unreachable < most_unreachable) {
       send_next();
@@ -292,35 +331,46 @@
   }
 
   void answer_broken() {
-    if (terms_.repeatable() && sends_are_left() && !out_->begun()) {
-      send_next();
-      return;
-    }
-    settle_begun_events();
-    if (out_->begun()) {
-      end("answer_cut", attempt_.status());
-      out_->abort();
-      return;
+    switch (resend_after_failure(resend_state())) {
+      case resend::resume:
+        parts_.metrics.add("streams_resumed_total");
+        answer_.begin_run();
+        send_next();
+        return;
+      case resend::again:
+        send_next();
+        return;
+      case resend::never:
+        break;
     }
-    refuse(attempt_.invalid() ? errc::answer_invalid : errc::runner_failed);
+    fail(attempt_.invalid() ? errc::answer_invalid : errc::runner_failed);
   }
 
   void answer_client() {
-    if (!passes_through()) {
-      history_.settle(0);
-      end("answered", attempt_.status());
-      out_->respond(attempt_.status(),
-                    platform::client_headers(attempt_.head()), attempt_.body());
+    if (passes_through()) {
+      begin_answer();
+      stream_complete();
       return;
     }
-    begin_answer();
-    if (!terms_.route().keeps_history) {
-      settle_begun_events();
-      end("answered", attempt_.status());
-      out_->finish();
+    if (answer_.begun()) {  // the run that was to go on failed
+      fail(errc::runner_failed);
       return;
     }
-    keep_turn();
+    history_.settle(0);
+    end("answered", attempt_.status());
+    answer_.out().respond(attempt_.status(),
+                          platform::client_headers(attempt_.head()),
+                          attempt_.body());
+  }
+
+  void stream_complete() {
+    if (terms_.route().keeps_history) {
+      keep_turn();
+      return;
+    }
+    answer_.finish();
+    settle_begun_events();
+    end("answered", attempt_.status());
   }
 
   // The client learns that the answer is complete once the turn can not be
@@ -328,8 +378,8 @@
   void keep_turn() {
     finished_turn turn;
     turn.input = request_.body;
-    turn.output = events_.data();
-    turn.tokens = events_.whole_events() * terms_.tokens_per_event();
+    turn.output = answer_.events().data();
+    turn.tokens = answer_.events().whole_events() * terms_.tokens_per_event();
     turn.endpoint = attempt_.endpoint_id();
     const std::uint64_t began = elapsed_us();
     history_.keep(std::move(turn), finish_limit,
@@ -345,11 +395,11 @@
     }
     if (failed) {
       end("not_durable", attempt_.status());
-      out_->abort();
+      answer_.abort();
       return;
     }
     end("answered", attempt_.status());
-    out_->finish();
+    answer_.finish();
   }
 
   // ---- Ends ---------------------------------------------------------------
@@ -371,26 +421,31 @@
     const bool sent = attempt_.in_flight() || report_.sends > 0;
     attempt_.cancel();
     attempt_.end(attempt_outcome::broken);
-    settle_begun_events();
-    if (out_->begun()) {
-      end("deadline", attempt_.status());
-      out_->abort();
-      return;
-    }
-    refuse(sent ? errc::runner_timeout : errc::deadline_passed);
+    fail(sent ? errc::runner_timeout : errc::deadline_passed);
   }
 
   // No endpoint is left to try. That nothing has run is said only if it is so.
-  void give_up(errc why) {
-    history_.settle(0);
-    refuse(may_have_run_ ? errc::runner_failed : why);
+  void give_up(errc why) { fail(may_have_run_ ? errc::runner_failed : why); }
+
+  // Ends a request whose reservation may be open. An answer that has begun is
+  // cut, so that it does not look complete.
+  void fail(errc why) {
+    settle_begun_events();
+    if (!answer_.begun()) {
+      refuse(why);
+      return;
+    }
+    log_info("answer_cut", {{"request", facts_.attempt},
+                            {"cause", make_error_code(why).message()}});
+    end("answer_cut", attempt_.status());
+    answer_.abort();
   }
 
   void refuse(errc why) {
     end(make_error_code(why).message(), http_status(why));
     const milliseconds come_back =
         why == errc::stopping ? parts_.back_after_stopping() : back_after(why);
-    respond_error(*out_, why, come_back);
+    respond_error(answer_.out(), why, come_back);
   }
 
   milliseconds elapsed_ms() const {
@@ -434,7 +489,7 @@
     report_.endpoints_age_ms = parts_.endpoints_age_ms();
     report_.epoch = parts_.records.group().epoch();
     report_.total_us = elapsed_us();
-    report_.events = events_.whole_events();
+    report_.events = answer_.events().whole_events();
     report_.status = status;
     report_.outcome = outcome;
     report_request(parts_.metrics, facts_, report_);
@@ -442,7 +497,7 @@
 
   gateway_parts parts_;
   http1_request request_;
-  http1_exchange_ptr out_;
+  client_answer answer_;
   request_facts facts_;
   request_terms terms_;
 
@@ -450,7 +505,6 @@
   std::set<std::string> tried_;
   endpoint_attempt attempt_;
   bool may_have_run_ = false;  // a send ended without an answer
-  event_stream events_;
   bool ended_ = false;
   timer deadline_;
   timer late_guard_;
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -283,6 +283,7 @@
   turns["retentionS"] = 60;
   json resumable = route("/resumable-stream/", "streaming");
   resumable["resumable"] = true;
+  resumable["gapTargetMs"] = 500;
   json routes = {turns, resumable, route("/safe/", "safe"),
                  route("/unsafe/", "unsafe")};
   for (const json& each : more_routes) {
