An endpoint is late by comparison with its service

Ruled out: larger fixed limits; they depend on the deployment. Change: decide/late_rule: late is what lies eight mean deviations above the mean of the service's answers, the objective at the least, and one request of ten may be begun anew for it.

--- /dev/null
+++ b/include/trayrock/internal/decide/late_rule.h
@@ -0,0 +1,47 @@
+// When an endpoint that gives nothing is left for another one.
+//
+// Answers the load in which one endpoint hangs or is far slower than the
+// others, and keeps out of the load in which all of them are slow: then work
+// that is begun anew elsewhere only adds to the queue. So an endpoint is late
+// by comparison with what answers of its service take, and no more than a share
+// of the requests may be begun anew.
+//
+// No clock: the caller measures. One object for each service.
+//
+// Example:
+//   late_rule rule;
+//   rule.answer_began(milliseconds(31));
+//   rule.late_after(objective);  // the objective, as long as answers are quick
+//   if (rule.leave()) send_to_another();
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+#include "trayrock/internal/decide/retry_budget.h"
+
+namespace trayrock {
+
+class late_rule {
+ public:
+  using milliseconds = std::chrono::milliseconds;
+
+  late_rule();
+
+  // An endpoint began its answer after this time; or it was left then.
+  void answer_began(milliseconds after);
+
+  // How long an endpoint may give nothing; `least` at the least.
+  milliseconds late_after(milliseconds least) const;
+
+  // Whether one more late endpoint may be left. False: wait on.
+  bool leave() { return budget_.spend(); }
+
+ private:
+  double mean_ms_ = 0;
+  double deviation_ms_ = 0;  // mean distance from the mean
+  std::uint64_t seen_ = 0;
+  retry_budget budget_;
+};
+
+}  // namespace trayrock
--- a/include/trayrock/internal/gateway/endpoint_attempt.h
+++ b/include/trayrock/internal/gateway/endpoint_attempt.h
@@ -50,6 +50,9 @@
 
   bool in_flight() const { return in_flight_; }
 
+  // Since it was begun.
+  milliseconds age() const;
+
   // The head must have been found to belong to this request.
   void take_head(const http1_answer_head& head, answer_facts answer);
 
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -14,9 +14,11 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <string>
 
 #include "trayrock/internal/decide/duration_book.h"
+#include "trayrock/internal/decide/late_rule.h"
 #include "trayrock/internal/gateway/chain_cache.h"
 #include "trayrock/internal/gateway/configuration.h"
 #include "trayrock/internal/gateway/endpoint_directory.h"
@@ -37,6 +39,7 @@
   chain_cache& chains;
   metrics_registry& metrics;
   duration_book& durations;
+  std::map<std::string, late_rule, std::less<>>& late_rules;  // by service
   std::string data_centre;
   std::function<configuration_ptr()> configuration;  // nullptr: none yet
   // Milliseconds since the platform last answered about the endpoints.
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -55,6 +55,12 @@
   return endpoint_ == nullptr ? std::string() : endpoint_->record.id;
 }
 
+milliseconds endpoint_attempt::age() const {
+  constexpr std::uint64_t us_per_ms = 1000;
+  return milliseconds(
+      static_cast<long>((loop_.now_us() - sent_at_us_) / us_per_ms));
+}
+
 void endpoint_attempt::take_head(const http1_answer_head& head,
                                  answer_facts answer) {
   head_ = head;
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -69,6 +69,7 @@
                chains_,
                metrics_,
                durations_,
+               late_rules_,
                settings.service.data_centre,
                [this] { return configuration_; },
                [this] { return endpoints_watch_.silence_ms(); },
@@ -313,6 +314,7 @@
   endpoint_directory endpoints_;
   chain_cache chains_;
   duration_book durations_;
+  std::map<std::string, late_rule, std::less<>> late_rules_;
   configuration_ptr configuration_;
   configuration_document document_;  // that `configuration_` was read from
   gateway_parts parts_;
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -173,13 +173,19 @@
   }
 
   // An endpoint that has not begun its answer within the route's objective is
-  // late. A stream that can not go on elsewhere waits on for its first event.
+  // late, unless those of its service all take longer. A stream that can not go
+  // on elsewhere waits on for its first event.
   void arm_late_guard() {
-    if (terms_.once() || may_leave_late_endpoint(resend_state())) {
-      guard_against_silence(terms_.route().latency_objective);
+    const milliseconds objective = terms_.route().latency_objective;
+    if (may_leave_late_endpoint(resend_state())) {
+      guard_against_silence(late().late_after(objective));
+    } else if (terms_.once()) {
+      guard_against_silence(objective);
     }
   }
 
+  late_rule& late() { return parts_.late_rules[std::string(terms_.service())]; }
+
   // The endpoint is late when nothing comes from it for this long; zero: it
   // never is.
   void guard_against_silence(milliseconds longest) {
@@ -198,10 +204,18 @@
   // What may go on elsewhere does not wait for one slow endpoint forever. What
   // may run only once waits on, but its endpoint is a warning to others.
   void endpoint_late() {
-    if (may_leave_late_endpoint(resend_state())) {
+    const bool begun = attempt_.status() != 0;
+    if (!begun) {
+      late().answer_began(attempt_.age());
+    }
+    if (may_leave_late_endpoint(resend_state()) && late().leave()) {
+      parts_.metrics.add("late_endpoints_left_total");
       leave_endpoint();
       return;
     }
+    if (begun) {
+      return;
+    }
     attempt_.suspect();
     parts_.endpoint_failed(attempt_.endpoint_id());
   }
@@ -218,16 +232,20 @@
       return false;
     }
     late_guard_.cancel();
+    late().answer_began(attempt_.age());
     attempt_.take_head(head, std::move(answer));
     report_.head_us = elapsed_us();
     guard_pauses();
     return true;
   }
 
-  // A stream that may go on elsewhere does so when it pauses too long.
+  // A stream that may go on elsewhere does so when it pauses for longer than
+  // nearly all streams need to begin.
   void guard_pauses() {
     if (terms_.resumable() && may_leave_late_endpoint(resend_state())) {
-      guard_against_silence(terms_.route().longest_pause);
+      const route& from = terms_.route();
+      guard_against_silence(late().late_after(
+          std::max(from.longest_pause, from.latency_objective)));
     }
   }
 
