Streams that do not begin are a warning to other gateways

Ruled out: sending them again (the endpoint may have begun them). Change: every request is guarded by the service's late time; what can not go on elsewhere waits on, and its endpoint counts as failing here and at the peers. Test: endpoint_that_hangs_with_a_stream_is_told_to_other_gateways, seen to fail.

--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -173,15 +173,10 @@
   }
 
   // An endpoint that has not begun its answer within the route's objective is
-  // late, unless those of its service all take longer. A stream that can not go
-  // on elsewhere waits on for its first event.
+  // late, unless those of its service all take longer.
   void arm_late_guard() {
-    const milliseconds objective = terms_.route().latency_objective;
-    if (may_leave_late_endpoint(resend_state())) {
-      guard_against_silence(late().late_after(objective));
-    } else if (terms_.once()) {
-      guard_against_silence(objective);
-    }
+    guard_against_silence(
+        late().late_after(terms_.route().latency_objective));
   }
 
   late_rule& late() { return parts_.late_rules[std::string(terms_.service())]; }
@@ -202,7 +197,9 @@
   }
 
   // What may go on elsewhere does not wait for one slow endpoint forever. What
-  // may run only once waits on, but its endpoint is a warning to others.
+  // may run only once waits on, but its endpoint is a warning to others: four
+  // endpoints that hung for 6.6 s took 44 streams with them, each for the two
+  // seconds until its client left, while streams gave no such warning.
   void endpoint_late() {
     const bool begun = attempt_.status() != 0;
     if (!begun) {
--- a/test/gateway_path_test.cc
+++ b/test/gateway_path_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(stopping_gateway_sends_every_answer);
   CPPUNIT_TEST(gateway_serves_while_the_platform_is_out);
   CPPUNIT_TEST(connections_beside_a_silent_one_are_not_used);
+  CPPUNIT_TEST(endpoint_that_hangs_with_a_stream_is_told_to_other_gateways);
   CPPUNIT_TEST(former_instance_is_told_to_the_other_gateways);
   CPPUNIT_TEST(configuration_comes_from_another_gateway);
   CPPUNIT_TEST(gateway_recovers_from_garbled_answers_of_the_platform);
@@ -386,6 +387,24 @@
   }
 
   // The platform still lists an instance at whose address another one sits.
+  // What can not be sent again must not be lost in numbers: the endpoint is a
+  // warning to all while the stream still waits.
+  void endpoint_that_hangs_with_a_stream_is_told_to_other_gateways() {
+    service_options options;
+    options.timeout_ms = 6000;
+    service_deployment system(options);
+    system.start_all();
+    fault_everywhere(system, {{"hang", 1}});
+    std::future<http_answer> waiting = std::async(std::launch::async, [&] {
+      return system.turn("gateway-1", "t1", "", "one");
+    });
+    wait_until("the other gateway hears of it", [&] {
+      return system.metric("gateway-2", "endpoint_failures_reported_total") > 0;
+    });
+    CPPUNIT_ASSERT_EQUAL(504, waiting.get().status);
+    CPPUNIT_ASSERT_EQUAL(1, system.runs("t1"));
+  }
+
   void former_instance_is_told_to_the_other_gateways() {
     service_options options;
     options.runners = 1;
