trayrockctl report losses: what was not served or waited, from logs

For each window, route and outcome: requests, and the time at stores, at the endpoint, in the answer and in keeping the turn; beside it what happened to processes. Test: loss_report_test (new module, not seen red).

--- a/src/ctl/ctl_main.cc
+++ b/src/ctl/ctl_main.cc
@@ -1,10 +1,14 @@
 // trayrockctl: what operators use.
 #include <CLI/CLI.hpp>
 #include <cstdio>
+#include <fstream>
+#include <iostream>
 #include <nlohmann/json.hpp>
+#include <span>
 
 #include "apply.h"
 #include "burn_report.h"
+#include "loss_report.h"
 #include "stored_client.h"
 #include "trayrock/internal/process.h"
 
@@ -16,6 +20,7 @@
 constexpr milliseconds call_timeout{5000};
 constexpr milliseconds watch_length{20000};
 constexpr int exit_failed = 1;
+constexpr int default_window_s = 2;
 
 int fail(std::error_code code) {
   std::fprintf(stderr, "%d %s\n", code.value(), code.message().c_str());
@@ -98,6 +103,20 @@
   return exit_done;
 }
 
+int report_losses(std::span<const std::string> logs,
+                  std::chrono::seconds window) {
+  loss_report report(window);
+  for (const std::string& path : logs) {
+    std::ifstream log(path);
+    report.read(log);
+  }
+  if (logs.empty()) {
+    report.read(std::cin);
+  }
+  report.print(std::cout);
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -156,8 +175,19 @@
   burn_command->add_flag("--json", burn.as_json);
   burn_command->add_option("--html", burn.html_path,
                            "write a page with a plot");
+  std::vector<std::string> logs;
+  int window_s = default_window_s;
+  CLI::App* losses_command = report_command->add_subcommand(
+      "losses", "requests that were not served or waited, from logs");
+  losses_command->add_option("log", logs, "files; standard input if none")
+      ->check(CLI::ExistingFile);
+  losses_command->add_option("--window-s", window_s, "seconds in a window")
+      ->check(CLI::PositiveNumber);
   CLI11_PARSE(app, argc, argv);
 
+  if (losses_command->parsed()) {
+    return report_losses(logs, std::chrono::seconds(window_s));
+  }
   if (check_command->parsed()) {
     return check_files(files);
   }
