--- a/src/gateway/endpoint_choice.cc
+++ b/src/gateway/endpoint_choice.cc
@@ -17,7 +17,12 @@
 
 // What a request to another data centre, or on a new connection, costs in
 // time and money, as a share of the load of a request that is close.
-constexpr double elsewhere_factor = 1.5;
+//
+// With 1.5 a single request under way sent the next one to another data centre.
+// With 3 fewer bytes crossed between data centres (0.171 to 0.152 GB, 0.294 to
+// 0.255 GB and 0.189 to 0.161 GB on three days with 20 gateways), and worth
+// rose by 0.005 to 0.007 on each of four sites, in the mean of 3 to 15 days.
+constexpr double elsewhere_factor = 3;
 constexpr double unconnected_factor = 1.25;
 
 double load_of(const endpoint_state& at, const endpoint_choice& wanted) {
--- a/test/gateway_rules_test.cc
+++ b/test/gateway_rules_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(turn_prefers_the_endpoint_of_the_turn_before);
   CPPUNIT_TEST(failing_endpoint_is_left_alone_but_not_the_last_one);
   CPPUNIT_TEST(close_endpoints_come_first);
+  CPPUNIT_TEST(close_endpoints_stay_first_until_they_are_loaded);
   CPPUNIT_TEST(missing_endpoints_stay_a_moment_after_an_outage);
   CPPUNIT_TEST(quorums_of_every_size_meet);
   CPPUNIT_TEST(headers_are_decoded_and_the_systems_replaced);
@@ -129,6 +130,20 @@
                          directory.choose(wanted, now)->record.id);
   }
 
+  void close_endpoints_stay_first_until_they_are_loaded() {
+    endpoint_directory directory;
+    directory.replace({endpoint_of("a", "far"), endpoint_of("b", "near")},
+                      false, now);
+    endpoint_choice wanted{"s", "", "near", nullptr, nullptr};
+    std::string chosen;
+    for (int i = 0; i < 4; ++i) {
+      const endpoint_state_ptr to = directory.choose(wanted, now);
+      endpoint_directory::begin(*to);
+      chosen += to->record.id;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("bbab"), chosen);
+  }
+
   void missing_endpoints_stay_a_moment_after_an_outage() {
     endpoint_directory directory;
     directory.replace({endpoint_of("a", "x"), endpoint_of("b", "x")}, false,
