A store that starts reads its disk without copying texts

Ruled out: opening the database (17 to 25 ms). Change: records from the disk go into the book without their texts, by one object that keeps its memory; the iterator leaves the cache alone. Test: record_from_the_disk_keeps_no_text_in_memory (a new call, not seen red). 48,000 records, processor time, three runs each: 188, 152, 145 ms before; 107, 108, 78 ms after.

--- a/include/trayrock/internal/records/record_book.h
+++ b/include/trayrock/internal/records/record_book.h
@@ -61,6 +61,9 @@
   // False when the record is held already or names nothing.
   bool add(const records::Record& record, std::uint64_t now_ms);
 
+  // As above, for a record that is on the disk already.
+  bool add_durable(const records::Record& record, std::uint64_t now_ms);
+
   // The record of this key is on the disk now.
   void durable(const std::string& key) { pending_.erase(key); }
 
@@ -102,6 +105,7 @@
     std::uint64_t kind : 8;
   };
 
+  bool note(const records::Record& record, std::uint64_t now_ms);
   void apply(const records::Record& record, attempt_state& state);
   void note_program(const std::string& program, const record_id& attempt,
                     attempt_state& state);
--- a/src/records/record_book.cc
+++ b/src/records/record_book.cc
@@ -59,6 +59,20 @@
 }
 
 bool record_book::add(const records::Record& record, std::uint64_t now_ms) {
+  if (!note(record, now_ms)) {
+    return false;
+  }
+  pending_.emplace(record_key(record), record);
+  return true;
+}
+
+bool record_book::add_durable(const records::Record& record,
+                              std::uint64_t now_ms) {
+  return note(record, now_ms);
+}
+
+// Everything but the record's text.
+bool record_book::note(const records::Record& record, std::uint64_t now_ms) {
   const record_name name = name_of(record);
   if (name.kind == 0) {
     return false;
@@ -69,7 +83,6 @@
   }
   state.kinds |= bit_of(name.kind);
   log_.push_back({name.attempt, now_ms, static_cast<std::uint64_t>(name.kind)});
-  pending_.emplace(key_of(name.kind, name.attempt), record);
   apply(record, state);
   return true;
 }
--- a/src/records/record_disk.cc
+++ b/src/records/record_disk.cc
@@ -279,8 +279,10 @@
 }
 
 void record_disk::read_all(const visitor& visit) const {
+  leveldb::ReadOptions once;
+  once.fill_cache = false;
   const std::unique_ptr<leveldb::Iterator> each(
-      impl_->database->NewIterator(leveldb::ReadOptions()));
+      impl_->database->NewIterator(once));
   for (each->SeekToFirst(); each->Valid(); each->Next()) {
     visit({each->key().data(), each->key().size()},
           {each->value().data(), each->value().size()});
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -43,18 +43,19 @@
 void record_server::read_disk() {
   std::uint64_t unreadable = 0;
   const std::uint64_t now = loop_.now_ms();
+  // One object for all keeps its memory, and texts stay on the disk: 98 ms of
+  // processor time for 48,000 records in place of 162 ms, while gateways wait.
+  records::Record record;
   disk_.read_all([&](std::string_view key, std::string_view value) {
     const int size = static_cast<int>(value.size());
     if (key == state_key) {
       unreadable += state_.ParseFromArray(value.data(), size) ? 0 : 1;
       return;
     }
-    records::Record record;
-    if (!record.ParseFromArray(value.data(), size) || !book_.add(record, now)) {
+    if (!record.ParseFromArray(value.data(), size) ||
+        !book_.add_durable(record, now)) {
       ++unreadable;
-      return;
     }
-    book_.durable(std::string(key));
   });
   log_info("disk_read", {{"store", state_.id()},
                          {"records", std::to_string(book_.size())},
--- a/test/record_book_test.cc
+++ b/test/record_book_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(chain_is_joined_from_the_oldest_turn);
   CPPUNIT_TEST(chain_with_a_gap_names_the_missing_turn);
   CPPUNIT_TEST(texts_are_read_from_the_disk_once_durable);
+  CPPUNIT_TEST(record_from_the_disk_keeps_no_text_in_memory);
   CPPUNIT_TEST(turn_settles_its_reservation);
   CPPUNIT_TEST(reading_goes_on_from_a_position);
   CPPUNIT_TEST(old_records_and_their_programs_go);
@@ -85,6 +86,18 @@
     CPPUNIT_ASSERT_EQUAL(1, reads_);
   }
 
+  // A store that starts reads tens of thousands of these, in 98 ms of processor
+  // time for 48,000 where copying each text first took 162 ms.
+  void record_from_the_disk_keeps_no_text_in_memory() {
+    const records::Record record = turn("a", "", "one ", "1\n");
+    disk_[record_key(record)] = record;
+    CPPUNIT_ASSERT(book_.add_durable(record, 0));
+    CPPUNIT_ASSERT(!book_.add_durable(record, 0));
+
+    CPPUNIT_ASSERT_EQUAL(std::string("one 1\n"), book_.chain("a").text);
+    CPPUNIT_ASSERT_EQUAL(1, reads_);
+  }
+
   void turn_settles_its_reservation() {
     book_.add(reservation("a", 10), 0);
     book_.add(turn("a", "", "one ", "1\n"), 0);
