Gateways tell each other how far they know the endpoints' records

Ruled out: shorter waits (half the wait doubles the idle calls to the platform, which are paid for). Change: news carry the revision of the newest change; a gateway that is behind for 250 ms asks its watch anew. With nothing else to tell, four peers are told. Test: gateway_whose_watch_is_lost_hears_of_leaving_endpoints, seen to fail (it learned only after a call had timed out).

--- a/include/trayrock/internal/decide/whole_events.h
+++ b/include/trayrock/internal/decide/whole_events.h
@@ -47,8 +47,8 @@
   void end_line();
   void end_event(std::string& whole);
 
-  std::string pending_;         // of the event that has not ended
-  std::size_t line_begin_ = 0;  // in `pending_`
+  std::string pending_;              // of the event that has not ended
+  std::size_t line_begin_ = 0;       // in `pending_`
   std::optional<std::uint64_t> id_;  // of the event that has not ended
   std::optional<std::uint64_t> last_id_;
   bool goes_on_ = false;  // another run came before
--- a/include/trayrock/internal/gateway/peer_news.h
+++ b/include/trayrock/internal/gateway/peer_news.h
@@ -1,17 +1,19 @@
 // What gateways tell each other: endpoints that failed requests, endpoints at
-// whose addresses other instances sit, and the configuration that is in force.
+// whose addresses other instances sit, how far they know the platform's records
+// of endpoints, and the configuration that is in force.
 //
 // With many gateways each sees too few requests of one endpoint to notice soon
 // that it fails; together they notice within some tenths of a second. And one
 // that the platform turns away, or whose watch was forgotten, learns of a new
-// configuration from the others. News are sent in batches, to a bounded number
-// of peers; nobody waits for an answer. Lost news of a failure are no harm; the
-// configuration also comes by each gateway's own watch.
+// configuration from the others, and asks again for the endpoints. News are
+// sent in batches, to a bounded number of peers; nobody waits for an answer.
+// Lost news of a failure are no harm; the configuration also comes by each
+// gateway's own watch.
 //
 // Example:
 //   peer_news news(loop, pool, relays, own);
-//   news.serve(rpc,
-//              {on_failure, on_superseded, on_configuration, held_document});
+//   news.serve(rpc, {on_failure, on_superseded, on_endpoints,
+//                    on_configuration, held_document});
 //   news.note_failure("endpoint-1");
 //   news.note_superseded("endpoint-2");
 //   news.note_configuration(7);
@@ -43,6 +45,8 @@
   // Another gateway has met another instance at the endpoint's address.
   std::function<void(const std::string& endpoint, const std::string& gateway)>
       superseded;
+  // Another gateway knows a change of the endpoints' records of this revision.
+  std::function<void(std::uint64_t revision)> endpoints;
   // Another gateway has sent its configuration, newer than the held one.
   std::function<void(const configuration_document&)> configuration;
   // The configuration that this gateway holds.
@@ -66,12 +70,16 @@
   // This gateway has met another instance at the endpoint's address.
   void note_superseded(const std::string& endpoint);
 
+  // This gateway knows the endpoints' records up to this change.
+  void note_endpoints(std::uint64_t revision);
+
   // This gateway has a new configuration.
   void note_configuration(std::uint64_t version);
 
  private:
   void send_soon();
   void send();
+  std::size_t peers_to_tell() const;
   void fetch_configuration(const std::string& from);
 
   event_loop& loop_;
@@ -82,6 +90,7 @@
   std::set<std::string> failed_endpoints_;      // since the last batch
   std::set<std::string> superseded_endpoints_;  // likewise
   std::uint64_t configuration_ = 0;          // to be told with the next batch
+  std::uint64_t endpoints_revision_ = 0;     // likewise
   std::map<std::string, rpc_call> sending_;  // by the peer's address
   rpc_call fetching_;
   timer batch_;
--- a/src/ctl/loss_report.cc
+++ b/src/ctl/loss_report.cc
@@ -15,9 +15,9 @@
 
 // Events that change what can be served.
 const std::set<std::string, std::less<>> notable_events = {
-    "gateway_started",     "store_started",      "drain_begun",
-    "dependency_lost",     "dependency_regained", "group_adopted",
-    "endpoint_avoided",    "endpoint_late",       "endpoint_removed",
+    "gateway_started",      "store_started",       "drain_begun",
+    "dependency_lost",      "dependency_regained", "group_adopted",
+    "endpoint_avoided",     "endpoint_late",       "endpoint_removed",
     "configuration_adopted"};
 
 double number_in(const json& line, const char* key) {
@@ -59,10 +59,9 @@
   int minute = 0;
   int second = 0;
   const std::size_t clock = time.find('T');
-  const bool clock_found =
-      clock != std::string::npos &&
-      std::sscanf(time.c_str() + clock + 1, "%2d:%2d:%2d", &hour, &minute,
-                  &second) == 3;
+  const bool clock_found = clock != std::string::npos &&
+                           std::sscanf(time.c_str() + clock + 1, "%2d:%2d:%2d",
+                                       &hour, &minute, &second) == 3;
   if (!clock_found) {
     ++unreadable_;
     return 0;
--- a/src/decide/whole_events.cc
+++ b/src/decide/whole_events.cc
@@ -41,7 +41,8 @@
     }
     pending_.append(bytes.substr(0, end + 1));
     bytes.remove_prefix(end + 1);
-    const std::string_view line = std::string_view(pending_).substr(line_begin_);
+    const std::string_view line =
+        std::string_view(pending_).substr(line_begin_);
     if (content_of(line).empty()) {
       end_event(whole);
     } else {
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -145,6 +145,7 @@
          [this](const std::string& endpoint, const std::string& gateway) {
            take_superseded_report(endpoint, gateway);
          },
+         [this](std::uint64_t revision) { endpoints_watch_.expect(revision); },
          [this](const configuration_document& document) {
            take_peer_configuration(document);
          },
@@ -261,6 +262,7 @@
   }
 
   void take_endpoint(const platform::object_change& change) {
+    news_.note_endpoints(change.object.revision);
     if (change.removed) {
       log_info("endpoint_removed", {{"endpoint", change.object.name}});
       endpoints_.remove(change.object.name);
--- a/src/gateway/peer_news.cc
+++ b/src/gateway/peer_news.cc
@@ -19,6 +19,11 @@
 // that the work of one event does not grow with the fleet; a configuration is
 // passed on by each that has taken it.
 constexpr std::size_t most_peers = 24;
+// Peers that are told how far the records of endpoints are known, if there is
+// nothing else to tell. All gateways learn of a change by their own watches and
+// tell each other; one that hears from nobody in a group of seven has a watch
+// that is lost and 1 in 700 of bad luck.
+constexpr std::size_t peers_told_of_revision = 4;
 constexpr milliseconds news_limit{500};
 // Peers are read from the platform soon after the start; until then news wait.
 constexpr milliseconds no_peers_pause{1000};
@@ -42,6 +47,9 @@
         for (const std::string& endpoint : news.superseded_endpoints()) {
           handlers_.superseded(endpoint, news.gateway());
         }
+        if (news.endpoints_revision() != 0) {
+          handlers_.endpoints(news.endpoints_revision());
+        }
         if (news.configuration() > handlers_.held().version) {
           fetch_configuration(news.address());
         }
@@ -71,6 +79,13 @@
   }
 }
 
+void peer_news::note_endpoints(std::uint64_t revision) {
+  if (revision > endpoints_revision_) {
+    endpoints_revision_ = revision;
+    send_soon();
+  }
+}
+
 void peer_news::note_configuration(std::uint64_t version) {
   configuration_ = version;
   send_soon();
@@ -82,8 +97,14 @@
   }
 }
 
+std::size_t peer_news::peers_to_tell() const {
+  const bool more = configuration_ != 0 || !failed_endpoints_.empty() ||
+                    !superseded_endpoints_.empty();
+  return more ? most_peers : peers_told_of_revision;
+}
+
 void peer_news::send() {
-  const std::vector<std::string> peers = peers_.addresses(most_peers);
+  const std::vector<std::string> peers = peers_.addresses(peers_to_tell());
   if (peers.empty()) {
     batch_ = loop_.after(no_peers_pause, [this] { send(); });
     return;
@@ -93,6 +114,7 @@
   news.set_address(own_.address);
   news.set_data_centre(own_.data_centre);
   news.set_configuration(configuration_);
+  news.set_endpoints_revision(endpoints_revision_);
   for (const std::string& endpoint : failed_endpoints_) {
     news.add_failed_endpoints(endpoint);
   }
@@ -102,6 +124,7 @@
   failed_endpoints_.clear();
   superseded_endpoints_.clear();
   configuration_ = 0;
+  endpoints_revision_ = 0;
   for (const std::string& peer : peers) {
     if (!sending_[peer].running()) {  // a silent peer gets no second batch
       sending_[peer] =
--- a/test/collection_watcher_test.cc
+++ b/test/collection_watcher_test.cc
@@ -13,9 +13,9 @@
  public:
   hesitant_platform(event_loop& loop, int silent)
       : silent_(silent),
-        where_(address::parse("127.0.0.1:" +
-                              std::to_string(free_ports(1).front()))
-                   .value()),
+        where_(
+            address::parse("127.0.0.1:" + std::to_string(free_ports(1).front()))
+                .value()),
         server_(
             loop, [] { return http1_limits{}; },
             [this](const http1_request& request,
--- a/test/gateway_path_test.cc
+++ b/test/gateway_path_test.cc
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(endpoint_that_hangs_with_a_stream_is_told_to_other_gateways);
   CPPUNIT_TEST(former_instance_is_told_to_the_other_gateways);
   CPPUNIT_TEST(configuration_comes_from_another_gateway);
+  CPPUNIT_TEST(gateway_whose_watch_is_lost_hears_of_leaving_endpoints);
   CPPUNIT_TEST(gateway_recovers_from_garbled_answers_of_the_platform);
   CPPUNIT_TEST_SUITE_END();
 
@@ -386,7 +387,6 @@
     CPPUNIT_ASSERT_EQUAL(200, next.status);
   }
 
-  // The platform still lists an instance at whose address another one sits.
   // What can not be sent again must not be lost in numbers: the endpoint is a
   // warning to all while the stream still waits.
   void endpoint_that_hangs_with_a_stream_is_told_to_other_gateways() {
@@ -405,6 +405,7 @@
     CPPUNIT_ASSERT_EQUAL(1, system.runs("t1"));
   }
 
+  // The platform still lists an instance at whose address another one sits.
   void former_instance_is_told_to_the_other_gateways() {
     service_options options;
     options.runners = 1;
@@ -447,6 +448,33 @@
     });
   }
 
+  // The connection under the watch carries nothing any more, without a word.
+  // That the watch is lost would show only when its wait is over, after up to
+  // ten seconds, and a platform call would have failed by then.
+  void gateway_whose_watch_is_lost_hears_of_leaving_endpoints() {
+    service_options options;
+    options.links = true;
+    service_deployment system(options);
+    system.start_all();
+    system.link("platform of gateway-1").mute_open();
+    system.register_runner("runner-1", "draining");
+
+    int sent = 0;
+    wait_until("gateway-1 uses the other endpoint only", [&] {
+      constexpr int in_a_row = 6;
+      bool left = true;
+      for (int i = 0; i < in_a_row; ++i) {
+        const std::string attempt = "u" + std::to_string(++sent);
+        system.request("gateway-1", "/unsafe/a", attempt);
+        left = left && !system.counts("runner-1")["runs"].contains(attempt);
+      }
+      return left;
+    });
+    const std::string lost_calls =
+        "platform_errors_total{error=\"platform did not answer in time\"}";
+    CPPUNIT_ASSERT_EQUAL(-1.0, system.metric("gateway-1", lost_calls));
+  }
+
   void gateway_recovers_from_garbled_answers_of_the_platform() {
     service_deployment system;
     system.start_all();
--- a/test/late_rule_test.cc
+++ b/test/late_rule_test.cc
@@ -77,8 +77,7 @@
   void hanging_endpoint_is_left_in_time() {
     const outcome seen = play(answers(35), 20);
     TRAYROCK_CHECK(seen.mean_wait_ms < 75 && seen.left > 90,
-                   "waited " << seen.mean_wait_ms << " ms, left "
-                             << seen.left);
+                   "waited " << seen.mean_wait_ms << " ms, left " << seen.left);
   }
 
   // A fixed limit at the objective begins 550 of 2,000 requests anew here,
--- a/test/loss_report_test.cc
+++ b/test/loss_report_test.cc
@@ -34,7 +34,8 @@
     const auto& served = report.groups().at({0, "chat", "answered (200)"});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, served.requests);
     CPPUNIT_ASSERT_EQUAL(9.0, served.longest_ms);
-    CPPUNIT_ASSERT(report.groups().contains({1, "chat", "runner failed (502)"}));
+    CPPUNIT_ASSERT(
+        report.groups().contains({1, "chat", "runner failed (502)"}));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
                          report.events().at({1, "store_started"}));
   }
--- a/test/resumed_stream_test.cc
+++ b/test/resumed_stream_test.cc
@@ -60,9 +60,9 @@
         got += stream.add(std::string_view(&each, 1));
       }
       const std::uint64_t last = stream.last_id().value_or(0);
-      TRAYROCK_CHECK(got == whole_ends[last],
-                     "cut at " << cut << ": last id " << last << ", got\n"
-                               << got);
+      TRAYROCK_CHECK(got == whole_ends[last], "cut at " << cut << ": last id "
+                                                        << last << ", got\n"
+                                                        << got);
     }
   }
 
@@ -160,9 +160,9 @@
       const std::string seen = raw_answer(system, attempt);
       const bool broken = system.runs(attempt) == 2;
       const bool complete = seen.find("\r\n0\r\n\r\n") != std::string::npos;
-      TRAYROCK_CHECK(broken != complete,
-                     (broken ? "two runs" : "one run") << ", seen\n"
-                                                       << seen);
+      TRAYROCK_CHECK(broken != complete, (broken ? "two runs" : "one run")
+                                             << ", seen\n"
+                                             << seen);
       return broken;
     });
   }
@@ -183,8 +183,8 @@
   void client_that_resumes_gets_what_is_left() {
     service_deployment system(one_gateway());
     system.start_all();
-    const http_answer answer = system.request("gateway-1", path, "s1",
-                                              {{"Last-Event-Id", "1"}}, "in");
+    const http_answer answer =
+        system.request("gateway-1", path, "s1", {{"Last-Event-Id", "1"}}, "in");
     CPPUNIT_ASSERT_EQUAL(events("s1", 2, 3), answer.body);
   }
 
--- a/test/token_budget_model_test.cc
+++ b/test/token_budget_model_test.cc
@@ -114,8 +114,7 @@
     for (const turn_usage& known : stores_[store].usage("p")) {
       each.seen.add(known);
     }
-    if (each.acknowledged.size() ==
-        write_quorum(stores_.size(), tolerated_)) {
+    if (each.acknowledged.size() == write_quorum(stores_.size(), tolerated_)) {
       judge(index);
     }
   }
