--- a/src/ctl/loss_report.h
+++ b/src/ctl/loss_report.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <ostream>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace trayrock {
@@ -35,7 +36,11 @@
     std::int64_t window = 0;  // number of the window, from the first line's
     std::string route;
     std::string outcome;
-    auto operator<=>(const group_key&) const = default;
+
+    bool operator<(const group_key& other) const {
+      return std::tie(window, route, outcome) <
+             std::tie(other.window, other.route, other.outcome);
+    }
   };
   struct group {
     std::uint64_t requests = 0;
