--- a/test/gateway_rules_test.cc
+++ b/test/gateway_rules_test.cc
@@ -44,6 +44,8 @@
   CPPUNIT_TEST(quorums_of_every_size_meet);
   CPPUNIT_TEST(headers_are_decoded_and_the_systems_replaced);
   CPPUNIT_TEST(garbled_documents_are_refused);
+  CPPUNIT_TEST(resumable_routes_are_decoded);
+  CPPUNIT_TEST(absurd_times_of_a_route_are_bounded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -209,6 +211,48 @@
       CPPUNIT_ASSERT(!platform::decode_endpoint(object));
     }
   }
+
+  void resumable_routes_are_decoded() {
+    const route found =
+        decoded_route({{"resumable", true}, {"gapTargetMs", 200}});
+    CPPUNIT_ASSERT(found.resumable);
+    CPPUNIT_ASSERT(found.longest_pause == std::chrono::milliseconds(200));
+    CPPUNIT_ASSERT(!decoded_route(nlohmann::json::object()).resumable);
+    CPPUNIT_ASSERT(!platform::decode_configuration(
+        configured_with({{"resumable", "yes"}})));
+  }
+
+  void absurd_times_of_a_route_are_bounded() {
+    using std::chrono::milliseconds;
+    const route odd = decoded_route(
+        {{"sloMs", -5}, {"gapTargetMs", "long"}, {"timeoutMs", 1e300}});
+    CPPUNIT_ASSERT(odd.latency_objective == milliseconds(0));
+    CPPUNIT_ASSERT(odd.longest_pause == milliseconds(0));
+    CPPUNIT_ASSERT(odd.timeout > milliseconds(0));
+  }
+
+ private:
+  // A configuration of one route with some more fields.
+  static platform::stored_object configured_with(const nlohmann::json& more) {
+    nlohmann::json from = {{"host", "h"},
+                           {"pathPrefix", "/a/"},
+                           {"type", "streaming"},
+                           {"service", "s"}};
+    from.update(more);
+    platform::stored_object made;
+    made.name = "main";
+    made.spec = {{"version", 1},
+                 {"routes", nlohmann::json::array({from})},
+                 {"services", nlohmann::json::array()}};
+    return made;
+  }
+
+  static route decoded_route(const nlohmann::json& more) {
+    const result<configuration> made =
+        platform::decode_configuration(configured_with(more));
+    CPPUNIT_ASSERT(made);
+    return made.value().routes.front();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_rules_test);
