--- a/include/trayrock/internal/decide/duration_book.h
+++ b/include/trayrock/internal/decide/duration_book.h
@@ -26,7 +26,7 @@
 class duration_book {
  public:
   // Expected of a route with too few samples. Of 52,000 requests on a busy
-  // day of the users' bench one took longer than 2.0 s.
+  // day one took longer than 2.0 s.
   static constexpr std::chrono::milliseconds unknown{2200};
 
   void add(std::string_view route, std::chrono::milliseconds taken);
--- a/src/decide/duration_book.cc
+++ b/src/decide/duration_book.cc
@@ -7,9 +7,8 @@
 namespace {
 
 // A stream gets this much more time than the longest of late, and this much at
-// the least: of 20,000 streams on busy days of the users' bench the longest
-// took 2.1 s, and one of 1.4 s was broken off when only the last 64 were
-// heeded.
+// the least: of 20,000 streams on busy days the longest took 2.1 s, and one of
+// 1.4 s was broken off when only the last 64 were heeded.
 constexpr double stream_margin = 1.8;
 constexpr std::chrono::milliseconds least_for_stream{2600};
 
--- a/src/decide/return_time.cc
+++ b/src/decide/return_time.cc
@@ -14,9 +14,8 @@
 // for want of another gateway. The smallest site opens some dozen a second.
 constexpr milliseconds still_sent{1000};
 // Six tries, after which clients give up, outlast with this pause the 4.2 s
-// from a gateway's last request to its successor's first (measured on the
-// users' bench). They wait no longer than a third of the time that they have
-// left, mostly 1.7 s.
+// from a gateway's last request to its successor's first (measured). They wait
+// no longer than a third of the time that they have left, mostly 1.7 s.
 constexpr milliseconds for_a_successor{1500};
 
 }  // namespace
--- a/test/duration_book_test.cc
+++ b/test/duration_book_test.cc
@@ -39,7 +39,7 @@
     CPPUNIT_ASSERT(durations.longest("chat") == milliseconds(10));
   }
 
-  // Found on a day of the users' bench: a stream of 1.4 s, longer than the 64
+  // A stream of 1.4 s, longer than the 64
   // before it, was broken off by the end of its gateway.
   void stream_needs_more_than_the_longest_of_late() {
     duration_book durations;
--- a/test/endpoint_directory_test.cc
+++ b/test/endpoint_directory_test.cc
@@ -22,7 +22,7 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  // Found on a day of the users' bench: endpoints came back under other ids
+  // Endpoints came back under other ids
   // at their addresses. They refused requests for the former ids at once,
   // which made the former ids the least loaded ones.
   void instance_that_is_no_longer_there_gets_nothing_more() {
--- a/test/gateway_path_test.cc
+++ b/test/gateway_path_test.cc
@@ -267,7 +267,7 @@
     CPPUNIT_ASSERT_EQUAL(0, code);
   }
 
-  // Found on a day of the users' bench: a balancer that goes on sending gave a
+  // A balancer that goes on sending gave a
   // stopping gateway requests that it could not finish in time.
   void stopping_gateway_takes_nothing_new_after_a_while() {
     service_options options;
@@ -288,7 +288,7 @@
     system.wait_end("gateway-1");
   }
 
-  // Found on a day of the users' bench: all gateways were stopped in turn and
+  // All gateways were stopped in turn and
   // each refused connections seconds before its end, until none was left.
   void stopping_gateway_serves_as_long_as_it_has_time() {
     service_options options;
@@ -321,7 +321,7 @@
     system.wait_end("gateway-1");
   }
 
-  // Found on a grown site of the users' bench: a process ended between the
+  // A process ended between the
   // writing of an answer and its sending.
   void stopping_gateway_sends_every_answer() {
     service_options options;
--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -155,7 +155,7 @@
     check_refused("GET / HTTP/1.1\r\nHost: a\r\n", 408);
   }
 
-  // Found on a grown site of the users' bench: a process that waited for no
+  // A process that waited for no
   // open request ended with an answer still in its buffer.
   void answer_that_is_not_sent_yet_counts_as_open() {
     std::size_t open_behind_answer = 0;
--- a/test/record_client_test.cc
+++ b/test/record_client_test.cc
@@ -148,7 +148,7 @@
                          answer->error());
   }
 
-  // Found on a grown site of the users' bench: until the lost voter was
+  // Until the lost voter was
   // replaced, 14 s, gateways that were near to it could not read any chain.
   void chain_is_read_although_the_nearest_voter_lost_its_disk() {
     start_group();
@@ -173,7 +173,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("one two"), read("t2").text);
   }
 
-  // Found on days of the users' bench: a gateway that was cut off from the
+  // A gateway that was cut off from the
   // stores, but not from other gateways, refused every turn.
   void stores_out_of_reach_are_reached_by_a_relay() {
     start_group();
@@ -212,7 +212,7 @@
     CPPUNIT_ASSERT_EQUAL(std::error_code(), *kept);
   }
 
-  // Found on a grown site of the users' bench: gateways that were cut off went
+  // Gateways that were cut off went
   // on asking a peer that was cut off as well, and refused turns for seconds.
   void relay_that_cannot_reach_the_store_is_left_for_another() {
     records::Group group;
@@ -273,7 +273,7 @@
                    "expected one to three questions, seen " << asked);
   }
 
-  // Found on a grown site of the users' bench: stores that were slow were asked
+  // Stores that were slow were asked
   // again by relays, which made them slower until nothing was served.
   void slow_stores_are_not_asked_by_relays_as_well() {
     constexpr milliseconds slow{200};
--- a/test/record_stores_test.cc
+++ b/test/record_stores_test.cc
@@ -36,7 +36,7 @@
     check_body(system, "t2", "one t1-1\nt1-2\nt1-3\n");
   }
 
-  // Found on a day of the users' bench: each of two voters had a gap, and
+  // Each of two voters had a gap, and
   // both said that there was no such turn.
   void chain_is_read_from_stores_that_each_lack_a_part() {
     service_options options;
--- a/test/return_time_test.cc
+++ b/test/return_time_test.cc
@@ -24,9 +24,9 @@
     expect(50, {milliseconds(6000), milliseconds(1100)});
   }
 
-  // Found on days of the users' bench that stop all gateways a second apart:
-  // turned away for 50 ms each time, programs used up their tries within a
-  // second, and the first successor came after four.
+  // Where all gateways are stopped a second apart, programs that are turned
+  // away for 50 ms each time use up their tries within a second, and the first
+  // successor comes after four.
   void gateways_that_all_stop_name_the_time_of_the_successor() {
     expect(1500, {milliseconds(7700), milliseconds(20)});
     expect(1500, {milliseconds(5100), milliseconds(20)});
--- a/test/store_membership_test.cc
+++ b/test/store_membership_test.cc
@@ -85,7 +85,7 @@
     CPPUNIT_ASSERT(is<do_nothing>(next_membership_action(view)));
   }
 
-  // Found on a grown site of the users' bench: four spare stores read the same
+  // Four spare stores read the same
   // voters at once, and none was done for thirteen seconds.
   void as_many_stores_learn_as_places_are_open() {
     membership_view view = spare_view();
@@ -131,7 +131,7 @@
     CPPUNIT_ASSERT(is<do_nothing>(next_membership_action(view)));
   }
 
-  // Found on a day of the users' bench: a store whose disk was lost and one
+  // A store whose disk was lost and one
   // that had retired were still listed as learners, so that the only spare
   // waited ten seconds while no turn could be served.
   void learner_that_is_gone_keeps_no_spare_waiting() {
