Endpoints whose records lapse together go on serving

Ruled out: the kept list after a lost platform (no call of the gateways had failed: their watches had waited); the pause between watches (0 to 1 s of it). Change: removals of three quarters or more of all endpoints in one answer, or missing from one listing, count as lapses, which stay for 2.3 s; an endpoint that was leaving goes at once. Tests: endpoints_that_lapse_at_once_go_on_serving, seen to fail (503); five cases in endpoint_directory_test (new calls).

--- a/fakes/fake_objects.cc
+++ b/fakes/fake_objects.cc
@@ -82,6 +82,7 @@
       faults_.lose_write_answers =
           body.value("lose_write_answers", faults_.lose_write_answers);
       faults_.garble_reads = body.value("garble_reads", faults_.garble_reads);
+      remove_all(body.value("remove_all", ""));
       cut_when_faulty();
     } else if (request.path == "/forget") {
       changes_.clear();
@@ -183,6 +184,16 @@
     wake_watches();
   }
 
+  // All objects of a kind go at once, as records whose heartbeats an outage
+  // kept away.
+  void remove_all(const std::string& kind) {
+    for (const auto& [name, object] : objects_[kind]) {
+      changes_.push_back({++revision_, kind, true, object});
+    }
+    objects_.erase(kind);
+    wake_watches();
+  }
+
   void write(const http_request& request, const std::string& kind,
              std::string name, bool only_status, const http_exchange_ptr& out) {
     const json body = json::parse(request.body, nullptr, false);
--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -29,14 +29,19 @@
 
 class endpoint_directory {
  public:
-  // Replaces the whole list. After a loss of the platform, an endpoint that
-  // is not listed stays for a moment, since it may be back at once.
+  // Replaces the whole list. After a loss of the platform, or when nearly all
+  // are missing at once, an endpoint that is not listed stays for a moment,
+  // since it may be back at once.
   void replace(const std::vector<endpoint>& listed, bool after_loss,
                std::uint64_t now_ms);
 
   void update(const endpoint& changed);
   void remove(const std::string& id);
 
+  // The endpoint's record has lapsed with many others: it stays for a moment,
+  // unless it was leaving.
+  void lapse(const std::string& id, std::uint64_t now_ms);
+
   // Drops the endpoints whose moment is over.
   void sweep(std::uint64_t now_ms);
 
@@ -68,6 +73,7 @@
   endpoint_state& found_or_made(const std::string& id);
   void keep_for_a_moment(const std::set<std::string>& listed,
                          std::uint64_t now_ms);
+  std::size_t missing_from(const std::set<std::string>& listed) const;
   std::size_t drop_if(const condition& holds);
   void index();
 
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -1,5 +1,9 @@
 #include "trayrock/internal/gateway/endpoint_directory.h"
 
+#include <algorithm>
+
+#include "trayrock/internal/decide/lapse_rule.h"
+
 namespace trayrock {
 namespace {
 
@@ -29,9 +33,12 @@
   std::set<std::string> ids;
   for (const endpoint& each : listed) {
     ids.insert(each.id);
+  }
+  const bool lapsed = lapsed_at_once(missing_from(ids), by_id_.size());
+  for (const endpoint& each : listed) {
     take(found_or_made(each.id), each);
   }
-  if (after_loss) {
+  if (after_loss || lapsed) {
     keep_for_a_moment(ids, now_ms);
   } else {
     drop_if([&](const std::string& id, const endpoint_state&) {
@@ -41,6 +48,14 @@
   index();
 }
 
+std::size_t endpoint_directory::missing_from(
+    const std::set<std::string>& listed) const {
+  const auto missing = std::count_if(
+      by_id_.begin(), by_id_.end(),
+      [&](const auto& known) { return !listed.contains(known.first); });
+  return static_cast<std::size_t>(missing);
+}
+
 // Notes the time of those that are not listed any more.
 void endpoint_directory::keep_for_a_moment(const std::set<std::string>& listed,
                                            std::uint64_t now_ms) {
@@ -82,6 +97,19 @@
   index();
 }
 
+void endpoint_directory::lapse(const std::string& id, std::uint64_t now_ms) {
+  const auto known = by_id_.find(id);
+  if (known == by_id_.end()) {
+    return;
+  }
+  endpoint_state& at = *known->second;
+  if (at.record.draining) {
+    remove(id);
+  } else if (at.removed_at_ms == 0) {
+    at.removed_at_ms = now_ms;
+  }
+}
+
 void endpoint_directory::sweep(std::uint64_t now_ms) {
   const std::size_t gone = drop_if([&](const std::string&,
                                        const endpoint_state& at) {
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -5,6 +5,7 @@
 #include "platform/collection_watcher.h"
 #include "platform/documents.h"
 #include "platform/group_registry.h"
+#include "trayrock/internal/decide/lapse_rule.h"
 #include "trayrock/internal/gateway/gateway_stages.h"
 #include "trayrock/internal/gateway/peer_news.h"
 #include "trayrock/internal/gateway/request_flow.h"
@@ -196,6 +197,10 @@
         [this](const platform::object_listing& found, bool after_loss) {
           take_endpoints(found, after_loss);
         });
+    endpoints_watch_.on_answer(
+        [this](std::span<const platform::object_change> changes) {
+          judge_removals(changes);
+        });
     endpoints_watch_.on_change([this](const platform::object_change& change) {
       take_endpoint(change);
     });
@@ -261,11 +266,29 @@
     serve_if_ready();
   }
 
+  void judge_removals(std::span<const platform::object_change> changes) {
+    const auto removed = std::count_if(
+        changes.begin(), changes.end(),
+        [](const platform::object_change& each) { return each.removed; });
+    removals_are_lapses_ =
+        lapsed_at_once(static_cast<std::size_t>(removed), endpoints_.size());
+    if (removals_are_lapses_) {
+      metrics_.add("endpoint_lapses_total");
+      log_warn("endpoints_lapsed",
+               {{"removed", std::to_string(removed)},
+                {"known", std::to_string(endpoints_.size())}});
+    }
+  }
+
   void take_endpoint(const platform::object_change& change) {
     news_.note_endpoints(change.object.revision);
     if (change.removed) {
       log_info("endpoint_removed", {{"endpoint", change.object.name}});
-      endpoints_.remove(change.object.name);
+      if (removals_are_lapses_) {
+        endpoints_.lapse(change.object.name, loop_.now_ms());
+      } else {
+        endpoints_.remove(change.object.name);
+      }
       return;
     }
     result<endpoint> decoded = platform::decode_endpoint(change.object);
@@ -318,7 +341,8 @@
   duration_book durations_;
   std::map<std::string, late_rule, std::less<>> late_rules_;
   configuration_ptr configuration_;
-  configuration_document document_;  // that `configuration_` was read from
+  configuration_document document_;   // that `configuration_` was read from
+  bool removals_are_lapses_ = false;  // of the answer that is being taken
   gateway_parts parts_;
   http1_server clients_;
   gateway_stages stages_;
--- a/test/endpoint_directory_test.cc
+++ b/test/endpoint_directory_test.cc
@@ -2,6 +2,7 @@
 #include "trayrock/internal/gateway/endpoint_directory.h"
 
 #include "test_support.h"
+#include "trayrock/internal/decide/lapse_rule.h"
 
 namespace trayrock::testing {
 namespace {
@@ -19,6 +20,11 @@
   CPPUNIT_TEST(all_are_used_when_all_refuse);
   CPPUNIT_TEST(instance_that_another_gateway_missed_gets_nothing);
   CPPUNIT_TEST(report_that_comes_before_the_late_record_counts);
+  CPPUNIT_TEST(records_that_lapse_at_once_stay_for_a_moment);
+  CPPUNIT_TEST(lapsed_record_that_does_not_come_back_goes);
+  CPPUNIT_TEST(leaving_endpoint_that_lapses_goes_at_once);
+  CPPUNIT_TEST(listing_that_misses_nearly_all_is_a_lapse);
+  CPPUNIT_TEST(few_removals_are_no_lapse);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -50,6 +56,52 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 9000));
   }
 
+  void records_that_lapse_at_once_stay_for_a_moment() {
+    endpoint_directory endpoints;
+    endpoints.replace({named("a")}, false, start_ms);
+    endpoints.lapse("a", start_ms);
+    endpoints.sweep(start_ms + 2000);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(endpoints, start_ms + 2000));
+    endpoints.update(named("a"));
+    endpoints.sweep(start_ms + 9000);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints.size());
+  }
+
+  void lapsed_record_that_does_not_come_back_goes() {
+    endpoint_directory endpoints;
+    endpoints.replace({named("a"), named("b")}, false, start_ms);
+    endpoints.lapse("a", start_ms);
+    endpoints.sweep(start_ms + 2500);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints.size());
+  }
+
+  void leaving_endpoint_that_lapses_goes_at_once() {
+    endpoint_directory endpoints;
+    endpoint leaving = named("a");
+    leaving.draining = true;
+    endpoints.replace({leaving, named("b")}, false, start_ms);
+    endpoints.lapse("a", start_ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints.size());
+  }
+
+  void listing_that_misses_nearly_all_is_a_lapse() {
+    endpoint_directory endpoints;
+    endpoints.replace({named("a"), named("b"), named("c"), named("d")}, false,
+                      start_ms);
+    endpoints.replace({named("a")}, false, start_ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, endpoints.size());
+    endpoints.sweep(start_ms + 2500);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints.size());
+  }
+
+  void few_removals_are_no_lapse() {
+    CPPUNIT_ASSERT(lapsed_at_once(68, 68));
+    CPPUNIT_ASSERT(lapsed_at_once(3, 4));
+    CPPUNIT_ASSERT(!lapsed_at_once(34, 68));
+    CPPUNIT_ASSERT(!lapsed_at_once(2, 2));
+    CPPUNIT_ASSERT(!lapsed_at_once(0, 0));
+  }
+
   void endpoint_that_refuses_is_not_the_least_loaded() {
     endpoint_directory endpoints;
     endpoints.replace({named("a"), named("b"), named("c")}, false, start_ms);
--- a/test/gateway_path_test.cc
+++ b/test/gateway_path_test.cc
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(former_instance_is_told_to_the_other_gateways);
   CPPUNIT_TEST(configuration_comes_from_another_gateway);
   CPPUNIT_TEST(gateway_whose_watch_is_lost_hears_of_leaving_endpoints);
+  CPPUNIT_TEST(endpoints_that_lapse_at_once_go_on_serving);
   CPPUNIT_TEST(gateway_recovers_from_garbled_answers_of_the_platform);
   CPPUNIT_TEST_SUITE_END();
 
@@ -475,6 +476,23 @@
     CPPUNIT_ASSERT_EQUAL(-1.0, system.metric("gateway-1", lost_calls));
   }
 
+  // The endpoints live, but their records have gone with an outage of the
+  // platform.
+  void endpoints_that_lapse_at_once_go_on_serving() {
+    service_options options;
+    options.runners = 4;
+    service_deployment system(options);
+    system.start_all();
+    system.platform_fault({{"remove_all", "servers"}});
+    wait_until("the gateway knows that the records are gone", [&] {
+      const bool known =
+          system.metric("gateway-1", "endpoint_lapses_total") > 0;
+      CPPUNIT_ASSERT_EQUAL(200,
+                           system.request("gateway-1", "/safe/a", "s1").status);
+      return known;
+    });
+  }
+
   void gateway_recovers_from_garbled_answers_of_the_platform() {
     service_deployment system;
     system.start_all();
