--- a/include/trayrock/internal/decide/resend_rule.h
+++ b/include/trayrock/internal/decide/resend_rule.h
@@ -23,7 +23,7 @@
 struct resend_view {
   repetition kind = repetition::once;
   bool resumable = false;   // the route's streams may go on elsewhere
-  std::uint32_t sends = 0;  // endpoints that may have begun it
+  std::uint32_t sends = 0;  // endpoints that it was sent to
   std::uint32_t most_sends = 1;
   bool answer_begun = false;    // the client has got a part of the answer
   bool has_last_event = false;  // which ends with an event that has an id
