--- a/src/gateway/peer_news.cc
+++ b/src/gateway/peer_news.cc
@@ -22,7 +22,7 @@
 // Peers that are told how far the records of endpoints are known, if there is
 // nothing else to tell. All gateways learn of a change by their own watches and
 // tell each other; one that hears from nobody in a group of seven has a watch
-// that is lost and 1 in 700 of bad luck.
+// that is lost, but for 1 time in 700 (reckoned).
 constexpr std::size_t peers_told_of_revision = 4;
 constexpr milliseconds news_limit{500};
 // Peers are read from the platform soon after the start; until then news wait.
