--- a/include/trayrock/internal/decide/duration_book.h
+++ b/include/trayrock/internal/decide/duration_book.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace trayrock {
 
@@ -23,8 +24,21 @@
 // error.
 enum class stops_midway { no, yes };
 
+// What the time that a route needs is estimated by: its last requests, or one
+// time for all routes.
+struct by_recent_requests {
+  bool operator==(const by_recent_requests&) const = default;
+};
+struct by_fixed_time {
+  bool operator==(const by_fixed_time&) const = default;
+};
+using stop_estimate = std::variant<by_recent_requests, by_fixed_time>;
+
 class duration_book {
  public:
+  explicit duration_book(stop_estimate estimate = by_recent_requests{})
+      : estimate_(estimate) {}
+
   // Expected of a route with too few samples. Of 52,000 requests on a busy
   // day one took longer than 2.0 s.
   static constexpr std::chrono::milliseconds unknown{2200};
@@ -48,6 +62,15 @@
     std::size_t seen = 0;
   };
 
+  std::chrono::milliseconds needed_by(const by_recent_requests&,
+                                      std::string_view route,
+                                      stops_midway kind) const;
+  static std::chrono::milliseconds needed_by(const by_fixed_time&,
+                                             std::string_view, stops_midway) {
+    return unknown;
+  }
+
+  stop_estimate estimate_;
   std::map<std::string, samples, std::less<>> routes_;
 };
 
--- a/include/trayrock/internal/gateway/endpoint_choice.h
+++ b/include/trayrock/internal/decide/endpoint_choice.h
@@ -11,7 +11,8 @@
 //   endpoint_choice wanted;
 //   wanted.service = "chat";
 //   wanted.preferred = "runner-2";
-//   const endpoint_state_ptr to = choose_endpoint(of_chat, wanted, now);
+//   const endpoint_state_ptr to =
+//       choose_endpoint(of_chat, wanted, choice_policy(), now);
 #pragma once
 
 #include <cstdint>
@@ -21,10 +22,30 @@
 #include <string>
 #include <string_view>
 
-#include "trayrock/internal/gateway/endpoint_state.h"
+#include "trayrock/internal/decide/endpoint_state.h"
 
 namespace trayrock {
 
+// What a request to another data centre, or on a new connection, costs in
+// time and money, as a share of the load of a request that is close.
+//
+// With 1.5 a single request under way sent the next one to another data centre.
+// With 3 fewer bytes crossed between data centres (0.171 to 0.152 GB, 0.294 to
+// 0.255 GB and 0.189 to 0.161 GB on three days with 20 gateways), and worth
+// rose by 0.005 to 0.007 on each of four sites, in the mean of 3 to 15 days.
+constexpr double default_elsewhere_factor = 3;
+constexpr double default_unconnected_factor = 1.25;
+
+// How endpoints are weighed.
+struct choice_policy {
+  // A turn goes to the endpoint of the turn before, if that one may take it.
+  bool keeps_previous = true;
+  double elsewhere_factor = default_elsewhere_factor;
+  double unconnected_factor = default_unconnected_factor;
+
+  bool operator==(const choice_policy&) const = default;
+};
+
 struct endpoint_choice {
   std::string_view service;
   std::string_view preferred;  // endpoint with the prompt in its cache, if any
@@ -38,6 +59,7 @@
 // Nothing if none of the service's endpoints may be sent to.
 endpoint_state_ptr choose_endpoint(
     std::span<const endpoint_state_ptr> of_service,
-    const endpoint_choice& wanted, std::uint64_t now_ms);
+    const endpoint_choice& wanted, const choice_policy& policy,
+    std::uint64_t now_ms);
 
 }  // namespace trayrock
--- a/include/trayrock/internal/decide/endpoint_health.h
+++ b/include/trayrock/internal/decide/endpoint_health.h
@@ -23,8 +23,21 @@
 
 namespace trayrock {
 
+// What an endpoint's health goes by, beside failures.
+struct health_policy {
+  // One that refuses is left alone for a moment.
+  bool pauses_after_refusals = true;
+  // One behind a pause is on trial until it has answered.
+  bool tries_behind_pauses = true;
+
+  bool operator==(const health_policy&) const = default;
+};
+
 class endpoint_health {
  public:
+  endpoint_health() = default;
+  explicit endpoint_health(health_policy policy) : policy_(policy) {}
+
   // A request of this gateway got no whole answer. True if the endpoint is
   // left alone from now on and was not before; likewise below.
   bool failed(std::uint64_t now_ms);
@@ -54,6 +67,7 @@
   void add_evidence(std::uint64_t now_ms);
   bool avoid_if_due(bool due, std::uint64_t now_ms);
 
+  health_policy policy_;
   double evidence_ = 0;
   std::uint64_t evidence_at_ms_ = 0;
   std::uint32_t failures_in_row_ = 0;
--- a/include/trayrock/internal/decide/return_time.h
+++ b/include/trayrock/internal/decide/return_time.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include <chrono>
+#include <variant>
 
 namespace trayrock {
 
@@ -23,6 +24,16 @@
   std::chrono::milliseconds since_last_connection{0};
 };
 
-std::chrono::milliseconds return_time(const drain_view& view);
+// What clients are told goes by: what the balancer does, or nothing.
+struct by_balancer {
+  bool operator==(const by_balancer&) const = default;
+};
+struct always_at_once {
+  bool operator==(const always_at_once&) const = default;
+};
+using return_rule = std::variant<by_balancer, always_at_once>;
+
+std::chrono::milliseconds return_time(const drain_view& view,
+                                      return_rule rule = by_balancer{});
 
 }  // namespace trayrock
--- a/include/trayrock/internal/decide/store_membership.h
+++ b/include/trayrock/internal/decide/store_membership.h
@@ -44,6 +44,8 @@
   std::set<std::string> retiring_boxes;
   std::uint64_t retiring_ms = 0;  // how long this store's box has been asked to
   bool change_pending = false;    // a change of the group is under way
+  // Stores that are learners already go on learning for the next places.
+  bool keeps_learners_ready = true;
   // How long this store has seen a place that has to be filled; 0: none.
   std::uint64_t place_open_ms = 0;
 };
--- a/include/trayrock/internal/gateway/endpoint_attempt.h
+++ b/include/trayrock/internal/gateway/endpoint_attempt.h
@@ -19,7 +19,7 @@
 #include <string>
 #include <string_view>
 
-#include "trayrock/internal/gateway/endpoint_state.h"
+#include "trayrock/internal/decide/endpoint_state.h"
 #include "trayrock/internal/gateway/request_facts.h"
 #include "trayrock/internal/net/http1_client.h"
 #include "trayrock/internal/net/loop.h"
@@ -30,8 +30,11 @@
  public:
   // All outlive the object.
   endpoint_attempt(event_loop& loop, http1_pool& pool,
-                   const request_facts& facts)
-      : loop_(loop), pool_(pool), facts_(facts) {}
+                   const request_facts& facts, bool drops_connections = true)
+      : loop_(loop),
+        pool_(pool),
+        facts_(facts),
+        drops_connections_(drops_connections) {}
   endpoint_attempt(const endpoint_attempt&) = delete;
   endpoint_attempt& operator=(const endpoint_attempt&) = delete;
 
@@ -86,6 +89,7 @@
   event_loop& loop_;
   http1_pool& pool_;
   const request_facts& facts_;
+  bool drops_connections_;  // idle ones, beside one that failed
   endpoint_state_ptr endpoint_;
   http1_call call_;
   bool in_flight_ = false;
--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -21,14 +21,27 @@
 #include <string_view>
 #include <vector>
 
-#include "trayrock/internal/gateway/endpoint_choice.h"
-#include "trayrock/internal/gateway/endpoint_state.h"
+#include "trayrock/internal/decide/endpoint_choice.h"
+#include "trayrock/internal/decide/endpoint_state.h"
 #include "trayrock/internal/gateway/former_endpoints.h"
 
 namespace trayrock {
 
+// How endpoints are judged and chosen.
+struct directory_policy {
+  health_policy health;
+  choice_policy choice;
+  // Records that go nearly all at once are kept for a moment.
+  bool keeps_lapsed = true;
+
+  bool operator==(const directory_policy&) const = default;
+};
+
 class endpoint_directory {
  public:
+  endpoint_directory() = default;
+  explicit endpoint_directory(directory_policy policy) : policy_(policy) {}
+
   // Replaces the whole list. After a loss of the platform, or when nearly all
   // are missing at once, an endpoint that is not listed stays for a moment,
   // since it may be back at once.
@@ -38,6 +51,10 @@
   void update(const endpoint& changed);
   void remove(const std::string& id);
 
+  // Whether so many records that go in one answer of the platform have lapsed
+  // with it (decide/lapse_rule.h).
+  bool lapsed_at_once(std::size_t removed) const;
+
   // The endpoint's record has lapsed with many others: it stays for a moment,
   // unless it was leaving.
   void lapse(const std::string& id, std::uint64_t now_ms);
@@ -70,6 +87,7 @@
   using condition =
       std::function<bool(const std::string& id, const endpoint_state& at)>;
 
+  endpoint_state_ptr made_state() const;
   endpoint_state& found_or_made(const std::string& id);
   void keep_for_a_moment(const std::set<std::string>& listed,
                          std::uint64_t now_ms);
@@ -77,6 +95,7 @@
   std::size_t drop_if(const condition& holds);
   void index();
 
+  directory_policy policy_;
   std::map<std::string, endpoint_state_ptr> by_id_;
   std::map<std::string, std::vector<endpoint_state_ptr>, std::less<>>
       by_service_;
--- a/include/trayrock/internal/gateway/former_endpoints.h
+++ b/include/trayrock/internal/gateway/former_endpoints.h
@@ -14,7 +14,7 @@
 #include <map>
 #include <string>
 
-#include "trayrock/internal/gateway/endpoint_state.h"
+#include "trayrock/internal/decide/endpoint_state.h"
 
 namespace trayrock {
 
--- a/include/trayrock/internal/gateway/gateway_stages.h
+++ b/include/trayrock/internal/gateway/gateway_stages.h
@@ -8,7 +8,7 @@
 // before it would be killed.
 //
 // Example:
-//   gateway_stages stages(loop, clients, stop_limit);
+//   gateway_stages stages(loop, clients, stop_limit, by_balancer{});
 //   stages.begin();          // connections wait
 //   stages.begin_serving();  // once requests can be answered
 //   stages.begin_drain();    // on SIGTERM
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <functional>
 
+#include "trayrock/internal/decide/return_time.h"
 #include "trayrock/internal/net/http1_server.h"
 #include "trayrock/internal/net/loop.h"
 #include "trayrock/internal/process.h"
@@ -30,8 +31,11 @@
   // `clients` outlives the object. Within `stop_limit` of being told to stop
   // the process has ended.
   gateway_stages(event_loop& loop, http1_server& clients,
-                 milliseconds stop_limit)
-      : loop_(loop), clients_(clients), stop_limit_(stop_limit) {}
+                 milliseconds stop_limit, return_rule return_times)
+      : loop_(loop),
+        clients_(clients),
+        stop_limit_(stop_limit),
+        return_times_(return_times) {}
   gateway_stages(const gateway_stages&) = delete;
   gateway_stages& operator=(const gateway_stages&) = delete;
 
@@ -66,6 +70,7 @@
   event_loop& loop_;
   http1_server& clients_;
   milliseconds stop_limit_;
+  return_rule return_times_;
   std::function<bool()> ready_;
   timer starting_;
   timer taking_;
--- a/include/trayrock/internal/gateway/peer_news.h
+++ b/include/trayrock/internal/gateway/peer_news.h
@@ -11,7 +11,7 @@
 // gateway's own watch.
 //
 // Example:
-//   peer_news news(loop, pool, relays, own);
+//   peer_news news(loop, pool, relays, own, news_policy());
 //   news.serve(rpc, {on_failure, on_superseded, on_endpoints,
 //                    on_configuration, held_document});
 //   news.note_failure("endpoint-1");
@@ -26,6 +26,7 @@
 #include <string>
 
 #include "platform/gateway_registry.h"
+#include "trayrock/internal/gateway/gateway_policy.h"
 #include "trayrock/internal/gateway/peer_relays.h"
 #include "trayrock/internal/net/loop.h"
 #include "trayrock/internal/net/rpc.h"
@@ -57,7 +58,7 @@
  public:
   // All that is passed in by reference outlives the object.
   peer_news(event_loop& loop, rpc_pool& pool, peer_relays& peers,
-            platform::gateway_entry own);
+            platform::gateway_entry own, news_policy policy);
   peer_news(const peer_news&) = delete;
   peer_news& operator=(const peer_news&) = delete;
 
@@ -86,6 +87,7 @@
   rpc_pool& pool_;
   peer_relays& peers_;
   platform::gateway_entry own_;
+  news_policy policy_;
   news_handlers handlers_;
   std::set<std::string> failed_endpoints_;      // since the last batch
   std::set<std::string> superseded_endpoints_;  // likewise
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -22,6 +22,7 @@
 #include "trayrock/internal/gateway/chain_cache.h"
 #include "trayrock/internal/gateway/configuration.h"
 #include "trayrock/internal/gateway/endpoint_directory.h"
+#include "trayrock/internal/gateway/gateway_policy.h"
 #include "trayrock/internal/metrics.h"
 #include "trayrock/internal/net/http1_client.h"
 #include "trayrock/internal/net/http1_server.h"
@@ -41,6 +42,7 @@
   duration_book& durations;
   std::map<std::string, late_rule, std::less<>>& late_rules;  // by service
   std::string data_centre;
+  gateway_policy policy;
   std::function<configuration_ptr()> configuration;  // nullptr: none yet
   // Milliseconds since the platform last answered about the endpoints.
   std::function<std::uint64_t()> endpoints_age_ms;
--- a/include/trayrock/internal/process.h
+++ b/include/trayrock/internal/process.h
@@ -66,6 +66,9 @@
   return {from.process.name, from.process.log_level};
 }
 
+// Says in the log which mechanisms a trial leaves out, if any.
+void warn_of_trial(const service_settings& settings);
+
 // True when a process with these arguments and settings shall run. Otherwise
 // the faults, or that there are none, have been printed, and the process
 // ends with `exit_code`.
--- a/include/trayrock/internal/records/store_membership_driver.h
+++ b/include/trayrock/internal/records/store_membership_driver.h
@@ -24,6 +24,7 @@
   records::Store self;  // the id is filled in once the disk has one
   std::uint32_t tolerated = 1;
   bool first_start = false;  // of the whole system: a group may be created
+  bool keeps_learners_ready = true;
 };
 
 class store_membership_driver {
--- a/include/trayrock/internal/settings/service_settings.h
+++ b/include/trayrock/internal/settings/service_settings.h
@@ -4,6 +4,7 @@
 // deploy/*.json.in are filled in with its values.
 #pragma once
 
+#include "trayrock/internal/decide/mechanism.h"
 #include "trayrock/internal/net/loop.h"
 #include "trayrock/internal/settings/settings.h"
 
@@ -20,6 +21,7 @@
   address platform;        // the object service
   std::string log_level = "info";
   milliseconds stop_limit{8000};  // from SIGTERM to the end
+  mechanism_set trial_without;    // mechanisms left out; for trials only
 };
 
 struct gateway_settings {
--- a/src/decide/duration_book.cc
+++ b/src/decide/duration_book.cc
@@ -35,6 +35,13 @@
 
 std::chrono::milliseconds duration_book::needed(std::string_view route,
                                                 stops_midway kind) const {
+  return std::visit([&](const auto& by) { return needed_by(by, route, kind); },
+                    estimate_);
+}
+
+std::chrono::milliseconds duration_book::needed_by(const by_recent_requests&,
+                                                   std::string_view route,
+                                                   stops_midway kind) const {
   const std::chrono::milliseconds seen = longest(route);
   if (kind == stops_midway::no) {
     return seen;
--- a/src/gateway/endpoint_choice.cc
+++ b/src/decide/endpoint_choice.cc
@@ -1,4 +1,4 @@
-#include "trayrock/internal/gateway/endpoint_choice.h"
+#include "trayrock/internal/decide/endpoint_choice.h"
 
 #include <algorithm>
 #include <vector>
@@ -15,24 +15,15 @@
 constexpr std::uint32_t slack_requests = 6;
 constexpr double assumed_latency_ms = 100;
 
-// What a request to another data centre, or on a new connection, costs in
-// time and money, as a share of the load of a request that is close.
-//
-// With 1.5 a single request under way sent the next one to another data centre.
-// With 3 fewer bytes crossed between data centres (0.171 to 0.152 GB, 0.294 to
-// 0.255 GB and 0.189 to 0.161 GB on three days with 20 gateways), and worth
-// rose by 0.005 to 0.007 on each of four sites, in the mean of 3 to 15 days.
-constexpr double elsewhere_factor = 3;
-constexpr double unconnected_factor = 1.25;
-
-double load_of(const endpoint_state& at, const endpoint_choice& wanted) {
+double load_of(const endpoint_state& at, const endpoint_choice& wanted,
+               const choice_policy& policy) {
   const double latency = at.latency_ms > 0 ? at.latency_ms : assumed_latency_ms;
   double load = (at.in_flight + 1) * latency / at.record.capacity;
   if (at.record.data_centre != wanted.data_centre) {
-    load *= elsewhere_factor;
+    load *= policy.elsewhere_factor;
   }
   if (wanted.connected && !wanted.connected(at.record)) {
-    load *= unconnected_factor;
+    load *= policy.unconnected_factor;
   }
   return load;
 }
@@ -74,11 +65,11 @@
 // The first of those with the least load; there is one at least.
 const endpoint_state_ptr& least_loaded(
     std::span<const endpoint_state_ptr> candidates,
-    const endpoint_choice& wanted) {
+    const endpoint_choice& wanted, const choice_policy& policy) {
   std::size_t least = 0;
-  double least_load = load_of(*candidates[0], wanted);
+  double least_load = load_of(*candidates[0], wanted, policy);
   for (std::size_t i = 1; i < candidates.size(); ++i) {
-    const double load = load_of(*candidates[i], wanted);
+    const double load = load_of(*candidates[i], wanted, policy);
     if (load < least_load) {
       least = i;
       least_load = load;
@@ -99,18 +90,19 @@
 
 endpoint_state_ptr choose_endpoint(
     std::span<const endpoint_state_ptr> of_service,
-    const endpoint_choice& wanted, std::uint64_t now_ms) {
+    const endpoint_choice& wanted, const choice_policy& policy,
+    std::uint64_t now_ms) {
   const std::vector<endpoint_state_ptr> candidates =
       candidates_of(of_service, wanted, now_ms);
   if (candidates.empty()) {
     return nullptr;
   }
-  const endpoint_state_ptr& least = least_loaded(candidates, wanted);
+  const endpoint_state_ptr& least = least_loaded(candidates, wanted, policy);
   const auto preferred = std::find_if(
       candidates.begin(), candidates.end(),
       [&](const auto& each) { return each->record.id == wanted.preferred; });
-  const bool keep =
-      preferred != candidates.end() && within_slack(**preferred, *least);
+  const bool keep = policy.keeps_previous && preferred != candidates.end() &&
+                    within_slack(**preferred, *least);
   return keep ? *preferred : least;
 }
 
--- a/src/decide/endpoint_health.cc
+++ b/src/decide/endpoint_health.cc
@@ -62,8 +62,8 @@
 }
 
 bool endpoint_health::on_trial(std::uint64_t now_ms) const {
-  return !answered_since_pause_ && !paused(now_ms) &&
-         now_ms - avoided_until_ms_ < longest_trial_ms;
+  return policy_.tries_behind_pauses && !answered_since_pause_ &&
+         !paused(now_ms) && now_ms - avoided_until_ms_ < longest_trial_ms;
 }
 
 bool endpoint_health::failed(std::uint64_t now_ms) {
@@ -92,7 +92,7 @@
 }
 
 bool endpoint_health::refused(std::uint64_t now_ms) {
-  if (avoided(now_ms)) {
+  if (!policy_.pauses_after_refusals || avoided(now_ms)) {
     return false;
   }
   refused_until_ms_ = now_ms + (first_refusal_pause_ms << refusals_in_row_);
--- a/src/decide/late_rule.cc
+++ b/src/decide/late_rule.cc
@@ -23,7 +23,8 @@
 
 }  // namespace
 
-late_rule::late_rule() : budget_(leave_percent) {}
+late_rule::late_rule(late_policy policy)
+    : policy_(policy), budget_(leave_percent) {}
 
 void late_rule::answer_began(milliseconds after) {
   budget_.note_call();
@@ -39,6 +40,12 @@
 }
 
 std::chrono::milliseconds late_rule::late_after(milliseconds least) const {
+  return std::visit([&](const auto& by) { return limit_of(by, least); },
+                    policy_.limit);
+}
+
+std::chrono::milliseconds late_rule::limit_of(const compared_with_service&,
+                                              milliseconds least) const {
   if (seen_ < enough) {
     return least * unknown_factor;
   }
--- a/src/decide/return_time.cc
+++ b/src/decide/return_time.cc
@@ -18,12 +18,20 @@
 // no longer than a third of the time that they have left, mostly 1.7 s.
 constexpr milliseconds for_a_successor{1500};
 
-}  // namespace
+milliseconds time_by(const always_at_once&, const drain_view&) {
+  return at_once;
+}
 
-milliseconds return_time(const drain_view& view) {
+milliseconds time_by(const by_balancer&, const drain_view& view) {
   const bool elsewhere = view.draining_for < balancer_notice ||
                          view.since_last_connection > still_sent;
   return elsewhere ? at_once : for_a_successor;
 }
 
+}  // namespace
+
+milliseconds return_time(const drain_view& view, return_rule rule) {
+  return std::visit([&](const auto& by) { return time_by(by, view); }, rule);
+}
+
 }  // namespace trayrock
--- a/src/decide/store_membership.cc
+++ b/src/decide/store_membership.cc
@@ -151,8 +151,9 @@
 // Whether the stores that learn already should have the places to themselves.
 bool learners_suffice(const membership_view& view, std::size_t places) {
   const std::size_t learners = living_learners(view);
-  const auto wanted =
-      std::max(places, static_cast<std::size_t>(view.group.tolerated()));
+  const auto ready = static_cast<std::size_t>(
+      view.keeps_learners_ready ? view.group.tolerated() : 0);
+  const std::size_t wanted = std::max(places, ready);
   return learners >= wanted &&
          view.place_open_ms < learner_time_ms * (1 + learners - wanted);
 }
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -104,7 +104,9 @@
 // it has not run, and goes elsewhere; on a connection that has fallen silent it
 // would be lost.
 void endpoint_attempt::forget_idle_connections() {
-  pool_.forget(endpoint_->record.address, endpoint_->record.id);
+  if (drops_connections_) {
+    pool_.forget(endpoint_->record.address, endpoint_->record.id);
+  }
 }
 
 void endpoint_attempt::log_avoided() const {
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -34,7 +34,7 @@
   for (const endpoint& each : listed) {
     ids.insert(each.id);
   }
-  const bool lapsed = lapsed_at_once(missing_from(ids), by_id_.size());
+  const bool lapsed = lapsed_at_once(missing_from(ids));
   for (const endpoint& each : listed) {
     take(found_or_made(each.id), each);
   }
@@ -48,6 +48,11 @@
   index();
 }
 
+bool endpoint_directory::lapsed_at_once(std::size_t removed) const {
+  return policy_.keeps_lapsed &&
+         trayrock::lapsed_at_once(removed, by_id_.size());
+}
+
 std::size_t endpoint_directory::missing_from(
     const std::set<std::string>& listed) const {
   const auto missing = std::count_if(
@@ -66,6 +71,12 @@
   }
 }
 
+endpoint_state_ptr endpoint_directory::made_state() const {
+  auto made = std::make_shared<endpoint_state>();
+  made->health = endpoint_health(policy_.health);
+  return made;
+}
+
 // The state of an endpoint that is listed, made if it is new.
 endpoint_state& endpoint_directory::found_or_made(const std::string& id) {
   endpoint_state_ptr& state = by_id_[id];
@@ -73,7 +84,7 @@
     state = former_.find(id);
   }
   if (state == nullptr) {
-    state = std::make_shared<endpoint_state>();
+    state = made_state();
   }
   return *state;
 }
@@ -145,7 +156,7 @@
   if (found == by_service_.end()) {
     return nullptr;
   }
-  return choose_endpoint(found->second, wanted, now_ms);
+  return choose_endpoint(found->second, wanted, policy_.choice, now_ms);
 }
 
 void endpoint_directory::begin(endpoint_state& at) { ++at.in_flight; }
@@ -184,7 +195,7 @@
 bool endpoint_directory::supersede(const std::string& id) {
   const auto known = by_id_.find(id);
   if (known == by_id_.end()) {
-    const auto unlisted = std::make_shared<endpoint_state>();
+    const endpoint_state_ptr unlisted = made_state();
     unlisted->superseded = true;
     former_.note(id, unlisted);
     return false;
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -5,7 +5,6 @@
 #include "platform/collection_watcher.h"
 #include "platform/documents.h"
 #include "platform/group_registry.h"
-#include "trayrock/internal/decide/lapse_rule.h"
 #include "trayrock/internal/gateway/gateway_stages.h"
 #include "trayrock/internal/gateway/peer_news.h"
 #include "trayrock/internal/gateway/request_flow.h"
@@ -48,21 +47,26 @@
  public:
   explicit gateway_process(const gateway_settings& settings)
       : settings_(settings),
+        policy_(policy_without(settings.service.trial_without)),
         rpc_(loop_, {}),
         pool_(loop_),
         platform_(loop_, settings.service.platform, metrics_),
-        registry_(loop_, platform_),
+        registry_(loop_, platform_, policy_.repeats_listings),
         configurations_(loop_, platform_, platform::kind_configuration,
-                        configuration_wait, configuration_pause),
-        endpoints_watch_(loop_, platform_, platform::kind_endpoints,
-                         endpoints_wait,
-                         endpoints_pause(settings.endpoint_notice)),
+                        {configuration_wait, configuration_pause,
+                         policy_.repeats_listings}),
+        endpoints_watch_(
+            loop_, platform_, platform::kind_endpoints,
+            {endpoints_wait, endpoints_pause(settings.endpoint_notice),
+             policy_.repeats_listings}),
         gateways_(platform_),
         relays_(loop_, gateways_, entry_of(settings.service)),
-        news_(loop_, rpc_, relays_, entry_of(settings.service)),
+        news_(loop_, rpc_, relays_, entry_of(settings.service), policy_.news),
         peers_(loop_, {}),
         records_(loop_, rpc_, settings.service.data_centre, metrics_),
-        chains_(chain_cache_bytes),
+        endpoints_(policy_.endpoints),
+        chains_(policy_.caches_chains ? chain_cache_bytes : 0),
+        durations_(policy_.durations),
         parts_{loop_,
                pool_,
                records_,
@@ -72,6 +76,7 @@
                durations_,
                late_rules_,
                settings.service.data_centre,
+               policy_,
                [this] { return configuration_; },
                [this] { return endpoints_watch_.silence_ms(); },
                [this] { return stages_.time_to_end(); },
@@ -83,7 +88,8 @@
             [this](http1_request request, http1_exchange_ptr out) {
               serve_request(parts_, std::move(request), std::move(out));
             }),
-        stages_(loop_, clients_, settings.service.stop_limit),
+        stages_(loop_, clients_, settings.service.stop_limit,
+                policy_.return_times),
         readiness_(
             loop_, [] { return http1_limits{}; },
             [this](const http1_request&, const http1_exchange_ptr& out) {
@@ -106,6 +112,7 @@
     }
     log_info("gateway_started", {{"gateway", settings_.service.name},
                                  {"version", TRAYROCK_VERSION}});
+    warn_of_trial(settings_.service);
     observe_connections();
     serve_peers();
     relays_.start();
@@ -137,7 +144,9 @@
 
   void serve_peers() {
     serve_relays(peers_, rpc_, records_);
-    records_.use_relays(relays_.source());
+    if (policy_.relays) {
+      records_.use_relays(relays_.source());
+    }
     news_.serve(
         peers_,
         {[this](const std::string& endpoint, const std::string& gateway) {
@@ -271,7 +280,7 @@
         changes.begin(), changes.end(),
         [](const platform::object_change& each) { return each.removed; });
     removals_are_lapses_ =
-        lapsed_at_once(static_cast<std::size_t>(removed), endpoints_.size());
+        endpoints_.lapsed_at_once(static_cast<std::size_t>(removed));
     if (removals_are_lapses_) {
       metrics_.add("endpoint_lapses_total");
       log_warn("endpoints_lapsed",
@@ -323,6 +332,7 @@
   }
 
   gateway_settings settings_;
+  gateway_policy policy_;
   event_loop loop_;
   metrics_registry metrics_;
   rpc_pool rpc_;
--- /dev/null
+++ b/src/gateway/gateway_policy.cc
@@ -0,0 +1,81 @@
+#include "trayrock/internal/gateway/gateway_policy.h"
+
+namespace trayrock {
+namespace {
+
+// Takes one mechanism out of a policy.
+void leave_out(mechanism which, gateway_policy& from) {
+  switch (which) {
+    case mechanism::relays:
+      from.relays = false;
+      return;
+    case mechanism::failure_news:
+      from.news.failures = false;
+      return;
+    case mechanism::superseded_news:
+      from.news.superseded = false;
+      return;
+    case mechanism::revision_news:
+      from.news.revisions = false;
+      return;
+    case mechanism::refusal_pauses:
+      from.endpoints.health.pauses_after_refusals = false;
+      return;
+    case mechanism::endpoint_trials:
+      from.endpoints.health.tries_behind_pauses = false;
+      return;
+    case mechanism::previous_endpoint:
+      from.endpoints.choice.keeps_previous = false;
+      return;
+    case mechanism::distance_factor:
+      from.endpoints.choice.elsewhere_factor = 1;
+      return;
+    case mechanism::connection_factor:
+      from.endpoints.choice.unconnected_factor = 1;
+      return;
+    case mechanism::late_by_comparison:
+      from.late.limit = objective_alone{};
+      return;
+    case mechanism::late_endpoints_left:
+      from.late.leaves = false;
+      return;
+    case mechanism::resumed_streams:
+      from.resumes_streams = false;
+      return;
+    case mechanism::stream_warnings:
+      from.warns_of_streams = false;
+      return;
+    case mechanism::repeated_listings:
+      from.repeats_listings = false;
+      return;
+    case mechanism::lapses:
+      from.endpoints.keeps_lapsed = false;
+      return;
+    case mechanism::chain_cache:
+      from.caches_chains = false;
+      return;
+    case mechanism::durations:
+      from.durations = by_fixed_time{};
+      return;
+    case mechanism::return_times:
+      from.return_times = always_at_once{};
+      return;
+    case mechanism::dropped_connections:
+      from.drops_connections = false;
+      return;
+    case mechanism::ready_learners:
+      return;  // of record stores
+  }
+}
+
+}  // namespace
+
+gateway_policy policy_without(const mechanism_set& off) {
+  gateway_policy made;
+  for (const mechanism each : off) {
+    leave_out(each, made);
+  }
+  return made;
+}
+
+}  // namespace trayrock
--- a/src/gateway/peer_news.cc
+++ b/src/gateway/peer_news.cc
@@ -32,8 +32,12 @@
 }  // namespace
 
 peer_news::peer_news(event_loop& loop, rpc_pool& pool, peer_relays& peers,
-                     platform::gateway_entry own)
-    : loop_(loop), pool_(pool), peers_(peers), own_(std::move(own)) {}
+                     platform::gateway_entry own, news_policy policy)
+    : loop_(loop),
+      pool_(pool),
+      peers_(peers),
+      own_(std::move(own)),
+      policy_(policy) {}
 
 void peer_news::serve(rpc_server& server, news_handlers handlers) {
   handlers_ = std::move(handlers);
@@ -66,21 +70,21 @@
 }
 
 void peer_news::note_failure(const std::string& endpoint) {
-  if (failed_endpoints_.size() < most_endpoints) {
+  if (policy_.failures && failed_endpoints_.size() < most_endpoints) {
     failed_endpoints_.insert(endpoint);
     send_soon();
   }
 }
 
 void peer_news::note_superseded(const std::string& endpoint) {
-  if (superseded_endpoints_.size() < most_superseded) {
+  if (policy_.superseded && superseded_endpoints_.size() < most_superseded) {
     superseded_endpoints_.insert(endpoint);
     send_soon();
   }
 }
 
 void peer_news::note_endpoints(std::uint64_t revision) {
-  if (revision > endpoints_revision_) {
+  if (policy_.revisions && revision > endpoints_revision_) {
     endpoints_revision_ = revision;
     send_soon();
   }
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -21,7 +21,7 @@
       request_(std::move(request)),
       answer_(std::move(out)),
       history_(parts.loop, parts.records, parts.chains, facts_),
-      attempt_(parts.loop, parts.pool, facts_),
+      attempt_(parts.loop, parts.pool, facts_, parts.policy.drops_connections),
       began_us_(parts.loop.now_us()) {}
 
 void request_flow::start() {
@@ -35,7 +35,7 @@
     refuse(*refused);
     return;
   }
-  if (terms_.resumable()) {
+  if (resumable()) {
     answer_.make_resumable();
   }
   watch_ends();
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -77,7 +77,9 @@
 }
 
 late_rule& request_flow::late() {
-  return parts_.late_rules[std::string(terms_.service())];
+  return parts_.late_rules
+      .try_emplace(std::string(terms_.service()), parts_.policy.late)
+      .first->second;
 }
 
 void request_flow::guard_against_silence(milliseconds longest) {
@@ -103,7 +105,7 @@
     leave_endpoint();
     return;
   }
-  if (begun) {
+  if (begun || (terms_.stream() && !parts_.policy.warns_of_streams)) {
     return;
   }
   attempt_.suspect();
@@ -127,8 +129,12 @@
   return true;
 }
 
+bool request_flow::resumable() const {
+  return terms_.resumable() && parts_.policy.resumes_streams;
+}
+
 void request_flow::guard_pauses() {
-  if (terms_.resumable() && may_leave_late_endpoint(resend_state())) {
+  if (resumable() && may_leave_late_endpoint(resend_state())) {
     const route& from = terms_.route();
     guard_against_silence(late().late_after(
         std::max(from.longest_pause, from.latency_objective)));
@@ -209,7 +215,7 @@
 resend_view request_flow::resend_state() const {
   resend_view made;
   made.kind = terms_.route().kind;
-  made.resumable = terms_.route().resumable;
+  made.resumable = resumable();
   made.sends = static_cast<std::uint32_t>(report_.sends);
   made.most_sends = terms_.route().max_endpoints;
   made.answer_begun = answer_.begun();
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -105,6 +105,9 @@
   // nearly all streams need to begin.
   void guard_pauses();
 
+  // Whether the stream may go on at another endpoint.
+  bool resumable() const;
+
   bool passes_through() const;
   void take_body(std::string_view bytes);
   void begin_answer();
--- a/src/process.cc
+++ b/src/process.cc
@@ -56,6 +56,13 @@
   return true;
 }
 
+void warn_of_trial(const service_settings& settings) {
+  if (!settings.trial_without.empty()) {
+    log_warn("trial_without",
+             {{"mechanisms", names_of(settings.trial_without)}});
+  }
+}
+
 bool answer_probe(const http_request& request, const http_exchange_ptr& out,
                   const probe_sources& sources) {
   constexpr int ok = 200;
--- a/src/records/store_main.cc
+++ b/src/records/store_main.cc
@@ -22,6 +22,8 @@
   made.tolerated = static_cast<std::uint32_t>(
       std::max(from.tolerated_losses, from.tolerated_data_centre_losses));
   made.first_start = from.first_start;
+  made.keeps_learners_ready =
+      !from.service.trial_without.contains(mechanism::ready_learners);
   return made;
 }
 
@@ -37,7 +39,9 @@
   rpc_server rpc(loop, {});
   rpc_pool peers(loop, {});
   platform::object_store objects(loop, settings.service.platform, metrics);
-  platform::group_registry registry(loop, objects);
+  platform::group_registry registry(
+      loop, objects,
+      !settings.service.trial_without.contains(mechanism::repeated_listings));
   record_server server(loop, rpc, *disk.value(), metrics);
   store_membership_driver membership(loop, server, peers, registry,
                                      membership_of(settings));
@@ -53,6 +57,7 @@
   }
   log_info("store_started",
            {{"box", settings.service.box}, {"version", TRAYROCK_VERSION}});
+  warn_of_trial(settings.service);
   server.start([&membership] { membership.start(); });
   const timer terminate = loop.on_signal(SIGTERM, [&loop] { loop.stop(); });
   const timer reload = loop.on_signal(SIGHUP, [] {
--- a/src/records/store_membership_driver.cc
+++ b/src/records/store_membership_driver.cc
@@ -130,6 +130,7 @@
   made.retiring_ms = retiring_since_ms_ == 0 ? 0 : now - retiring_since_ms_;
   made.peers = reader_.peers().views(now);
   made.change_pending = changing_;
+  made.keeps_learners_ready = settings_.keeps_learners_ready;
   if (!has_open_place(made)) {
     place_open_since_ms_ = 0;
   } else if (place_open_since_ms_ == 0) {
--- a/src/settings/service_settings.cc
+++ b/src/settings/service_settings.cc
@@ -23,6 +23,21 @@
   return milliseconds(static_cast<long>(seconds * ms_per_second));
 }
 
+// The mechanisms that a trial leaves out.
+void read_trial(strict_object& trial, mechanism_set& off) {
+  for (const std::string& name : trial.texts_or_empty("without")) {
+    if (const std::optional<mechanism> known = mechanism_named(name)) {
+      off.insert(*known);
+      continue;
+    }
+    std::string detail = "seen \"" + name + "\", allowed:";
+    for (const std::string_view each : mechanism_names()) {
+      detail.append(" ").append(each);
+    }
+    trial.add_fault(errc::settings_out_of_range, "without", detail);
+  }
+}
+
 service_settings read_service(strict_object& top) {
   service_settings made;
   made.name = top.text("name");
@@ -36,6 +51,9 @@
   made.log_level = top.choice("log_level", log_levels, made.log_level);
   made.stop_limit = seconds_or(top, "stop_limit_s", least_stop_s,
                                longest_stop_s, made.stop_limit);
+  top.object("trial", [&](strict_object& trial) {
+    read_trial(trial, made.trial_without);
+  });
   return made;
 }
 
--- a/test/collection_watcher_test.cc
+++ b/test/collection_watcher_test.cc
@@ -77,8 +77,8 @@
     metrics_registry metrics;
     hesitant_platform platform(loop, silent_calls);
     platform::object_store store(loop, platform.where(), metrics);
-    platform::collection_watcher watcher(loop, store, "things",
-                                         milliseconds(5000), milliseconds(10));
+    platform::collection_watcher watcher(
+        loop, store, "things", {milliseconds(5000), milliseconds(10)});
     seen made;
     watcher.on_snapshot([&](const platform::object_listing&, bool after_loss) {
       ++made.snapshots;
