Endpoints that look alike are drawn from; latencies count far above the usual

A latency once measured counted for ever.

Change: equally loaded endpoints are drawn from by a hash of the attempt; a latency counts above twice the median of its service and for two seconds; a turn leaves an endpoint that is slower than that.

--- a/include/trayrock/internal/decide/endpoint_choice.h
+++ b/include/trayrock/internal/decide/endpoint_choice.h
@@ -4,8 +4,11 @@
 // turn before, whose cache holds its prompt, unless that one has much more to
 // do than others. Else the least loaded endpoint is taken, where those of the
 // same data centre and those to which a connection is open count as less
-// loaded. Endpoints that have failed lately are taken only if too few others
-// are left.
+// loaded. A gateway sees its own requests only; with many gateways that is so
+// few that most endpoints look alike. So what looks alike is drawn from, and an
+// endpoint's latency counts only where it lies far above what is usual: else
+// all gateways send to the same few. Endpoints that have failed lately are
+// taken only if too few others are left.
 //
 // Example:
 //   endpoint_choice wanted;
@@ -42,6 +45,10 @@
   bool keeps_previous = true;
   double elsewhere_factor = default_elsewhere_factor;
   double unconnected_factor = default_unconnected_factor;
+  // What is equally loaded is drawn from; else the first one is taken.
+  bool draws_among_equals = true;
+  // Latencies near the usual one count alike; else each counts by itself.
+  bool levels_latencies = true;
 
   bool operator==(const choice_policy&) const = default;
 };
@@ -54,6 +61,8 @@
   const std::set<std::string>* excluded = nullptr;
   // May run only once: not for endpoints on trial.
   bool once = false;
+  // Draws among equals: any number, another one for each request.
+  std::uint64_t draw = 0;
 };
 
 // Nothing if none of the service's endpoints may be sent to.
--- a/include/trayrock/internal/decide/mechanism.h
+++ b/include/trayrock/internal/decide/mechanism.h
@@ -38,6 +38,8 @@
   return_times,         // clients are told when a successor will be there
   dropped_connections,  // idle connections beside a failed one are closed
   shared_watches,       // few gateways watch the platform for all
+  draws_among_equals,   // equally loaded endpoints are drawn from
+  levelled_latencies,   // only latencies far above the usual one count
   ready_learners        // more stores learn than there are open places
 };
 
--- a/src/decide/endpoint_choice.cc
+++ b/src/decide/endpoint_choice.cc
@@ -14,11 +14,63 @@
 constexpr double slack_share = 0.25;
 constexpr std::uint32_t slack_requests = 6;
 constexpr double assumed_latency_ms = 100;
+// Up to so many times the median of its service's latencies, an endpoint counts
+// as one of the median. Queues differ that much from one moment to the next;
+// endpoints that are slow or overloaded lie above.
+constexpr double level_up_to = 2;
+// A latency counts for this long. An endpoint that gets nothing because it was
+// slow once would never show that it is well again.
+constexpr std::uint64_t latency_life_ms = 2000;
+
+// What a request at the endpoint is reckoned to take, as a share of what is
+// usual.
+class latency_scale {
+ public:
+  latency_scale(std::span<const endpoint_state_ptr> among, bool levels,
+                std::uint64_t now_ms)
+      : levels_(levels), now_ms_(now_ms) {
+    if (!levels) {
+      return;
+    }
+    std::vector<double> known;
+    for (const endpoint_state_ptr& each : among) {
+      if (each->latency_ms > 0) {
+        known.push_back(each->latency_ms);
+      }
+    }
+    if (!known.empty()) {
+      const auto middle =
+          known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+      std::nth_element(known.begin(), middle, known.end());
+      usual_ms_ = *middle;
+    }
+  }
+
+  double of(const endpoint_state& at) const {
+    const double latency = at.latency_ms > 0 ? at.latency_ms : usual_ms_;
+    const double share = latency / usual_ms_;
+    if (!levels_) {
+      return share;
+    }
+    const bool known_long_ago =
+        at.latency_at_ms + latency_life_ms < now_ms_;
+    return share <= level_up_to || known_long_ago ? 1 : share;
+  }
+
+  // Slower than the queues of a moment make it.
+  bool is_slow(const endpoint_state& at) const {
+    return levels_ && of(at) > level_up_to;
+  }
+
+ private:
+  bool levels_;
+  std::uint64_t now_ms_;
+  double usual_ms_ = assumed_latency_ms;
+};
 
 double load_of(const endpoint_state& at, const endpoint_choice& wanted,
-               const choice_policy& policy) {
-  const double latency = at.latency_ms > 0 ? at.latency_ms : assumed_latency_ms;
-  double load = (at.in_flight + 1) * latency / at.record.capacity;
+               const choice_policy& policy, const latency_scale& latencies) {
+  double load = (at.in_flight + 1) * latencies.of(at) / at.record.capacity;
   if (at.record.data_centre != wanted.data_centre) {
     load *= policy.elsewhere_factor;
   }
@@ -62,20 +114,25 @@
   return static_cast<double>(well.size()) < least ? usable_ones : well;
 }
 
-// The first of those with the least load; there is one at least.
+// One of those with the least load; there is one at least.
 const endpoint_state_ptr& least_loaded(
     std::span<const endpoint_state_ptr> candidates,
-    const endpoint_choice& wanted, const choice_policy& policy) {
-  std::size_t least = 0;
-  double least_load = load_of(*candidates[0], wanted, policy);
-  for (std::size_t i = 1; i < candidates.size(); ++i) {
-    const double load = load_of(*candidates[i], wanted, policy);
-    if (load < least_load) {
-      least = i;
+    const endpoint_choice& wanted, const choice_policy& policy,
+    const latency_scale& latencies) {
+  std::vector<std::size_t> least;
+  double least_load = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const double load = load_of(*candidates[i], wanted, policy, latencies);
+    if (least.empty() || load < least_load) {
+      least.assign(1, i);
       least_load = load;
+    } else if (load == least_load) {
+      least.push_back(i);
     }
   }
-  return candidates[least];
+  const std::size_t drawn =
+      policy.draws_among_equals ? wanted.draw % least.size() : 0;
+  return candidates[least[drawn]];
 }
 
 // Whether the preferred endpoint has little more to do than the least loaded.
@@ -97,11 +154,14 @@
   if (candidates.empty()) {
     return nullptr;
   }
-  const endpoint_state_ptr& least = least_loaded(candidates, wanted, policy);
+  const latency_scale latencies(candidates, policy.levels_latencies, now_ms);
+  const endpoint_state_ptr& least =
+      least_loaded(candidates, wanted, policy, latencies);
   const auto preferred = std::find_if(
       candidates.begin(), candidates.end(),
       [&](const auto& each) { return each->record.id == wanted.preferred; });
   const bool keep = policy.keeps_previous && preferred != candidates.end() &&
+                    !latencies.is_slow(**preferred) &&
                     within_slack(**preferred, *least);
   return keep ? *preferred : least;
 }
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -168,6 +168,7 @@
     case attempt_outcome::answered:
       at.health.answered(now_ms);
       at.latency_ms = smoothed(at.latency_ms, latency_ms);
+      at.latency_at_ms = now_ms;
       return false;
     case attempt_outcome::cancelled:
       return false;
--- a/src/gateway/gateway_policy.cc
+++ b/src/gateway/gateway_policy.cc
@@ -66,6 +66,12 @@
     case mechanism::shared_watches:
       from.watches = all_watch{};
       return;
+    case mechanism::draws_among_equals:
+      from.endpoints.choice.draws_among_equals = false;
+      return;
+    case mechanism::levelled_latencies:
+      from.endpoints.choice.levels_latencies = false;
+      return;
     case mechanism::ready_learners:
       return;  // of record stores
   }
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -1,4 +1,6 @@
 // A request's way to endpoints, and what comes of their answers.
+#include <xxhash.h>
+
 #include <algorithm>
 
 #include "platform/messages.h"
@@ -38,6 +40,8 @@
   made.data_centre = parts_.data_centre;
   made.excluded = &tried_;
   made.once = terms_.once();
+  made.draw = XXH3_64bits_withSeed(facts_.attempt.data(), facts_.attempt.size(),
+                                   tried_.size());
   made.connected = [this](const endpoint& each) {
     return parts_.pool.has_idle(each.address, each.id);
   };
