resumed_stream_test puts the fault where the next stream goes

Cause: since endpoints that look alike are drawn from and no small difference of latency sends a request elsewhere, one stream after the other goes to the endpoint with an open connection. The tests sent streams until one met the faulty endpoint, and waited for ever when it was the other one (seen: 1,540 streams).

Change: a first stream shows which endpoint serves, and that one gets the fault. As strict as before: each stream must reach its client whole, one must have run at both endpoints, and its head must be that of the endpoint with the fault.

--- a/test/resumed_stream_test.cc
+++ b/test/resumed_stream_test.cc
@@ -128,16 +128,16 @@
     service_deployment system(one_gateway());
     system.start_all();
     const resumed seen = send_until_resumed(system, {{"cut_midway", 1}});
-    CPPUNIT_ASSERT_EQUAL("seal.runner-1." + seen.attempt,
+    CPPUNIT_ASSERT_EQUAL("seal." + seen.first + "." + seen.attempt,
                          seen.answer.headers.at("trayrock-response-seal"));
   }
 
   void stream_that_falls_silent_goes_on_at_another_endpoint() {
     service_deployment system(one_gateway());
     system.start_all();
-    send_until_resumed(system, {{"hang_midway", 1}});
+    const resumed seen = send_until_resumed(system, {{"hang_midway", 1}});
     wait_until("the silent endpoint sees its connection closed", [&] {
-      return system.counts("runner-1").value("cancelled", 0) == 1;
+      return system.counts(seen.first).value("cancelled", 0) == 1;
     });
   }
 
@@ -152,10 +152,12 @@
   void run_that_starts_over_does_not_reach_the_client() {
     service_deployment system(one_gateway());
     system.start_all();
-    system.runner_fault("runner-1", {{"cut_midway", 100}});
-    system.runner_fault("runner-2", {{"ignore_last_event", 100}});
+    const std::string first = next_runner(system);
+    system.runner_fault(first, {{"cut_midway", 100}});
+    system.runner_fault(first == "runner-1" ? "runner-2" : "runner-1",
+                        {{"ignore_last_event", 100}});
     int begun = 0;
-    wait_until("runner-1 has begun a stream", [&] {
+    wait_until(first + " has begun a stream", [&] {
       const std::string attempt = "s" + std::to_string(++begun);
       const std::string seen = raw_answer(system, attempt);
       const bool broken = system.runs(attempt) == 2;
@@ -204,18 +206,29 @@
 
  private:
   struct resumed {
+    std::string first;  // the endpoint that was to fail
     std::string attempt;
     http_answer answer;
   };
 
+  // The endpoint that the next stream goes to: the one that has just served
+  // one, since there is a connection to it.
+  static std::string next_runner(service_deployment& system) {
+    const std::string attempt = "found-out";
+    system.request("gateway-1", path, attempt, {}, "in");
+    const json made = system.counts("runner-1");
+    return made["runs"].contains(attempt) ? "runner-1" : "runner-2";
+  }
+
   // Sends streams until one has run at both endpoints, of which the first has
   // the fault. Each of them must reach its client whole.
   static resumed send_until_resumed(service_deployment& system,
                                     const json& fault) {
     resumed made;
+    made.first = next_runner(system);
     int sent = 0;
     wait_until("a stream goes on", [&] {
-      system.runner_fault("runner-1", fault);
+      system.runner_fault(made.first, fault);
       made.attempt = "s" + std::to_string(++sent);
       made.answer = system.request("gateway-1", path, made.attempt, {}, "in");
       CPPUNIT_ASSERT_EQUAL(200, made.answer.status);
