Answers of gateways that watch are checked in a module of their own

Cause: each new message between gateways has to be refused whole when it is garbled, too large or out of step; the check stood in platform_view, without a test, and did not look at the configuration. A revision from nowhere would have made a watcher ask the platform again and again.

--- a/include/trayrock/internal/gateway/platform_view.h
+++ b/include/trayrock/internal/gateway/platform_view.h
@@ -81,7 +81,7 @@
   bool watching() const;
   watch_position position() const;
   std::error_code take_told(const records::WatchReply& told);
-  std::error_code check_told(const records::WatchReply& told) const;
+  void expect(std::uint64_t revision);
 
   void take_group(const records::Group& group);
   void take_configuration(const platform::stored_object& object);
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -5,6 +5,7 @@
 
 #include "platform/documents.h"
 #include "trayrock/internal/gateway/endpoint_records.h"
+#include "trayrock/internal/gateway/watch_reply.h"
 #include "trayrock/internal/log.h"
 
 namespace trayrock {
@@ -26,9 +27,6 @@
 // A gateway that has just listed all watches only after this share of it, in
 // which it may find others that watch.
 constexpr double first_pause_share = 0.3;
-// Records of endpoints in one answer; the largest target has 2,700 endpoints,
-// each of which may change twice.
-constexpr int most_told_changes = 10000;
 // News are told for a second (gateway/watch_log.cc), by gateways whose clocks
 // do not run together.
 constexpr std::uint64_t news_memory_ms = 3000;
@@ -97,21 +95,14 @@
                                  {"removed", removed.text()}});
 }
 
-bool usable(const records::EndpointChange& change) {
-  return change.removed() ? !change.record().id().empty()
-                          : decode(change.record()).has_value();
-}
-
 // Adds what the platform holds of an endpoint, if it is of use.
 void add_record(const platform::stored_object& object,
                 records::EndpointChanges& said) {
   const result<endpoint> decoded = platform::decode_endpoint(object);
-  records::EndpointChange change;
-  if (decoded) {
-    *change.mutable_record() = encode(decoded.value());
-  }
-  if (usable(change)) {
-    *said.add_changes() = std::move(change);
+  const bool complete = decoded && !decoded.value().service.empty() &&
+                        !decoded.value().address.empty();
+  if (complete) {
+    *said.add_changes()->mutable_record() = encode(decoded.value());
   } else {
     log_error("endpoint_unusable", {{"endpoint", object.name}});
   }
@@ -144,7 +135,7 @@
           loop, log_, [this] { return watching(); },
           [this](const relay_peer& peer, std::uint64_t revision) {
             relays_.add(peer);
-            endpoints_.expect(revision);
+            expect(revision);
           }),
       news_(
           loop, pool, [this] { return follower_.watchers(); },
@@ -158,7 +149,7 @@
                  pass_on(news);
                  take_news(news);
                },
-               [this](std::uint64_t revision) { endpoints_.expect(revision); },
+               [this](std::uint64_t revision) { expect(revision); },
                [this](const configuration_document& document) {
                  take_document(document);
                },
@@ -211,6 +202,23 @@
        [this](const records::WatchReply& told) { return take_told(told); }});
 }
 
+// Another gateway knows the endpoints up to this revision.
+void platform_view::expect(std::uint64_t revision) {
+  if (endpoints_.revision() == 0) {
+    return;  // a listing is under way
+  }
+  const bool possible =
+      revision <= endpoints_.revision() + most_revisions_ahead;
+  if (possible) {
+    endpoints_.expect(revision);
+    return;
+  }
+  const std::error_code wrong = errc::wire_out_of_step;
+  log_warn("revision_refused", {{"revision", std::to_string(revision)},
+                                {"error", std::to_string(wrong.value())},
+                                {"cause", wrong.message()}});
+}
+
 // ---- Who watches -----------------------------------------------------------
 
 bool platform_view::hold() {
@@ -238,31 +246,9 @@
   return {endpoints_.revision(), document_.version, registry_.revision()};
 }
 
-std::error_code platform_view::check_told(
-    const records::WatchReply& told) const {
-  std::uint64_t known = endpoints_.revision();
-  int changes = 0;
-  for (const records::EndpointChanges& each : told.endpoints()) {
-    changes += each.changes_size();
-    if (changes > most_told_changes) {
-      return errc::wire_too_large;
-    }
-    if (!each.whole() && each.after() > known) {
-      return errc::wire_out_of_step;
-    }
-    if (!std::all_of(each.changes().begin(), each.changes().end(), usable)) {
-      return errc::wire_garbled;
-    }
-    known = std::max(known, each.revision());
-  }
-  if (told.group_revision() != 0 && told.group().voters().empty()) {
-    return errc::wire_garbled;
-  }
-  return {};
-}
-
 std::error_code platform_view::take_told(const records::WatchReply& told) {
-  if (const std::error_code wrong = check_told(told)) {
+  if (const std::error_code wrong =
+          check_watch_reply(told, endpoints_.revision())) {
     return wrong;
   }
   parts_.metrics.add("watch_answers_total");
