--- a/src/gateway/peer_relays.cc
+++ b/src/gateway/peer_relays.cc
@@ -64,6 +64,7 @@
 
 void peer_relays::take(const std::vector<platform::gateway_entry>& listed) {
   std::vector<relay_peer> peers;
+  peers.reserve(listed.size());
   for (const platform::gateway_entry& each : listed) {
     peers.push_back({each.name, each.address, each.data_centre});
   }
--- a/test/collection_watcher_test.cc
+++ b/test/collection_watcher_test.cc
@@ -11,22 +11,38 @@
 namespace trayrock::testing {
 namespace {
 
-// Leaves the first calls without an answer and answers all later ones.
-class hesitant_platform {
+// A server on a free port.
+class local_server {
  public:
-  hesitant_platform(event_loop& loop, int silent)
-      : silent_(silent),
-        where_(
+  using handler = std::function<void(const http1_request& request,
+                                     const http1_exchange_ptr& out)>;
+
+  local_server(event_loop& loop, handler serve)
+      : where_(
             address::parse("127.0.0.1:" + std::to_string(free_ports(1).front()))
                 .value()),
         server_(
-            loop, [] { return http1_limits{}; },
-            [this](const http1_request& request,
-                   const http1_exchange_ptr& out) { serve(request, out); }) {
+            loop, [] { return http1_limits{}; }, std::move(serve)) {
     CPPUNIT_ASSERT(server_.listen(where_));
   }
 
   const address& where() const { return where_; }
+
+ private:
+  address where_;
+  http1_server server_;
+};
+
+// Leaves the first calls without an answer and answers all later ones.
+class hesitant_platform {
+ public:
+  hesitant_platform(event_loop& loop, int silent)
+      : silent_(silent),
+        server_(loop, [this](const auto& request, const auto& out) {
+          serve(request, out);
+        }) {}
+
+  const address& where() const { return server_.where(); }
   int calls() const { return calls_; }
 
  private:
@@ -41,8 +57,7 @@
 
   int silent_;
   int calls_ = 0;
-  address where_;
-  http1_server server_;
+  local_server server_;
   std::vector<http1_exchange_ptr> silenced_;
 };
 
@@ -51,17 +66,11 @@
 class silenceable_platform {
  public:
   explicit silenceable_platform(event_loop& loop)
-      : where_(
-            address::parse("127.0.0.1:" + std::to_string(free_ports(1).front()))
-                .value()),
-        server_(
-            loop, [] { return http1_limits{}; },
-            [this](const http1_request& request,
-                   const http1_exchange_ptr& out) { serve(request, out); }) {
-    CPPUNIT_ASSERT(server_.listen(where_));
-  }
+      : server_(loop, [this](const auto& request, const auto& out) {
+          serve(request, out);
+        }) {}
 
-  const address& where() const { return where_; }
+  const address& where() const { return server_.where(); }
   void set_silent(bool silent) { silent_ = silent; }
 
   // How long the last watch was to wait, in ms.
@@ -98,8 +107,7 @@
   std::string change_ =
       R"({"asOf": 9, "events": [{"removed": false,
           "object": {"metadata": {"name": "a", "revision": 9}}}]})";
-  address where_;
-  http1_server server_;
+  local_server server_;
   std::vector<http1_exchange_ptr> silenced_;
 };
 
--- a/test/segment_log_test.cc
+++ b/test/segment_log_test.cc
@@ -132,17 +132,17 @@
       const auto log = opened(disk, seen);
       const std::string where = "power lost at call " + std::to_string(cut);
       for (const auto& [key, value] : synced) {
-        CPPUNIT_ASSERT_MESSAGE(where + ": lost " + key, seen.contains(key));
-        CPPUNIT_ASSERT_MESSAGE(where + ": cannot read " + key,
-                               log->read(key) == seen[key]);
+        TRAYROCK_CHECK(seen.contains(key), where << ": lost " << key);
+        TRAYROCK_CHECK(log->read(key) == seen[key],
+                       where << ": cannot read " << key);
       }
       for (const auto& [key, value] : seen) {
-        CPPUNIT_ASSERT_MESSAGE(where + ": never written: " + key,
-                               key == "state" || value == written[key]);
+        TRAYROCK_CHECK(key == "state" || value == written[key],
+                       where << ": never written: " << key);
       }
-      CPPUNIT_ASSERT_MESSAGE(where + ": state " + seen["state"] +
-                                 " is older than " + synced_state(synced),
-                             synced_state(synced) <= synced_state(seen));
+      TRAYROCK_CHECK(synced_state(synced) <= synced_state(seen),
+                     where << ": state " << synced_state(seen)
+                           << " is older than " << synced_state(synced));
       write(*log, {{"after", "restart"}});
       CPPUNIT_ASSERT_EQUAL(std::string("restart"), log->read("after").value());
     }
