--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -89,7 +89,7 @@
   records::StoreState state_;
   std::uint64_t log_ = 0;
   bool disk_failed_ = false;
-  records::Record reading_;  // of the disk, at the start
+  records::Record reading_;       // of the disk, at the start
   std::uint64_t unreadable_ = 0;  // records that the disk held at the start
   std::set<std::string> retiring_;
   std::function<void()> changed_;
--- a/src/decide/endpoint_choice.cc
+++ b/src/decide/endpoint_choice.cc
@@ -52,8 +52,7 @@
     if (!levels_) {
       return share;
     }
-    const bool known_long_ago =
-        at.latency_at_ms + latency_life_ms < now_ms_;
+    const bool known_long_ago = at.latency_at_ms + latency_life_ms < now_ms_;
     return share <= level_up_to || known_long_ago ? 1 : share;
   }
 
