--- a/src/decide/watch_roles.cc
+++ b/src/decide/watch_roles.cc
@@ -18,8 +18,8 @@
 constexpr std::uint64_t longest_pause_ms = 8000;
 constexpr std::uint32_t most_doublings = 3;
 // After so many in a row of whom none was of use, this gateway asks the
-// platform itself, for as long as a platform that turns some boxes away
-// usually does so for a few seconds.
+// platform itself for a while: a platform that turns some boxes away does so
+// for several seconds.
 constexpr std::uint32_t failures_before_alone = 3;
 constexpr std::uint64_t alone_ms = 3000;
 
