--- a/include/trayrock/internal/net/loop.h
+++ b/include/trayrock/internal/net/loop.h
@@ -21,6 +21,12 @@
 
 using milliseconds = std::chrono::milliseconds;
 
+// A share of a duration, such as of a customer's bound.
+inline milliseconds share_of(milliseconds whole, double share) {
+  return milliseconds(
+      static_cast<long>(static_cast<double>(whole.count()) * share));
+}
+
 // Handle of a pending callback; movable, cancels on destruction.
 class timer {
  public:
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -37,11 +37,6 @@
   return {from.name, from.rpc_address.text(), from.data_centre};
 }
 
-milliseconds share_of(milliseconds whole, double share) {
-  return milliseconds(
-      static_cast<long>(static_cast<double>(whole.count()) * share));
-}
-
 milliseconds endpoints_pause(milliseconds notice) {
   return std::min(share_of(notice, endpoints_pause_share),
                   longest_endpoints_pause);
@@ -72,7 +67,6 @@
                : text_ + " and " + std::to_string(count_ - most_logged_ids) +
                      " more";
   }
-  std::size_t count() const { return count_; }
 
  private:
   std::size_t count_ = 0;
--- a/src/gateway/watch_follower.cc
+++ b/src/gateway/watch_follower.cc
@@ -18,11 +18,6 @@
 // questions: what is told has waited longer already.
 constexpr milliseconds pause{40};
 
-milliseconds share_of(milliseconds whole, double share) {
-  return milliseconds(
-      static_cast<long>(static_cast<double>(whole.count()) * share));
-}
-
 }  // namespace
 
 watch_timing timing_within(milliseconds notice) {
