Endpoints that are kept though they are not listed show in logs and metrics

Cause: of the hypotheses on the incident none could be told from another, since no line says which endpoints are kept after a loss of the platform, or when the last call before was not served; and the lines of requests push out all others.

Change: endpoints_listed names the kept endpoints and how long ago the last call was sent that was not served; unlisted_endpoints_dropped says when they go; four gauges (endpoints known, unlisted, revision, age), which stay in the collected metrics when the log is cut. No decision is changed: the directory is given the time of that call and does not use it yet.

Tests of directory, rules, watcher and shared watches pass.

--- a/include/trayrock/internal/decide/lapse_rule.h
+++ b/include/trayrock/internal/decide/lapse_rule.h
@@ -15,9 +15,17 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 
 namespace trayrock {
 
+// When an answer of the platform came, and what went before it.
+struct answer_times {
+  std::uint64_t now_ms = 0;
+  // When the last call was sent that the platform did not serve; 0: none yet.
+  std::uint64_t unserved_ms = 0;
+};
+
 // `removed` of the `known` records have gone in one answer of the platform.
 bool lapsed_at_once(std::size_t removed, std::size_t known);
 
--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -23,6 +23,7 @@
 
 #include "trayrock/internal/decide/endpoint_choice.h"
 #include "trayrock/internal/decide/endpoint_state.h"
+#include "trayrock/internal/decide/lapse_rule.h"
 #include "trayrock/internal/gateway/former_endpoints.h"
 
 namespace trayrock {
@@ -44,9 +45,9 @@
 
   // Replaces the whole list. After a loss of the platform, or when nearly all
   // are missing at once, an endpoint that is not listed stays for a moment,
-  // since it may be back at once.
-  void replace(const std::vector<endpoint>& listed, bool after_loss,
-               std::uint64_t now_ms);
+  // since it may be back at once. Returns the ids of those that stay so.
+  std::vector<std::string> replace(const std::vector<endpoint>& listed,
+                                   bool after_loss, const answer_times& times);
 
   void update(const endpoint& changed);
   void remove(const std::string& id);
@@ -57,10 +58,10 @@
 
   // The endpoint's record has lapsed with many others: it stays for a moment,
   // unless it was leaving.
-  void lapse(const std::string& id, std::uint64_t now_ms);
+  void lapse(const std::string& id, const answer_times& times);
 
-  // Drops the endpoints whose moment is over.
-  void sweep(std::uint64_t now_ms);
+  // Drops the endpoints whose moment is over; returns their ids.
+  std::vector<std::string> sweep(std::uint64_t now_ms);
 
   // Nothing if no endpoint of the service may be sent to.
   endpoint_state_ptr choose(const endpoint_choice& wanted,
@@ -83,16 +84,19 @@
   std::size_t count(std::string_view service) const;
   std::size_t size() const { return by_id_.size(); }
 
+  // Those that are not listed any more and stay for a moment.
+  std::size_t unlisted() const;
+
  private:
   using condition =
       std::function<bool(const std::string& id, const endpoint_state& at)>;
 
   endpoint_state_ptr made_state() const;
   endpoint_state& found_or_made(const std::string& id);
-  void keep_for_a_moment(const std::set<std::string>& listed,
-                         std::uint64_t now_ms);
+  std::vector<std::string> keep_for_a_moment(
+      const std::set<std::string>& listed, const answer_times& times);
   std::size_t missing_from(const std::set<std::string>& listed) const;
-  std::size_t drop_if(const condition& holds);
+  std::vector<std::string> drop_if(const condition& holds);
   void index();
 
   directory_policy policy_;
--- a/include/trayrock/internal/gateway/platform_view.h
+++ b/include/trayrock/internal/gateway/platform_view.h
@@ -95,7 +95,11 @@
   void pass_on(const records::EndpointNews& news);
   bool is_new(const records::EndpointNews& news);
 
+  void sweep();
+  answer_times answered_now() const;
+
   event_loop& loop_;
+  platform::object_store& objects_;
   view_parts parts_;
   platform::group_registry registry_;
   platform::collection_watcher configurations_;
@@ -110,6 +114,7 @@
   configuration_ptr configuration_;
   configuration_document document_;  // that `configuration_` was read from
   std::map<std::uint64_t, std::uint64_t> news_seen_ms_;  // when, by id
+  timer sweeping_;
 };
 
 }  // namespace trayrock
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "trayrock/internal/decide/lapse_rule.h"
-
 namespace trayrock {
 namespace {
 
@@ -28,8 +26,9 @@
 
 }  // namespace
 
-void endpoint_directory::replace(const std::vector<endpoint>& listed,
-                                 bool after_loss, std::uint64_t now_ms) {
+std::vector<std::string> endpoint_directory::replace(
+    const std::vector<endpoint>& listed, bool after_loss,
+    const answer_times& times) {
   std::set<std::string> ids;
   for (const endpoint& each : listed) {
     ids.insert(each.id);
@@ -38,14 +37,16 @@
   for (const endpoint& each : listed) {
     take(found_or_made(each.id), each);
   }
+  std::vector<std::string> kept;
   if (after_loss || lapsed) {
-    keep_for_a_moment(ids, now_ms);
+    kept = keep_for_a_moment(ids, times);
   } else {
     drop_if([&](const std::string& id, const endpoint_state&) {
       return !ids.contains(id);
     });
   }
   index();
+  return kept;
 }
 
 bool endpoint_directory::lapsed_at_once(std::size_t removed) const {
@@ -62,13 +63,23 @@
 }
 
 // Notes the time of those that are not listed any more.
-void endpoint_directory::keep_for_a_moment(const std::set<std::string>& listed,
-                                           std::uint64_t now_ms) {
+std::vector<std::string> endpoint_directory::keep_for_a_moment(
+    const std::set<std::string>& listed, const answer_times& times) {
+  std::vector<std::string> kept;
   for (const auto& [id, state] : by_id_) {
     if (!listed.contains(id) && state->removed_at_ms == 0) {
-      state->removed_at_ms = now_ms;
+      state->removed_at_ms = times.now_ms;
+      kept.push_back(id);
     }
   }
+  return kept;
+}
+
+std::size_t endpoint_directory::unlisted() const {
+  const auto found = std::count_if(
+      by_id_.begin(), by_id_.end(),
+      [](const auto& known) { return known.second->removed_at_ms != 0; });
+  return static_cast<std::size_t>(found);
 }
 
 endpoint_state_ptr endpoint_directory::made_state() const {
@@ -108,7 +119,8 @@
   index();
 }
 
-void endpoint_directory::lapse(const std::string& id, std::uint64_t now_ms) {
+void endpoint_directory::lapse(const std::string& id,
+                               const answer_times& times) {
   const auto known = by_id_.find(id);
   if (known == by_id_.end()) {
     return;
@@ -117,30 +129,34 @@
   if (at.record.draining) {
     remove(id);
   } else if (at.removed_at_ms == 0) {
-    at.removed_at_ms = now_ms;
+    at.removed_at_ms = times.now_ms;
   }
 }
 
-void endpoint_directory::sweep(std::uint64_t now_ms) {
-  const std::size_t gone = drop_if([&](const std::string&,
-                                       const endpoint_state& at) {
+std::vector<std::string> endpoint_directory::sweep(std::uint64_t now_ms) {
+  std::vector<std::string> gone = drop_if([&](const std::string&,
+                                              const endpoint_state& at) {
     return at.removed_at_ms != 0 && at.removed_at_ms + return_grace_ms < now_ms;
   });
-  if (gone > 0) {
+  if (!gone.empty()) {
     index();
   }
+  return gone;
 }
 
-// Drops the endpoints for which the condition holds; returns how many.
-std::size_t endpoint_directory::drop_if(const condition& holds) {
-  return std::erase_if(by_id_, [&](const auto& known) {
+// Drops the endpoints for which the condition holds; returns their ids.
+std::vector<std::string> endpoint_directory::drop_if(const condition& holds) {
+  std::vector<std::string> gone;
+  std::erase_if(by_id_, [&](const auto& known) {
     const auto& [id, state] = known;
     const bool dropped = holds(id, *state);
     if (dropped) {
       former_.note(id, state);
+      gone.push_back(id);
     }
     return dropped;
   });
+  return gone;
 }
 
 void endpoint_directory::index() {
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -16,7 +16,6 @@
 // Memory for the texts of recent chains. The next turn comes within about a
 // second; at 30 turns a second of 10 KB that is 300 KB.
 constexpr std::size_t chain_cache_bytes = 3U << 19;
-constexpr milliseconds sweep_period{250};
 
 class gateway_process {
  public:
@@ -88,8 +87,6 @@
     const timer reload = loop_.on_signal(SIGHUP, [] {
       log_info("reload", {{"outcome", "no setting can change while running"}});
     });
-    const timer sweeping =
-        loop_.every(sweep_period, [this] { endpoints_.sweep(loop_.now_ms()); });
     loop_.run();
     log_info("gateway_stopped", {{"gateway", settings_.service.name}});
     return stages_.exit_code();
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <span>
 
 #include "platform/documents.h"
 #include "trayrock/internal/gateway/endpoint_records.h"
@@ -32,6 +33,8 @@
 constexpr std::uint64_t news_memory_ms = 3000;
 // Ids that one line of the log names.
 constexpr std::size_t most_logged_ids = 24;
+// How often endpoints are dropped whose time is over.
+constexpr milliseconds sweep_period{250};
 
 platform::gateway_entry entry_of(const service_settings& from) {
   return {from.name, from.rpc_address.text(), from.data_centre};
@@ -55,6 +58,13 @@
 // A line's list of ids, cut short where there are too many.
 class id_list {
  public:
+  id_list() = default;
+  explicit id_list(std::span<const std::string> ids) {
+    for (const std::string& each : ids) {
+      add(each);
+    }
+  }
+
   void add(const std::string& id) {
     ++count_;
     if (count_ <= most_logged_ids) {
@@ -109,6 +119,7 @@
                              const gateway_settings& settings,
                              const gateway_policy& policy, view_parts parts)
     : loop_(loop),
+      objects_(objects),
       parts_(parts),
       registry_(loop, objects, policy.repeats_listings),
       configurations_(
@@ -160,6 +171,28 @@
   watch_configurations();
   watch_endpoints();
   follow();
+  sweeping_ = loop_.every(sweep_period, [this] { sweep(); });
+}
+
+// When what has just come was answered.
+answer_times platform_view::answered_now() const {
+  return {loop_.now_ms(), objects_.unserved_at_ms()};
+}
+
+void platform_view::sweep() {
+  const std::vector<std::string> gone = parts_.endpoints.sweep(loop_.now_ms());
+  if (!gone.empty()) {
+    log_info("unlisted_endpoints_dropped",
+             {{"endpoints", id_list(gone).text()}});
+  }
+  parts_.metrics.set("endpoints_known", {},
+                     static_cast<double>(parts_.endpoints.size()));
+  parts_.metrics.set("endpoints_unlisted", {},
+                     static_cast<double>(parts_.endpoints.unlisted()));
+  parts_.metrics.set("endpoints_revision", {},
+                     static_cast<double>(endpoints_.revision()));
+  parts_.metrics.set("endpoints_age_ms", {},
+                     static_cast<double>(endpoints_age_ms()));
 }
 
 void platform_view::watch_configurations() {
@@ -374,11 +407,16 @@
   for (const records::EndpointChange& each : said.changes()) {
     listed.push_back(decode(each.record()).value());
   }
-  log_info("endpoints_listed",
-           {{"count", std::to_string(listed.size())},
-            {"revision", std::to_string(said.revision())},
-            {"after_loss", said.after_loss() ? "yes" : "no"}});
-  parts_.endpoints.replace(listed, said.after_loss(), loop_.now_ms());
+  const answer_times times = answered_now();
+  const std::vector<std::string> kept =
+      parts_.endpoints.replace(listed, said.after_loss(), times);
+  log_info(
+      "endpoints_listed",
+      {{"count", std::to_string(listed.size())},
+       {"revision", std::to_string(said.revision())},
+       {"after_loss", said.after_loss() ? "yes" : "no"},
+       {"unserved_ms_ago", std::to_string(times.now_ms - times.unserved_ms)},
+       {"kept", id_list(kept).text()}});
 }
 
 void platform_view::apply_changes(const records::EndpointChanges& said) {
@@ -387,17 +425,20 @@
       [](const records::EndpointChange& each) { return each.removed(); });
   const bool lapsed =
       parts_.endpoints.lapsed_at_once(static_cast<std::size_t>(removed));
+  const answer_times times = answered_now();
   if (lapsed) {
     parts_.metrics.add("endpoint_lapses_total");
     log_warn("endpoints_lapsed",
              {{"removed", std::to_string(removed)},
-              {"known", std::to_string(parts_.endpoints.size())}});
+              {"known", std::to_string(parts_.endpoints.size())},
+              {"unserved_ms_ago",
+               std::to_string(times.now_ms - times.unserved_ms)}});
   }
   for (const records::EndpointChange& each : said.changes()) {
     if (!each.removed()) {
       parts_.endpoints.update(decode(each.record()).value());
     } else if (lapsed) {
-      parts_.endpoints.lapse(each.record().id(), loop_.now_ms());
+      parts_.endpoints.lapse(each.record().id(), times);
     } else {
       parts_.endpoints.remove(each.record().id());
     }
--- a/test/endpoint_directory_test.cc
+++ b/test/endpoint_directory_test.cc
@@ -33,14 +33,14 @@
   // which made the former ids the least loaded ones.
   void instance_that_is_no_longer_there_gets_nothing_more() {
     endpoint_directory endpoints;
-    endpoints.replace({named("a"), named("b")}, false, start_ms);
+    endpoints.replace({named("a"), named("b")}, false, {start_ms});
     attempt_at(endpoints, "a", attempt_outcome::other_instance);
     CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 9000));
   }
 
   void late_record_of_a_former_instance_does_not_bring_it_back() {
     endpoint_directory endpoints;
-    endpoints.replace({named("a"), named("b")}, false, start_ms);
+    endpoints.replace({named("a"), named("b")}, false, {start_ms});
     attempt_at(endpoints, "a", attempt_outcome::other_instance);
     endpoints.remove("a");
     endpoints.update(named("a"));
@@ -49,17 +49,17 @@
 
   void listing_with_a_former_instance_does_not_bring_it_back() {
     endpoint_directory endpoints;
-    endpoints.replace({named("a"), named("b")}, false, start_ms);
+    endpoints.replace({named("a"), named("b")}, false, {start_ms});
     attempt_at(endpoints, "a", attempt_outcome::other_instance);
-    endpoints.replace({named("b")}, false, start_ms + 100);
-    endpoints.replace({named("a"), named("b")}, false, start_ms + 200);
+    endpoints.replace({named("b")}, false, {start_ms + 100});
+    endpoints.replace({named("a"), named("b")}, false, {start_ms + 200});
     CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 9000));
   }
 
   void records_that_lapse_at_once_stay_for_a_moment() {
     endpoint_directory endpoints;
-    endpoints.replace({named("a")}, false, start_ms);
-    endpoints.lapse("a", start_ms);
+    endpoints.replace({named("a")}, false, {start_ms});
+    endpoints.lapse("a", {start_ms});
     endpoints.sweep(start_ms + 2000);
     CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(endpoints, start_ms + 2000));
     endpoints.update(named("a"));
@@ -69,8 +69,8 @@
 
   void lapsed_record_that_does_not_come_back_goes() {
     endpoint_directory endpoints;
-    endpoints.replace({named("a"), named("b")}, false, start_ms);
-    endpoints.lapse("a", start_ms);
+    endpoints.replace({named("a"), named("b")}, false, {start_ms});
+    endpoints.lapse("a", {start_ms});
     endpoints.sweep(start_ms + 2500);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints.size());
   }
@@ -79,16 +79,16 @@
     endpoint_directory endpoints;
     endpoint leaving = named("a");
     leaving.draining = true;
-    endpoints.replace({leaving, named("b")}, false, start_ms);
-    endpoints.lapse("a", start_ms);
+    endpoints.replace({leaving, named("b")}, false, {start_ms});
+    endpoints.lapse("a", {start_ms});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints.size());
   }
 
   void listing_that_misses_nearly_all_is_a_lapse() {
     endpoint_directory endpoints;
     endpoints.replace({named("a"), named("b"), named("c"), named("d")}, false,
-                      start_ms);
-    endpoints.replace({named("a")}, false, start_ms);
+                      {start_ms});
+    endpoints.replace({named("a")}, false, {start_ms});
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, endpoints.size());
     endpoints.sweep(start_ms + 2500);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints.size());
@@ -104,14 +104,14 @@
 
   void endpoint_that_refuses_is_not_the_least_loaded() {
     endpoint_directory endpoints;
-    endpoints.replace({named("a"), named("b"), named("c")}, false, start_ms);
+    endpoints.replace({named("a"), named("b"), named("c")}, false, {start_ms});
     attempt_at(endpoints, "a", attempt_outcome::refused);
     CPPUNIT_ASSERT(chosen(endpoints, start_ms + 10) != "a");
   }
 
   void endpoint_that_refused_is_used_again_soon() {
     endpoint_directory endpoints;
-    endpoints.replace({named("a")}, false, start_ms);
+    endpoints.replace({named("a")}, false, {start_ms});
     attempt_at(endpoints, "a", attempt_outcome::refused);
     endpoints.update(named("b"));
     endpoint_directory::begin(*state_of(endpoints, "b"));
@@ -120,7 +120,7 @@
 
   void all_are_used_when_all_refuse() {
     endpoint_directory endpoints;
-    endpoints.replace({named("a"), named("b")}, false, start_ms);
+    endpoints.replace({named("a"), named("b")}, false, {start_ms});
     attempt_at(endpoints, "a", attempt_outcome::refused);
     attempt_at(endpoints, "b", attempt_outcome::refused);
     CPPUNIT_ASSERT(!chosen(endpoints, start_ms + 10).empty());
@@ -128,7 +128,7 @@
 
   void instance_that_another_gateway_missed_gets_nothing() {
     endpoint_directory endpoints;
-    endpoints.replace({named("a"), named("b")}, false, start_ms);
+    endpoints.replace({named("a"), named("b")}, false, {start_ms});
     CPPUNIT_ASSERT(endpoints.supersede("a"));
     CPPUNIT_ASSERT(!endpoints.supersede("a"));
     CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 10));
@@ -136,7 +136,7 @@
 
   void report_that_comes_before_the_late_record_counts() {
     endpoint_directory endpoints;
-    endpoints.replace({named("b")}, false, start_ms);
+    endpoints.replace({named("b")}, false, {start_ms});
     endpoints.supersede("a");
     endpoints.update(named("a"));
     CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 10));
--- a/test/gateway_rules_test.cc
+++ b/test/gateway_rules_test.cc
@@ -99,7 +99,7 @@
   void turn_prefers_the_endpoint_of_the_turn_before() {
     endpoint_directory directory;
     directory.replace({endpoint_of("a", "x"), endpoint_of("b", "x")}, false,
-                      now);
+                      {now});
     endpoint_choice wanted{"s", "b", "x", nullptr, nullptr};
     const auto chosen = directory.choose(wanted, now);
     CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen->record.id);
@@ -112,7 +112,7 @@
   void failing_endpoint_is_left_alone_but_not_the_last_one() {
     endpoint_directory directory;
     directory.replace({endpoint_of("a", "x"), endpoint_of("b", "x")}, false,
-                      now);
+                      {now});
     endpoint_choice wanted{"s", "a", "x", nullptr, nullptr};
     endpoint_directory::end(*directory.choose(wanted, now),
                             attempt_outcome::unreachable, 1, now);
@@ -126,7 +126,7 @@
   void close_endpoints_come_first() {
     endpoint_directory directory;
     directory.replace({endpoint_of("a", "far"), endpoint_of("b", "near")},
-                      false, now);
+                      false, {now});
     endpoint_choice wanted{"s", "", "near", nullptr, nullptr};
     CPPUNIT_ASSERT_EQUAL(std::string("b"),
                          directory.choose(wanted, now)->record.id);
@@ -135,7 +135,7 @@
   void close_endpoints_stay_first_until_they_are_loaded() {
     endpoint_directory directory;
     directory.replace({endpoint_of("a", "far"), endpoint_of("b", "near")},
-                      false, now);
+                      false, {now});
     endpoint_choice wanted{"s", "", "near", nullptr, nullptr};
     std::string chosen;
     for (int i = 0; i < 4; ++i) {
@@ -149,14 +149,14 @@
   void missing_endpoints_stay_a_moment_after_an_outage() {
     endpoint_directory directory;
     directory.replace({endpoint_of("a", "x"), endpoint_of("b", "x")}, false,
-                      now);
-    directory.replace({endpoint_of("a", "x")}, true, now);
+                      {now});
+    directory.replace({endpoint_of("a", "x")}, true, {now});
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.size());
     directory.sweep(now + 1500);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.size());
     directory.sweep(now + 2500);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.size());
-    directory.replace({}, false, now);
+    directory.replace({}, false, {now});
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, directory.size());
   }
 
