--- /dev/null
+++ b/include/trayrock/internal/decide/probe_pace.h
@@ -0,0 +1,33 @@
+// How often a process asks a platform that does not answer.
+//
+// No I/O; times are milliseconds.
+//
+// Example:
+//   probe_pace pace;
+//   std::uint64_t pause = 0;
+//   pause = next_pause_ms(pace, pause);  // after each call that was lost
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+namespace trayrock {
+
+struct probe_pace {
+  // The wait of a watch that is to show whether the platform answers.
+  std::uint64_t wait_ms = 300;
+  // Without an answer, the call is taken as lost this long after its wait has
+  // ended.
+  std::uint64_t margin_ms = 1000;
+  // Between a lost call and the next one, doubled with each in a row.
+  std::uint64_t first_pause_ms = 100;
+  std::uint64_t longest_pause_ms = 800;
+};
+
+// The pause behind a lost call; `before_ms` is the one before, 0 at first.
+inline std::uint64_t next_pause_ms(const probe_pace& pace,
+                                   std::uint64_t before_ms) {
+  return std::clamp(before_ms * 2, pace.first_pause_ms, pace.longest_pause_ms);
+}
+
+}  // namespace trayrock
