Entries of the platform are read one by one; one that cannot be used leaves the others

An unusable entry under the id of a usable endpoint left the older record in use.

Ruled out: repairing bytes (says nothing of keys named twice or depth); skipping what cannot be read (the older record stays in use).

What runs there is left to end. Only config/main is the operator's.

--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -55,6 +55,10 @@
   void update(const endpoint& changed);
   void remove(const std::string& id);
 
+  // The entry of that revision cannot be used: the endpoint is not chosen until
+  // a later one. What runs there is left to end. True if it was known.
+  bool withdraw(const std::string& id, std::uint64_t revision);
+
   // Whether so many records that go in one answer of the platform have lapsed
   // with it (decide/lapse_rule.h).
   bool lapsed_at_once(std::size_t removed) const;
--- a/include/trayrock/internal/gateway/platform_view.h
+++ b/include/trayrock/internal/gateway/platform_view.h
@@ -84,6 +84,7 @@
   void expect(std::uint64_t revision);
 
   void take_group(const records::Group& group);
+  void take_written(const platform::stored_object& object);
   void take_configuration(const platform::stored_object& object);
   void take_document(const configuration_document& document);
   void take_listing(const platform::object_listing& found, bool after_loss);
@@ -97,6 +98,11 @@
   void pass_on(const records::EndpointNews& news);
   bool is_new(const records::EndpointNews& news);
 
+  void add_entry(const platform::stored_object& object,
+                 records::EndpointChanges& said);
+  void note_unusable(const platform::stored_object& object,
+                     std::error_code why);
+  void withdraw(const records::EndpointChanges& said);
   void sweep();
   answer_times answered_now() const;
   answer_times told_now(const records::EndpointChanges& told) const;
@@ -116,7 +122,8 @@
   std::function<void()> changed_;
   configuration_ptr configuration_;
   configuration_document document_;  // that `configuration_` was read from
-  std::map<std::uint64_t, std::uint64_t> news_seen_ms_;  // when, by id
+  std::map<std::uint64_t, std::uint64_t> news_seen_ms_;   // when, by id
+  std::map<std::string, std::uint64_t> unusable_logged_;  // revision, by id
   timer sweeping_;
 };
 
--- a/include/trayrock/internal/gateway/watch_log.h
+++ b/include/trayrock/internal/gateway/watch_log.h
@@ -79,6 +79,7 @@
   bool after_loss_ = false;                  // of the last whole listing
   std::uint64_t listing_kept_until_ms_ = 0;  // likewise
   std::map<std::string, records::EndpointRecord> records_;
+  std::map<std::string, records::EndpointRecord> unusable_;  // id and revision
   std::deque<held_changes> changes_;  // the last ones, in order
   std::size_t changes_held_ = 0;      // in all of them together
   configuration_document configuration_;
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -126,6 +126,16 @@
   index();
 }
 
+bool endpoint_directory::withdraw(const std::string& id,
+                                  std::uint64_t revision) {
+  const auto known = by_id_.find(id);
+  if (known == by_id_.end() || known->second->record.revision >= revision) {
+    return false;
+  }
+  remove(id);
+  return true;
+}
+
 void endpoint_directory::lapse(const std::string& id,
                                const answer_times& times) {
   const auto known = by_id_.find(id);
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -33,6 +33,10 @@
 constexpr std::uint64_t news_memory_ms = 3000;
 // Ids that one line of the log names.
 constexpr std::size_t most_logged_ids = 24;
+// Bytes of a name that another writer has chosen.
+constexpr std::size_t most_logged_name = 64;
+// Unusable entries whose revision is remembered, so that each is one line.
+constexpr std::size_t most_unusable_logged = 256;
 // How often endpoints are dropped whose time is over.
 constexpr milliseconds sweep_period{250};
 
@@ -99,19 +103,6 @@
                                  {"removed", removed.text()}});
 }
 
-// Adds what the platform holds of an endpoint, if it is of use.
-void add_record(const platform::stored_object& object,
-                records::EndpointChanges& said) {
-  const result<endpoint> decoded = platform::decode_endpoint(object);
-  const bool complete = decoded && !decoded.value().service.empty() &&
-                        !decoded.value().address.empty();
-  if (complete) {
-    *said.add_changes()->mutable_record() = encode(decoded.value());
-  } else {
-    log_error("endpoint_unusable", {{"endpoint", object.name}});
-  }
-}
-
 }  // namespace
 
 platform_view::platform_view(event_loop& loop, rpc_pool& pool,
@@ -207,12 +198,12 @@
   configurations_.on_snapshot(
       [this](const platform::object_listing& found, bool) {
         for (const platform::stored_object& each : found.objects) {
-          take_configuration(each);
+          take_written(each);
         }
       });
   configurations_.on_change([this](const platform::object_change& change) {
     if (!change.removed) {
-      take_configuration(change.object);
+      take_written(change.object);
     }
   });
   configurations_.start();
@@ -314,6 +305,13 @@
   changed_();
 }
 
+// Others than the operator may write objects of that kind.
+void platform_view::take_written(const platform::stored_object& object) {
+  if (object.name == platform::name_configuration) {
+    take_configuration(object);
+  }
+}
+
 void platform_view::take_configuration(const platform::stored_object& object) {
   result<trayrock::configuration> decoded =
       platform::decode_configuration(object);
@@ -336,6 +334,8 @@
   configuration_ = std::make_shared<const trayrock::configuration>(
       std::move(decoded.value()));
   document_ = {configuration_->version, platform::text_of(object)};
+  parts_.metrics.set("configuration_version", {},
+                     static_cast<double>(configuration_->version));
   log_.set_configuration(document_);
   server_.wake();
   if (!follower_.following()) {
@@ -363,6 +363,51 @@
 
 // ---- Endpoints -------------------------------------------------------------
 
+// What the platform holds of an endpoint.
+void platform_view::add_entry(const platform::stored_object& object,
+                              records::EndpointChanges& said) {
+  const result<endpoint> decoded = platform::decode_endpoint(object);
+  if (decoded) {
+    *said.add_changes()->mutable_record() = encode(decoded.value());
+    unusable_logged_.erase(object.name);
+    return;
+  }
+  records::EndpointRecord& unusable = *said.add_unusable();
+  unusable.set_id(object.name);
+  unusable.set_revision(object.revision);
+  note_unusable(object, decoded.error());
+}
+
+// One line for each revision of an entry, of so many entries at the most.
+void platform_view::note_unusable(const platform::stored_object& object,
+                                  std::error_code why) {
+  parts_.metrics.add("endpoint_entries_unusable_total",
+                     {{"error", std::to_string(why.value())}});
+  const bool known = unusable_logged_.contains(object.name);
+  if (!known && unusable_logged_.size() >= most_unusable_logged) {
+    return;
+  }
+  if (std::exchange(unusable_logged_[object.name], object.revision) ==
+      object.revision) {
+    return;
+  }
+  log_error("endpoint_unusable",
+            {{"endpoint", object.name.substr(0, most_logged_name)},
+             {"revision", std::to_string(object.revision)},
+             {"error", std::to_string(why.value())},
+             {"cause", why.message()}});
+}
+
+void platform_view::withdraw(const records::EndpointChanges& said) {
+  for (const records::EndpointRecord& each : said.unusable()) {
+    if (parts_.endpoints.withdraw(each.id(), each.revision())) {
+      log_warn("endpoint_withdrawn",
+               {{"endpoint", each.id().substr(0, most_logged_name)},
+                {"revision", std::to_string(each.revision())}});
+    }
+  }
+}
+
 void platform_view::take_listing(const platform::object_listing& found,
                                  bool after_loss) {
   records::EndpointChanges said;
@@ -370,7 +415,7 @@
   said.set_after_loss(after_loss);
   said.set_revision(found.revision);
   for (const platform::stored_object& each : found.objects) {
-    add_record(each, said);
+    add_entry(each, said);
   }
   apply(said, answered_now());
 }
@@ -386,7 +431,7 @@
       change.set_removed(true);
       change.mutable_record()->set_id(each.object.name);
     } else {
-      add_record(each.object, said);
+      add_entry(each.object, said);
     }
   }
   apply(said, answered_now());
@@ -402,8 +447,9 @@
     log_changes(said);
     kept_until = apply_changes(said, times);
   }
+  withdraw(said);
   log_.add_endpoints(said, kept_until);
-  if (!said.changes().empty()) {
+  if (!said.changes().empty() || !said.unusable().empty()) {
     if (!follower_.following()) {
       news_.note_endpoints(said.revision());
     }
@@ -416,6 +462,7 @@
 // not.
 std::uint64_t platform_view::apply_listing(const records::EndpointChanges& said,
                                            const answer_times& times) {
+  withdraw(said);  // before they are taken as missing
   std::vector<endpoint> listed;
   for (const records::EndpointChange& each : said.changes()) {
     listed.push_back(decode(each.record()).value());
--- a/src/gateway/watch_log.cc
+++ b/src/gateway/watch_log.cc
@@ -11,6 +11,10 @@
 constexpr std::uint64_t news_life_ms = 1000;
 constexpr std::size_t most_news = 512;
 
+std::size_t entries_of(const records::EndpointChanges& said) {
+  return static_cast<std::size_t>(said.changes_size() + said.unusable_size());
+}
+
 std::uint32_t time_left(std::uint64_t until_ms, std::uint64_t now_ms) {
   return until_ms > now_ms ? static_cast<std::uint32_t>(until_ms - now_ms) : 0;
 }
@@ -20,14 +24,23 @@
 void watch_log::apply(const records::EndpointChanges& said) {
   if (said.whole()) {
     records_.clear();
+    unusable_.clear();
   }
   for (const records::EndpointChange& each : said.changes()) {
+    unusable_.erase(each.record().id());
     if (each.removed()) {
       records_.erase(each.record().id());
     } else {
       records_[each.record().id()] = each.record();
     }
   }
+  for (const records::EndpointRecord& each : said.unusable()) {
+    const auto held = records_.find(each.id());
+    if (held == records_.end() || held->second.revision() < each.revision()) {
+      records_.erase(each.id());
+      unusable_[each.id()] = each;
+    }
+  }
 }
 
 void watch_log::add_endpoints(const records::EndpointChanges& said,
@@ -50,16 +63,15 @@
     changes_held_ = 0;
     after_loss_ = said.after_loss();
     listing_kept_until_ms_ = kept_until_ms;
-  } else if (said.changes().empty() && !changes_.empty()) {
+  } else if (entries_of(said) == 0 && !changes_.empty()) {
     changes_.back().said.set_revision(said.revision());
   } else {
     changes_.push_back({said, kept_until_ms});
-    changes_held_ += static_cast<std::size_t>(said.changes_size());
+    changes_held_ += entries_of(said);
   }
   revision_ = said.revision();
   while (changes_held_ > most_changes) {
-    changes_held_ -=
-        static_cast<std::size_t>(changes_.front().said.changes_size());
+    changes_held_ -= entries_of(changes_.front().said);
     changes_.pop_front();
   }
 }
@@ -91,6 +103,9 @@
   for (const auto& [id, record] : records_) {
     *made.add_changes()->mutable_record() = record;
   }
+  for (const auto& [id, record] : unusable_) {
+    *made.add_unusable() = record;
+  }
   return made;
 }
 
--- a/src/gateway/watch_reply.cc
+++ b/src/gateway/watch_reply.cc
@@ -24,7 +24,7 @@
                                 std::uint64_t known) {
   int changes = 0;
   for (const records::EndpointChanges& each : told.endpoints()) {
-    changes += each.changes_size();
+    changes += each.changes_size() + each.unusable_size();
     if (changes > most_changes) {
       return errc::wire_too_large;
     }
@@ -32,7 +32,13 @@
     if (!follows || each.revision() > known + most_revisions_ahead) {
       return errc::wire_out_of_step;
     }
-    if (!std::all_of(each.changes().begin(), each.changes().end(), usable)) {
+    const bool named =
+        std::none_of(each.unusable().begin(), each.unusable().end(),
+                     [](const records::EndpointRecord& entry) {
+                       return entry.id().empty();
+                     });
+    if (!named ||
+        !std::all_of(each.changes().begin(), each.changes().end(), usable)) {
       return errc::wire_garbled;
     }
     known = std::max(known, each.revision());
--- a/test/collection_watcher_test.cc
+++ b/test/collection_watcher_test.cc
@@ -5,34 +5,12 @@
 #include <map>
 #include <set>
 
-#include "deployment.h"
+#include "local_server.h"
 #include "test_support.h"
 
 namespace trayrock::testing {
 namespace {
 
-// A server on a free port.
-class local_server {
- public:
-  using handler = std::function<void(const http1_request& request,
-                                     const http1_exchange_ptr& out)>;
-
-  local_server(event_loop& loop, handler serve)
-      : where_(
-            address::parse("127.0.0.1:" + std::to_string(free_ports(1).front()))
-                .value()),
-        server_(
-            loop, [] { return http1_limits{}; }, std::move(serve)) {
-    CPPUNIT_ASSERT(server_.listen(where_));
-  }
-
-  const address& where() const { return where_; }
-
- private:
-  address where_;
-  http1_server server_;
-};
-
 // Leaves the first calls without an answer and answers all later ones.
 class hesitant_platform {
  public:
--- a/test/gateway_path_test.cc
+++ b/test/gateway_path_test.cc
@@ -45,6 +45,8 @@
   CPPUNIT_TEST(configuration_comes_from_another_gateway);
   CPPUNIT_TEST(gateway_whose_watch_is_lost_hears_of_leaving_endpoints);
   CPPUNIT_TEST(endpoints_that_lapse_at_once_go_on_serving);
+  CPPUNIT_TEST(unusable_entry_takes_its_endpoint_out_until_a_later_one);
+  CPPUNIT_TEST(configuration_of_another_writer_is_not_in_force);
   CPPUNIT_TEST(gateway_recovers_from_garbled_answers_of_the_platform);
   CPPUNIT_TEST_SUITE_END();
 
@@ -415,11 +417,8 @@
     system.register_runner("runner-1", "draining");
     system.put_object(
         "servers", "former",
-        {{"service", "assistant"},
-         {"address", "127.0.0.1:" + std::to_string(system.port("runner-1"))},
-         {"zone", "dc-1"},
-         {"capacity", 8},
-         {"phase", "ready"}});
+        service_deployment::endpoint_entry(
+            "127.0.0.1:" + std::to_string(system.port("runner-1")), "ready"));
     wait_until("gateway-2 is told of the former instance", [&system] {
       system.request("gateway-1", "/unsafe/a", "u1");
       return system.metric("gateway-2",
@@ -493,6 +492,46 @@
     });
   }
 
+  // Another writer's entry stood under the id of an endpoint, and the older
+  // record went on being used.
+  void unusable_entry_takes_its_endpoint_out_until_a_later_one() {
+    service_deployment system;
+    system.start_all();
+    system.put_object("servers", "runner-1", {{"service", 3}});
+    int made = 0;
+    const auto ran_at_first = [&] {
+      const std::string attempt = "s" + std::to_string(++made);
+      CPPUNIT_ASSERT_EQUAL(
+          200, system.request("gateway-1", "/safe/a", attempt).status);
+      return system.counts("runner-1")["runs"].contains(attempt);
+    };
+    const std::string seen = "endpoint_entries_unusable_total{error=\"1519\"}";
+    wait_until("the gateway has seen the entry",
+               [&] { return system.metric("gateway-1", seen) > 0; });
+    for (int i = 0; i < 8; ++i) {
+      CPPUNIT_ASSERT(!ran_at_first());
+    }
+
+    system.register_runner("runner-1", "ready");
+    system.register_runner("runner-2", "draining");
+    wait_until("the endpoint serves again", ran_at_first);
+  }
+
+  void configuration_of_another_writer_is_not_in_force() {
+    service_deployment system;
+    system.start_all();
+    system.put_object("config", "other",
+                      {{"version", 900},
+                       {"routes", json::array()},
+                       {"services", json::array()}});
+    system.configure(7, json::array());
+    wait_until("the operator's configuration is in force", [&] {
+      const int status = system.request("gateway-1", "/safe/a", "s1").status;
+      CPPUNIT_ASSERT_EQUAL(200, status);
+      return system.metric("gateway-1", "configuration_version") == 7;
+    });
+  }
+
   void gateway_recovers_from_garbled_answers_of_the_platform() {
     service_deployment system;
     system.start_all();
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -258,11 +258,14 @@
 void service_deployment::register_runner(const std::string& name,
                                          const std::string& phase) {
   put_object("servers", name,
-             {{"service", "assistant"},
-              {"address", local(reached_at(name, port(name)))},
-              {"zone", "dc-1"},
-              {"capacity", 8},
-              {"phase", phase}});
+             endpoint_entry(local(reached_at(name, port(name))), phase));
+}
+
+json service_deployment::endpoint_entry(const std::string& address,
+                                        const std::string& phase) {
+  return {{"service", "assistant"}, {"address", address}, {"zone", "dc-1"},
+          {"version", "v1"},        {"capacity", 8},      {"phase", phase},
+          {"coldLeftMs", 0},        {"callSeq", 0}};
 }
 
 void service_deployment::configure(std::uint64_t version,
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -56,6 +56,8 @@
                   const json& spec);
   json object(const std::string& kind, const std::string& name);
   void register_runner(const std::string& name, const std::string& phase);
+  static json endpoint_entry(const std::string& address,
+                             const std::string& phase);
   void configure(std::uint64_t version, const json& more_routes = {});
   void platform_fault(const json& switches);
   void runner_fault(const std::string& runner, const json& switches);
