What is learnt of an endpoint belongs to one instance of it

Cause: an endpoint was known by its id alone. One that had been marked as superseded got nothing more when it started again under its id; failures, requests under way, reports, the cached chain and connections of the instance before counted for the new one; a record, report or removal that came late of the former instance changed the new one.

Ruled out: the platform's revision as an instance's order (reports have none).

Change: one type (decide/endpoint_identity: id and start), decoded in platform/ from the entry, carried in records, news, turns, the directory and choice, in place of ids. A later start takes the place of an earlier one with nothing noted; gone instances are remembered, so that an older record does not bring them back.

--- a/include/trayrock/internal/decide/endpoint_choice.h
+++ b/include/trayrock/internal/decide/endpoint_choice.h
@@ -15,7 +15,7 @@
 // Example:
 //   endpoint_choice wanted;
 //   wanted.service = "chat";
-//   wanted.preferred = "runner-2";
+//   wanted.preferred = turn_before.endpoint;
 //   const endpoint_state_ptr to =
 //       choose_endpoint(of_chat, wanted, choice_policy(), now);
 #pragma once
@@ -57,10 +57,10 @@
 
 struct endpoint_choice {
   std::string_view service;
-  std::string_view preferred;  // endpoint with the prompt in its cache, if any
+  endpoint_identity preferred;  // has the prompt in its cache; empty: none
   std::string_view data_centre;
   std::function<bool(const endpoint&)> connected;
-  const std::set<std::string>* excluded = nullptr;
+  const std::set<endpoint_identity>* excluded = nullptr;
   // May run only once: not for endpoints on trial.
   bool once = false;
   // Draws among equals: any number, another one for each request.
--- a/include/trayrock/internal/decide/endpoint_state.h
+++ b/include/trayrock/internal/decide/endpoint_state.h
@@ -34,8 +34,8 @@
   std::uint64_t latency_at_ms = 0;  // when the last of them was answered
   // Not listed any more, and used until then; 0: listed.
   std::uint64_t kept_until_ms = 0;
-  // Another instance sits at its address. Ids are used once, so that this one
-  // does not come back, whatever a late record of the platform says.
+  // Another endpoint sits at its address: this instance does not come back,
+  // whatever a late record of the platform says.
   bool superseded = false;
 };
 
--- a/include/trayrock/internal/gateway/configuration.h
+++ b/include/trayrock/internal/gateway/configuration.h
@@ -17,6 +17,8 @@
 #include <string_view>
 #include <vector>
 
+#include "trayrock/internal/decide/endpoint_identity.h"
+
 namespace trayrock {
 
 // How often a request of a route may be executed.
@@ -78,9 +80,9 @@
 };
 using configuration_ptr = std::shared_ptr<const configuration>;
 
-// One life of a back end.
+// One instance of a back end.
 struct endpoint {
-  std::string id;
+  endpoint_identity identity;
   std::string service;
   std::string address;  // A.B.C.D:PORT
   std::string data_centre;
--- a/include/trayrock/internal/gateway/endpoint_attempt.h
+++ b/include/trayrock/internal/gateway/endpoint_attempt.h
@@ -49,7 +49,9 @@
   const endpoint* to() const {
     return endpoint_ == nullptr ? nullptr : &endpoint_->record;
   }
-  std::string endpoint_id() const;  // empty if there is no endpoint
+  // Empty if there is no endpoint.
+  endpoint_identity identity() const;
+  std::string endpoint_id() const { return identity().id; }
 
   bool in_flight() const { return in_flight_; }
 
--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -52,8 +52,15 @@
   std::vector<std::string> replace(const std::vector<endpoint>& listed,
                                    bool after_loss, const answer_times& times);
 
+  // Takes a record. One of a later instance than the known one takes its place,
+  // with nothing held, in flight or noted against it; one of an earlier
+  // instance or revision changes nothing.
   void update(const endpoint& changed);
-  void remove(const std::string& id);
+
+  // The instance is gone, by an answer of the platform of that revision. A
+  // later instance that is known stays; where the answer names none, what is
+  // newer than the answer stays.
+  void remove(const endpoint_identity& gone, std::uint64_t revision);
 
   // The entry of that revision cannot be used: the endpoint is not chosen until
   // a later one. What runs there is left to end. True if it was known.
@@ -65,7 +72,8 @@
 
   // The endpoint's record has lapsed with many others: it stays for a moment,
   // unless it was leaving.
-  void lapse(const std::string& id, const answer_times& times);
+  void lapse(const endpoint_identity& gone, std::uint64_t revision,
+             const answer_times& times);
 
   // Until when endpoints stay that are missing in this way.
   std::uint64_t kept_until(absence how, const answer_times& times) const;
@@ -85,12 +93,15 @@
                   double latency_ms, std::uint64_t now_ms);
 
   // A request of another gateway failed at the endpoint; true as above.
-  bool report_failure(const std::string& id, std::string_view gateway,
+  bool report_failure(const endpoint_identity& failed, std::string_view gateway,
                       std::uint64_t now_ms);
 
-  // Another gateway has met another instance at the endpoint's address. True
+  // Another gateway has met another endpoint at this instance's address. True
   // if this was not known.
-  bool supersede(const std::string& id);
+  bool supersede(const endpoint_identity& former);
+
+  // The instance that is known under an id; nothing if there is none.
+  const endpoint* find(const std::string& id) const;
 
   std::size_t count(std::string_view service) const;
   std::size_t size() const { return by_id_.size(); }
@@ -102,8 +113,14 @@
   using condition =
       std::function<bool(const std::string& id, const endpoint_state& at)>;
 
-  endpoint_state_ptr made_state() const;
-  endpoint_state& found_or_made(const std::string& id);
+  using known_endpoints = std::map<std::string, endpoint_state_ptr>;
+
+  endpoint_state_ptr made_state(const endpoint_identity& of) const;
+  endpoint_state_ptr known_instance(const endpoint_identity& wanted) const;
+  void take(const endpoint& listed, std::uint64_t oldest_revision);
+  known_endpoints::iterator find_gone(const endpoint_identity& gone,
+                                      std::uint64_t revision);
+  void drop(known_endpoints::iterator known);
   std::vector<std::string> keep_for_a_moment(
       const std::set<std::string>& listed, std::uint64_t until_ms);
   std::size_t missing_from(const std::set<std::string>& listed) const;
@@ -111,7 +128,7 @@
   void index();
 
   directory_policy policy_;
-  std::map<std::string, endpoint_state_ptr> by_id_;
+  known_endpoints by_id_;
   std::map<std::string, std::vector<endpoint_state_ptr>, std::less<>>
       by_service_;
   former_endpoints former_;
--- a/include/trayrock/internal/gateway/endpoint_records.h
+++ b/include/trayrock/internal/gateway/endpoint_records.h
@@ -13,6 +13,12 @@
 
 records::EndpointRecord encode(const endpoint& from);
 
+// Which instance a record is of; that of a removed one may have nothing else.
+endpoint_identity identity_of(const records::EndpointRecord& from);
+
+records::EndpointIdentity encode(const endpoint_identity& from);
+endpoint_identity decode(const records::EndpointIdentity& from);
+
 // Errors: errc::wire_garbled for a record without id, service or address.
 result<endpoint> decode(const records::EndpointRecord& from);
 
--- a/include/trayrock/internal/gateway/former_endpoints.h
+++ b/include/trayrock/internal/gateway/former_endpoints.h
@@ -1,13 +1,17 @@
-// Superseded endpoints that the platform lists no more.
+// Instances of endpoints that the platform lists no more.
 //
-// Ids are used once: an endpoint whose address another instance has taken does
-// not come back. A late record may name it all the same, and then it has to be
-// known for what it is.
+// A record that is older than what was known of a gone instance does not bring
+// it back: it may have said since that it leaves. One whose record has lapsed
+// comes back with a later one, and is then what it was.
+//
+// An instance whose address another one has taken does not come back. A late
+// record may name it all the same, and then it has to be known for what it is;
+// a later instance under its id is another one.
 //
 // Example:
 //   former_endpoints former;
-//   former.note("runner-1", state);  // once it is listed no more
-//   if (const auto known = former.find("runner-1")) use(known);
+//   former.note(state);  // once it is listed no more
+//   if (const auto known = former.find(listed.identity)) use(known);
 #pragma once
 
 #include <cstdint>
@@ -20,12 +24,15 @@
 
 class former_endpoints {
  public:
-  // Remembers an endpoint that is listed no more if it is superseded; beyond a
-  // fixed number, the one noted longest ago is forgotten.
-  void note(const std::string& id, const endpoint_state_ptr& state);
+  // Remembers an instance that is listed no more; beyond a fixed number, the
+  // one noted longest ago is forgotten.
+  void note(const endpoint_state_ptr& state);
 
   // Nothing if the endpoint is not remembered.
-  endpoint_state_ptr find(const std::string& id) const;
+  endpoint_state_ptr find(const endpoint_identity& wanted) const;
+
+  // Whether a later instance under the same id was listed once.
+  bool knows_newer_than(const endpoint_identity& instance) const;
 
  private:
   // Numbered in the order in which they were noted.
@@ -36,7 +43,7 @@
 
   void forget_oldest();
 
-  std::map<std::string, former_endpoint> by_id_;
+  std::map<endpoint_identity, former_endpoint> known_;
   std::uint64_t next_number_ = 0;
 };
 
--- a/include/trayrock/internal/gateway/peer_news.h
+++ b/include/trayrock/internal/gateway/peer_news.h
@@ -28,6 +28,7 @@
 
 #include "platform/gateway_registry.h"
 #include "records.pb.h"
+#include "trayrock/internal/decide/endpoint_identity.h"
 #include "trayrock/internal/decide/relay_choice.h"
 #include "trayrock/internal/gateway/gateway_policy.h"
 #include "trayrock/internal/gateway/watch_log.h"
@@ -65,10 +66,10 @@
   void serve(rpc_server& server, news_handlers handlers);
 
   // A request of this gateway failed at the endpoint.
-  void note_failure(const std::string& endpoint);
+  void note_failure(const endpoint_identity& endpoint);
 
   // This gateway has met another instance at the endpoint's address.
-  void note_superseded(const std::string& endpoint);
+  void note_superseded(const endpoint_identity& endpoint);
 
   // This gateway knows the endpoints' records up to this change.
   void note_endpoints(std::uint64_t revision);
@@ -88,8 +89,8 @@
   platform::gateway_entry own_;
   news_policy policy_;
   news_handlers handlers_;
-  std::set<std::string> failed_endpoints_;      // since the last batch
-  std::set<std::string> superseded_endpoints_;  // likewise
+  std::set<endpoint_identity> failed_endpoints_;      // since the last batch
+  std::set<endpoint_identity> superseded_endpoints_;  // likewise
   std::uint64_t configuration_ = 0;          // to be told with the next batch
   std::uint64_t endpoints_revision_ = 0;     // likewise
   std::map<std::string, rpc_call> sending_;  // by the peer's address
--- a/include/trayrock/internal/gateway/platform_view.h
+++ b/include/trayrock/internal/gateway/platform_view.h
@@ -66,8 +66,10 @@
 
   // A request of this gateway failed at the endpoint, or found another
   // instance at its address.
-  void note_failure(const std::string& id) { news_.note_failure(id); }
-  void note_superseded(const std::string& id) { news_.note_superseded(id); }
+  void note_failure(const endpoint_identity& at) { news_.note_failure(at); }
+  void note_superseded(const endpoint_identity& at) {
+    news_.note_superseded(at);
+  }
 
   peer_relays& relays() { return relays_; }
 
@@ -103,6 +105,7 @@
   void note_unusable(const platform::stored_object& object,
                      std::error_code why);
   void withdraw(const records::EndpointChanges& said);
+  void note_start(const endpoint& listed);
   void sweep();
   answer_times answered_now() const;
   answer_times told_now(const records::EndpointChanges& told) const;
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -53,9 +53,9 @@
   // back.
   std::function<milliseconds()> back_after_stopping;
   // Told of each endpoint that began a request and did not answer it whole.
-  std::function<void(const std::string& endpoint)> endpoint_failed;
+  std::function<void(const endpoint_identity&)> endpoint_failed;
   // Told of each endpoint at whose address another instance answered.
-  std::function<void(const std::string& endpoint)> endpoint_superseded;
+  std::function<void(const endpoint_identity&)> endpoint_superseded;
 };
 
 // Serves one request; the flow lives until its answer has ended.
--- a/src/decide/endpoint_choice.cc
+++ b/src/decide/endpoint_choice.cc
@@ -81,8 +81,8 @@
 
 bool usable(const endpoint_state& at, const endpoint_choice& wanted,
             std::uint64_t now_ms) {
-  const bool tried =
-      wanted.excluded != nullptr && wanted.excluded->contains(at.record.id);
+  const bool tried = wanted.excluded != nullptr &&
+                     wanted.excluded->contains(at.record.identity);
   const bool over = at.kept_until_ms != 0 && at.kept_until_ms <= now_ms;
   return !at.record.draining && !at.superseded && !over && !tried;
 }
@@ -158,9 +158,10 @@
   const latency_scale latencies(candidates, policy.levels_latencies, now_ms);
   const endpoint_state_ptr& least =
       least_loaded(candidates, wanted, policy, latencies);
-  const auto preferred = std::find_if(
-      candidates.begin(), candidates.end(),
-      [&](const auto& each) { return each->record.id == wanted.preferred; });
+  const auto preferred =
+      std::find_if(candidates.begin(), candidates.end(), [&](const auto& each) {
+        return each->record.identity == wanted.preferred;
+      });
   const bool keep = policy.keeps_previous && preferred != candidates.end() &&
                     !latencies.is_slow(**preferred) &&
                     within_slack(**preferred, *least);
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -48,11 +48,13 @@
 void endpoint_attempt::send(const http1_request& request,
                             http1_observer observer) {
   const endpoint& to = endpoint_->record;
-  call_ = pool_.start(to.address, to.id, request, std::move(observer));
+  call_ =
+      pool_.start(to.address, to.identity.text(), request, std::move(observer));
 }
 
-std::string endpoint_attempt::endpoint_id() const {
-  return endpoint_ == nullptr ? std::string() : endpoint_->record.id;
+endpoint_identity endpoint_attempt::identity() const {
+  return endpoint_ == nullptr ? endpoint_identity()
+                              : endpoint_->record.identity;
 }
 
 milliseconds endpoint_attempt::age() const {
@@ -92,8 +94,8 @@
 }
 
 void endpoint_attempt::suspect() {
-  log_info("endpoint_late",
-           {{"request", facts_.attempt}, {"endpoint", endpoint_->record.id}});
+  log_info("endpoint_late", {{"request", facts_.attempt},
+                             {"endpoint", endpoint_->record.identity.id}});
   if (endpoint_->health.failed(loop_.now_ms())) {
     log_avoided();
   }
@@ -105,13 +107,13 @@
 // would be lost.
 void endpoint_attempt::forget_idle_connections() {
   if (drops_connections_) {
-    pool_.forget(endpoint_->record.address, endpoint_->record.id);
+    pool_.forget(endpoint_->record.address, endpoint_->record.identity.text());
   }
 }
 
 void endpoint_attempt::log_avoided() const {
-  log_info("endpoint_avoided",
-           {{"endpoint", endpoint_->record.id}, {"by", "own requests"}});
+  log_info("endpoint_avoided", {{"endpoint", endpoint_->record.identity.id},
+                                {"by", "own requests"}});
 }
 
 void endpoint_attempt::end(attempt_outcome outcome) {
@@ -139,7 +141,7 @@
 void endpoint_attempt::log_failed(attempt_outcome outcome, double ms) const {
   log_info("attempt_failed",
            {{"request", facts_.attempt},
-            {"endpoint", endpoint_->record.id},
+            {"endpoint", endpoint_->record.identity.id},
             {"outcome", std::string(text_of(outcome))},
             {"status", std::to_string(head_.status)},
             {"ms", std::to_string(static_cast<long>(ms))},
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -15,12 +15,6 @@
   return before_ms + latency_weight * (latency_ms - before_ms);
 }
 
-// Takes what the platform lists of an endpoint.
-void take(endpoint_state& state, const endpoint& listed) {
-  state.record = listed;
-  state.kept_until_ms = 0;
-}
-
 }  // namespace
 
 std::vector<std::string> endpoint_directory::replace(
@@ -28,11 +22,11 @@
     const answer_times& times) {
   std::set<std::string> ids;
   for (const endpoint& each : listed) {
-    ids.insert(each.id);
+    ids.insert(each.identity.id);
   }
   const bool lapsed = lapsed_at_once(missing_from(ids));
   for (const endpoint& each : listed) {
-    take(found_or_made(each.id), each);
+    take(each, 0);
   }
   std::vector<std::string> kept;
   if (after_loss || lapsed) {
@@ -89,62 +83,108 @@
   return static_cast<std::size_t>(found);
 }
 
-endpoint_state_ptr endpoint_directory::made_state() const {
+endpoint_state_ptr endpoint_directory::made_state(
+    const endpoint_identity& of) const {
   auto made = std::make_shared<endpoint_state>();
+  made->record.identity = of;
   made->health = endpoint_health(policy_.health);
   return made;
 }
 
-// The state of an endpoint that is listed, made if it is new.
-endpoint_state& endpoint_directory::found_or_made(const std::string& id) {
-  endpoint_state_ptr& state = by_id_[id];
-  if (state == nullptr) {
-    state = former_.find(id);
+const endpoint* endpoint_directory::find(const std::string& id) const {
+  const auto known = by_id_.find(id);
+  return known == by_id_.end() ? nullptr : &known->second->record;
+}
+
+// What is held of an instance, be it listed or not; nullptr: nothing.
+endpoint_state_ptr endpoint_directory::known_instance(
+    const endpoint_identity& wanted) const {
+  const auto known = by_id_.find(wanted.id);
+  const bool listed =
+      known != by_id_.end() && known->second->record.identity == wanted;
+  return listed ? known->second : former_.find(wanted);
+}
+
+// Takes a record unless a later instance, or a later record, is known.
+void endpoint_directory::take(const endpoint& listed,
+                              std::uint64_t oldest_revision) {
+  const endpoint* held = find(listed.identity.id);
+  const bool late =
+      (held != nullptr && held->identity.is_newer_than(listed.identity)) ||
+      former_.knows_newer_than(listed.identity);
+  if (late) {
+    return;
   }
+  endpoint_state_ptr state = known_instance(listed.identity);
   if (state == nullptr) {
-    state = made_state();
+    state = made_state(listed.identity);
+  } else if (listed.revision < oldest_revision ||
+             listed.revision < state->record.revision) {
+    return;
   }
-  return *state;
+  state->record = listed;
+  state->kept_until_ms = 0;
+  by_id_[listed.identity.id] = std::move(state);
 }
 
 void endpoint_directory::update(const endpoint& changed) {
-  endpoint_state& state = found_or_made(changed.id);
-  if (changed.revision < state.record.revision) {
-    return;
-  }
-  take(state, changed);
+  const endpoint_state_ptr gone = former_.find(changed.identity);
+  const endpoint* held = find(changed.identity.id);
+  const bool listed = held != nullptr && held->identity == changed.identity;
+  // The record by which a gone instance was known is no news of it.
+  const std::uint64_t oldest =
+      gone != nullptr && !listed ? gone->record.revision + 1 : 0;
+  take(changed, oldest);
   index();
 }
 
-void endpoint_directory::remove(const std::string& id) {
-  const auto known = by_id_.find(id);
+// The known instance that is gone by that answer.
+endpoint_directory::known_endpoints::iterator endpoint_directory::find_gone(
+    const endpoint_identity& gone, std::uint64_t revision) {
+  const auto known = by_id_.find(gone.id);
   if (known == by_id_.end()) {
-    return;
+    return known;
   }
-  former_.note(id, known->second);
+  const endpoint& held = known->second->record;
+  const bool stays = gone.started_ms == 0 ? held.revision > revision
+                                          : held.identity.is_newer_than(gone);
+  return stays ? by_id_.end() : known;
+}
+
+void endpoint_directory::drop(known_endpoints::iterator known) {
+  former_.note(known->second);
   by_id_.erase(known);
   index();
 }
 
+void endpoint_directory::remove(const endpoint_identity& gone,
+                                std::uint64_t revision) {
+  const auto known = find_gone(gone, revision);
+  if (known != by_id_.end()) {
+    drop(known);
+  }
+}
+
 bool endpoint_directory::withdraw(const std::string& id,
                                   std::uint64_t revision) {
   const auto known = by_id_.find(id);
   if (known == by_id_.end() || known->second->record.revision >= revision) {
     return false;
   }
-  remove(id);
+  drop(known);
   return true;
 }
 
-void endpoint_directory::lapse(const std::string& id,
+void endpoint_directory::lapse(const endpoint_identity& gone,
+                               std::uint64_t revision,
                                const answer_times& times) {
-  const auto known = by_id_.find(id);
+  const auto known = find_gone(gone, revision);
   if (known == by_id_.end()) {
     return;
   }
   endpoint_state& at = *known->second;
   if (at.record.draining) {
-    remove(id);
+    drop(known);
   } else if (at.kept_until_ms == 0) {
     at.kept_until_ms = kept_until(absence::nearly_all_at_once, times);
   }
@@ -168,7 +208,7 @@
     const auto& [id, state] = known;
     const bool dropped = holds(id, *state);
     if (dropped) {
-      former_.note(id, state);
+      former_.note(state);
       gone.push_back(id);
     }
     return dropped;
@@ -218,25 +258,27 @@
   return false;
 }
 
-bool endpoint_directory::report_failure(const std::string& id,
+bool endpoint_directory::report_failure(const endpoint_identity& failed,
                                         std::string_view gateway,
                                         std::uint64_t now_ms) {
-  const auto found = by_id_.find(id);
-  return found != by_id_.end() &&
-         found->second->health.reported(gateway, now_ms);
+  const auto known = by_id_.find(failed.id);
+  return known != by_id_.end() && known->second->record.identity == failed &&
+         known->second->health.reported(gateway, now_ms);
 }
 
-bool endpoint_directory::supersede(const std::string& id) {
-  const auto known = by_id_.find(id);
-  if (known == by_id_.end()) {
-    const endpoint_state_ptr unlisted = made_state();
-    unlisted->superseded = true;
-    former_.note(id, unlisted);
-    return false;
+bool endpoint_directory::supersede(const endpoint_identity& former) {
+  endpoint_state_ptr state = known_instance(former);
+  if (state == nullptr) {
+    state = made_state(former);
+  }
+  const bool news = !state->superseded;
+  state->superseded = true;
+  const endpoint* held = find(former.id);
+  const bool listed = held != nullptr && held->identity == former;
+  if (!listed) {
+    former_.note(state);
   }
-  const bool news = !known->second->superseded;
-  known->second->superseded = true;
-  return news;
+  return news && listed;
 }
 
 std::size_t endpoint_directory::count(std::string_view service) const {
--- a/src/gateway/endpoint_records.cc
+++ b/src/gateway/endpoint_records.cc
@@ -6,7 +6,8 @@
 
 records::EndpointRecord encode(const endpoint& from) {
   records::EndpointRecord made;
-  made.set_id(from.id);
+  made.set_id(from.identity.id);
+  made.set_started_ms(from.identity.started_ms);
   made.set_service(from.service);
   made.set_address(from.address);
   made.set_data_centre(from.data_centre);
@@ -16,12 +17,27 @@
   return made;
 }
 
+endpoint_identity identity_of(const records::EndpointRecord& from) {
+  return {from.id(), from.started_ms()};
+}
+
+endpoint_identity decode(const records::EndpointIdentity& from) {
+  return {from.id(), from.started_ms()};
+}
+
+records::EndpointIdentity encode(const endpoint_identity& from) {
+  records::EndpointIdentity made;
+  made.set_id(from.id);
+  made.set_started_ms(from.started_ms);
+  return made;
+}
+
 result<endpoint> decode(const records::EndpointRecord& from) {
   if (from.id().empty() || from.service().empty() || from.address().empty()) {
     return errc::wire_garbled;
   }
   endpoint made;
-  made.id = from.id();
+  made.identity = identity_of(from);
   made.service = from.service();
   made.address = from.address();
   made.data_centre = from.data_centre();
--- a/src/gateway/peer_news.cc
+++ b/src/gateway/peer_news.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "records.pb.h"
+#include "trayrock/internal/gateway/endpoint_records.h"
 #include "trayrock/internal/log.h"
 
 namespace trayrock {
@@ -22,18 +23,16 @@
 constexpr milliseconds fetch_limit{1000};
 
 bool too_long(const records::GatewayNews& news) {
-  return static_cast<std::size_t>(news.failed_endpoints_size()) >
-             most_endpoints ||
-         static_cast<std::size_t>(news.superseded_endpoints_size()) >
-             most_superseded;
+  return static_cast<std::size_t>(news.failed_size()) > most_endpoints ||
+         static_cast<std::size_t>(news.superseded_size()) > most_superseded;
 }
 
 records::EndpointNews endpoint_news_of(const records::GatewayNews& news) {
   records::EndpointNews made;
   made.set_gateway(news.gateway());
   made.set_id(news.id());
-  *made.mutable_failed() = news.failed_endpoints();
-  *made.mutable_superseded() = news.superseded_endpoints();
+  *made.mutable_failed() = news.failed();
+  *made.mutable_superseded() = news.superseded();
   return made;
 }
 
@@ -66,8 +65,7 @@
           return;
         }
         handlers_.sender({news.gateway(), news.address(), news.data_centre()});
-        if (news.failed_endpoints_size() + news.superseded_endpoints_size() >
-            0) {
+        if (news.failed_size() + news.superseded_size() > 0) {
           handlers_.endpoint_news(endpoint_news_of(news));
         }
         if (news.endpoints_revision() != 0) {
@@ -88,14 +86,14 @@
       });
 }
 
-void peer_news::note_failure(const std::string& endpoint) {
+void peer_news::note_failure(const endpoint_identity& endpoint) {
   if (policy_.failures && failed_endpoints_.size() < most_endpoints) {
     failed_endpoints_.insert(endpoint);
     send_soon();
   }
 }
 
-void peer_news::note_superseded(const std::string& endpoint) {
+void peer_news::note_superseded(const endpoint_identity& endpoint) {
   if (policy_.superseded && superseded_endpoints_.size() < most_superseded) {
     superseded_endpoints_.insert(endpoint);
     send_soon();
@@ -128,11 +126,11 @@
   news.set_id(drawn_id());
   news.set_configuration(configuration_);
   news.set_endpoints_revision(endpoints_revision_);
-  for (const std::string& endpoint : failed_endpoints_) {
-    news.add_failed_endpoints(endpoint);
+  for (const endpoint_identity& each : failed_endpoints_) {
+    *news.add_failed() = encode(each);
   }
-  for (const std::string& endpoint : superseded_endpoints_) {
-    news.add_superseded_endpoints(endpoint);
+  for (const endpoint_identity& each : superseded_endpoints_) {
+    *news.add_superseded() = encode(each);
   }
   failed_endpoints_.clear();
   superseded_endpoints_.clear();
@@ -148,7 +146,7 @@
     return;
   }
   const records::GatewayNews news = batch();
-  if (news.failed_endpoints_size() + news.superseded_endpoints_size() > 0) {
+  if (news.failed_size() + news.superseded_size() > 0) {
     handlers_.sent(endpoint_news_of(news));
   }
   for (const std::string& peer : peers) {
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -103,6 +103,14 @@
                                  {"removed", removed.text()}});
 }
 
+void log_avoided(const records::EndpointIdentity& instance,
+                 const records::EndpointNews& news) {
+  log_info("endpoint_avoided",
+           {{"endpoint", instance.id()},
+            {"started_ms", std::to_string(instance.started_ms())},
+            {"by", "report of " + news.gateway()}});
+}
+
 }  // namespace
 
 platform_view::platform_view(event_loop& loop, rpc_pool& pool,
@@ -398,6 +406,20 @@
              {"cause", why.message()}});
 }
 
+// A later instance of an endpoint that is known is worth a line.
+void platform_view::note_start(const endpoint& listed) {
+  const endpoint* known = parts_.endpoints.find(listed.identity.id);
+  if (known == nullptr || !listed.identity.is_newer_than(known->identity)) {
+    return;
+  }
+  parts_.metrics.add("endpoint_restarts_total");
+  log_info("endpoint_restarted",
+           {{"endpoint", listed.identity.id},
+            {"started_ms", std::to_string(listed.identity.started_ms)},
+            {"before_ms", std::to_string(known->identity.started_ms)},
+            {"revision", std::to_string(listed.revision)}});
+}
+
 void platform_view::withdraw(const records::EndpointChanges& said) {
   for (const records::EndpointRecord& each : said.unusable()) {
     if (parts_.endpoints.withdraw(each.id(), each.revision())) {
@@ -429,7 +451,9 @@
     if (each.removed) {
       records::EndpointChange& change = *said.add_changes();
       change.set_removed(true);
-      change.mutable_record()->set_id(each.object.name);
+      const endpoint_identity gone = platform::identity_of(each.object);
+      change.mutable_record()->set_id(gone.id);
+      change.mutable_record()->set_started_ms(gone.started_ms);
     } else {
       add_entry(each.object, said);
     }
@@ -466,6 +490,7 @@
   std::vector<endpoint> listed;
   for (const records::EndpointChange& each : said.changes()) {
     listed.push_back(decode(each.record()).value());
+    note_start(listed.back());
   }
   const std::vector<std::string> kept =
       parts_.endpoints.replace(listed, said.after_loss(), times);
@@ -502,12 +527,15 @@
                std::to_string(times.now_ms - times.unserved_ms)}});
   }
   for (const records::EndpointChange& each : said.changes()) {
+    const endpoint_identity instance = identity_of(each.record());
     if (!each.removed()) {
-      parts_.endpoints.update(decode(each.record()).value());
+      const endpoint changed = decode(each.record()).value();
+      note_start(changed);
+      parts_.endpoints.update(changed);
     } else if (lapsed) {
-      parts_.endpoints.lapse(each.record().id(), times);
+      parts_.endpoints.lapse(instance, said.revision(), times);
     } else {
-      parts_.endpoints.remove(each.record().id());
+      parts_.endpoints.remove(instance, said.revision());
     }
   }
   return lapsed
@@ -536,18 +564,17 @@
   if (!is_new(news)) {
     return;
   }
-  for (const std::string& id : news.failed()) {
+  for (const records::EndpointIdentity& each : news.failed()) {
     parts_.metrics.add("endpoint_failures_reported_total");
-    if (parts_.endpoints.report_failure(id, news.gateway(), loop_.now_ms())) {
-      log_info("endpoint_avoided",
-               {{"endpoint", id}, {"by", "report of " + news.gateway()}});
+    if (parts_.endpoints.report_failure(decode(each), news.gateway(),
+                                        loop_.now_ms())) {
+      log_avoided(each, news);
     }
   }
-  for (const std::string& id : news.superseded()) {
+  for (const records::EndpointIdentity& each : news.superseded()) {
     parts_.metrics.add("superseded_endpoints_reported_total");
-    if (parts_.endpoints.supersede(id)) {
-      log_info("endpoint_avoided",
-               {{"endpoint", id}, {"by", "report of " + news.gateway()}});
+    if (parts_.endpoints.supersede(decode(each))) {
+      log_avoided(each, news);
     }
   }
 }
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -118,8 +118,7 @@
   if (attempt_.to() == nullptr) {
     return "";
   }
-  const bool kept = history_.chain() != nullptr &&
-                    history_.chain()->endpoint == attempt_.to()->id;
+  const bool kept = turn_before() == attempt_.identity();
   return kept ? "previous_turn" : "load";
 }
 
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -28,7 +28,7 @@
     give_up(tried_.empty() ? errc::no_runner : errc::endpoints_full);
     return;
   }
-  tried_.insert(attempt_.endpoint_id());
+  tried_.insert(attempt_.identity());
   attempt_.send(outgoing(), observer());
   arm_late_guard();
 }
@@ -43,20 +43,21 @@
   made.draw = XXH3_64bits_withSeed(facts_.attempt.data(), facts_.attempt.size(),
                                    tried_.size());
   made.connected = [this](const endpoint& each) {
-    return parts_.pool.has_idle(each.address, each.id);
+    return parts_.pool.has_idle(each.address, each.identity.text());
   };
   return made;
 }
 
-std::string_view request_flow::turn_before() const {
-  return history_.chain() == nullptr ? std::string_view()
-                                     : history_.chain()->endpoint;
+endpoint_identity request_flow::turn_before() const {
+  return history_.chain() == nullptr
+             ? endpoint_identity()
+             : endpoint_identity::parse(history_.chain()->endpoint);
 }
 
 http1_request request_flow::outgoing() const {
   endpoint_directions directions;
   directions.time_left = time_left();
-  directions.instance = attempt_.to()->id;
+  directions.instance = attempt_.to()->identity.id;
   directions.resume_after = answer_.last_event_id();
   http1_request made = platform::endpoint_request(request_, directions);
   if (history_.chain() != nullptr) {
@@ -113,7 +114,7 @@
     return;
   }
   attempt_.suspect();
-  parts_.endpoint_failed(attempt_.endpoint_id());
+  parts_.endpoint_failed(attempt_.identity());
 }
 
 bool request_flow::take_head(const http1_answer_head& head) {
@@ -193,7 +194,7 @@
       after_unreachable();
       return;
     case attempt_outcome::other_instance:
-      parts_.endpoint_superseded(attempt_.endpoint_id());
+      parts_.endpoint_superseded(attempt_.identity());
       ++report_.sends;
       after_refusal();
       return;
@@ -204,7 +205,7 @@
     case attempt_outcome::broken:
       ++report_.sends;
       may_have_run_ = true;
-      parts_.endpoint_failed(attempt_.endpoint_id());
+      parts_.endpoint_failed(attempt_.identity());
       answer_broken();
       return;
     case attempt_outcome::cancelled:
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -78,7 +78,7 @@
   endpoint_choice wanted() const;
 
   // The endpoint that made the turn before; empty if there is none.
-  std::string_view turn_before() const;
+  endpoint_identity turn_before() const;
 
   http1_request outgoing() const;
   http1_observer observer();
@@ -130,7 +130,7 @@
   request_facts facts_;
   request_terms terms_;
   turn_history history_;
-  std::set<std::string> tried_;
+  std::set<endpoint_identity> tried_;
   endpoint_attempt attempt_;
   bool may_have_run_ = false;  // a send ended without an answer
   bool ended_ = false;
--- a/test/endpoint_choice_load_test.cc
+++ b/test/endpoint_choice_load_test.cc
@@ -92,7 +92,7 @@
     std::vector<endpoint_state_ptr> made;
     for (int i = 0; i < engine_count; ++i) {
       auto state = std::make_shared<endpoint_state>();
-      state->record.id = std::to_string(i);
+      state->record.identity.id = std::to_string(i);
       state->record.capacity = slots;
       state->record.data_centre = std::to_string(i % data_centre_count);
       made.push_back(state);
@@ -121,7 +121,7 @@
   void come(std::size_t index) {
     turn& made = turns_[index];
     endpoint_choice wanted;
-    wanted.preferred = made.previous;
+    wanted.preferred = {made.previous};
     const std::string data_centre =
         std::to_string(made.gateway % data_centre_count);
     wanted.data_centre = data_centre;
@@ -130,7 +130,7 @@
     const endpoint_state_ptr to = choose_endpoint(
         known, wanted, policy_, static_cast<std::uint64_t>(now_ms_));
     ++to->in_flight;
-    made.at = std::stoi(to->record.id);
+    made.at = std::stoi(to->record.identity.id);
     engine& at = engines_[static_cast<std::size_t>(made.at)];
     if (at.running < slots) {
       begin(index);
--- a/test/endpoint_directory_test.cc
+++ b/test/endpoint_directory_test.cc
@@ -44,7 +44,7 @@
     endpoint_directory endpoints;
     endpoints.replace({named("a"), named("b")}, false, {start_ms});
     attempt_at(endpoints, "a", attempt_outcome::other_instance);
-    endpoints.remove("a");
+    endpoints.remove({"a"}, 0);
     endpoints.update(named("a"));
     CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 9000));
   }
@@ -61,7 +61,7 @@
   void records_that_lapse_at_once_stay_for_a_moment() {
     endpoint_directory endpoints;
     endpoints.replace({named("a")}, false, {start_ms});
-    endpoints.lapse("a", {start_ms});
+    endpoints.lapse({"a"}, 0, {start_ms});
     endpoints.sweep(start_ms + 2000);
     CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(endpoints, start_ms + 2000));
     endpoints.update(named("a"));
@@ -72,7 +72,7 @@
   void lapsed_record_that_does_not_come_back_goes() {
     endpoint_directory endpoints;
     endpoints.replace({named("a"), named("b")}, false, {start_ms});
-    endpoints.lapse("a", {start_ms});
+    endpoints.lapse({"a"}, 0, {start_ms});
     endpoints.sweep(start_ms + 2500);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints.size());
   }
@@ -82,7 +82,7 @@
     endpoint leaving = named("a");
     leaving.draining = true;
     endpoints.replace({leaving, named("b")}, false, {start_ms});
-    endpoints.lapse("a", {start_ms});
+    endpoints.lapse({"a"}, 0, {start_ms});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints.size());
   }
 
@@ -150,15 +150,15 @@
   void instance_that_another_gateway_missed_gets_nothing() {
     endpoint_directory endpoints;
     endpoints.replace({named("a"), named("b")}, false, {start_ms});
-    CPPUNIT_ASSERT(endpoints.supersede("a"));
-    CPPUNIT_ASSERT(!endpoints.supersede("a"));
+    CPPUNIT_ASSERT(endpoints.supersede({"a"}));
+    CPPUNIT_ASSERT(!endpoints.supersede({"a"}));
     CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 10));
   }
 
   void report_that_comes_before_the_late_record_counts() {
     endpoint_directory endpoints;
     endpoints.replace({named("b")}, false, {start_ms});
-    endpoints.supersede("a");
+    endpoints.supersede({"a"});
     endpoints.update(named("a"));
     CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 10));
   }
@@ -166,7 +166,7 @@
  private:
   static endpoint named(const std::string& id) {
     endpoint made;
-    made.id = id;
+    made.identity.id = id;
     made.service = service;
     made.capacity = 4;
     return made;
@@ -176,9 +176,9 @@
       const endpoint_directory& endpoints, const std::string& id) {
     endpoint_choice wanted;
     wanted.service = service;
-    wanted.preferred = id;
+    wanted.preferred = {id};
     auto found = endpoints.choose(wanted, start_ms);
-    TRAYROCK_CHECK(found != nullptr && found->record.id == id,
+    TRAYROCK_CHECK(found != nullptr && found->record.identity.id == id,
                    "the endpoint asked for is chosen: " + id);
     return found;
   }
@@ -195,7 +195,7 @@
     endpoint_choice wanted;
     wanted.service = service;
     const auto found = endpoints.choose(wanted, now_ms);
-    return found == nullptr ? std::string() : found->record.id;
+    return found == nullptr ? std::string() : found->record.identity.id;
   }
 };
 
--- a/test/gateway_policy_test.cc
+++ b/test/gateway_policy_test.cc
@@ -13,7 +13,7 @@
   std::vector<endpoint_state_ptr> made;
   for (const char* id : {"a", "b"}) {
     made.push_back(std::make_shared<endpoint_state>());
-    made.back()->record.id = id;
+    made.back()->record.identity.id = id;
     made.back()->health = endpoint_health(policy);
   }
   return made;
@@ -112,14 +112,14 @@
   void turn_goes_by_load_without_previous_endpoint() {
     const auto endpoints = two_endpoints();
     endpoint_choice wanted;
-    wanted.preferred = "b";
+    wanted.preferred = {"b"};
     endpoints[1]->in_flight = 1;
     choice_policy policy;
     const auto kept = choose_endpoint(endpoints, wanted, policy, start_ms);
-    CPPUNIT_ASSERT_EQUAL(std::string("b"), kept->record.id);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), kept->record.identity.id);
     policy.keeps_previous = false;
     const auto free = choose_endpoint(endpoints, wanted, policy, start_ms);
-    CPPUNIT_ASSERT_EQUAL(std::string("a"), free->record.id);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), free->record.identity.id);
   }
 
   void late_is_the_objective_without_comparison() {
--- a/test/gateway_rules_test.cc
+++ b/test/gateway_rules_test.cc
@@ -22,7 +22,7 @@
 
 endpoint endpoint_of(const std::string& id, const std::string& data_centre) {
   endpoint made;
-  made.id = id;
+  made.identity.id = id;
   made.service = "s";
   made.address = "127.0.0.1:1";
   made.data_centre = data_centre;
@@ -100,48 +100,48 @@
     endpoint_directory directory;
     directory.replace({endpoint_of("a", "x"), endpoint_of("b", "x")}, false,
                       {now});
-    endpoint_choice wanted{"s", "b", "x", nullptr, nullptr};
+    endpoint_choice wanted{"s", {"b"}, "x", nullptr, nullptr};
     const auto chosen = directory.choose(wanted, now);
-    CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen->record.id);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen->record.identity.id);
 
     chosen->in_flight = 100;
     CPPUNIT_ASSERT_EQUAL(std::string("a"),
-                         directory.choose(wanted, now)->record.id);
+                         directory.choose(wanted, now)->record.identity.id);
   }
 
   void failing_endpoint_is_left_alone_but_not_the_last_one() {
     endpoint_directory directory;
     directory.replace({endpoint_of("a", "x"), endpoint_of("b", "x")}, false,
                       {now});
-    endpoint_choice wanted{"s", "a", "x", nullptr, nullptr};
+    endpoint_choice wanted{"s", {"a"}, "x", nullptr, nullptr};
     endpoint_directory::end(*directory.choose(wanted, now),
                             attempt_outcome::unreachable, 1, now);
     CPPUNIT_ASSERT_EQUAL(std::string("b"),
-                         directory.choose(wanted, now)->record.id);
-    directory.remove("b");
+                         directory.choose(wanted, now)->record.identity.id);
+    directory.remove({"b"}, 0);
     CPPUNIT_ASSERT_EQUAL(std::string("a"),
-                         directory.choose(wanted, now)->record.id);
+                         directory.choose(wanted, now)->record.identity.id);
   }
 
   void close_endpoints_come_first() {
     endpoint_directory directory;
     directory.replace({endpoint_of("a", "far"), endpoint_of("b", "near")},
                       false, {now});
-    endpoint_choice wanted{"s", "", "near", nullptr, nullptr};
+    endpoint_choice wanted{"s", {""}, "near", nullptr, nullptr};
     CPPUNIT_ASSERT_EQUAL(std::string("b"),
-                         directory.choose(wanted, now)->record.id);
+                         directory.choose(wanted, now)->record.identity.id);
   }
 
   void close_endpoints_stay_first_until_they_are_loaded() {
     endpoint_directory directory;
     directory.replace({endpoint_of("a", "far"), endpoint_of("b", "near")},
                       false, {now});
-    endpoint_choice wanted{"s", "", "near", nullptr, nullptr};
+    endpoint_choice wanted{"s", {""}, "near", nullptr, nullptr};
     std::string chosen;
     for (int i = 0; i < 4; ++i) {
       const endpoint_state_ptr to = directory.choose(wanted, now);
       endpoint_directory::begin(*to);
-      chosen += to->record.id;
+      chosen += to->record.identity.id;
     }
     CPPUNIT_ASSERT_EQUAL(std::string("bbab"), chosen);
   }
--- a/test/leaving_endpoint_test.cc
+++ b/test/leaving_endpoint_test.cc
@@ -24,7 +24,7 @@
 
 endpoint named(const std::string& id) {
   endpoint made;
-  made.id = id;
+  made.identity.id = id;
   made.service = service;
   made.address = "10.0.0.1:80";
   made.data_centre = "x";
@@ -36,10 +36,10 @@
 std::string chosen(const endpoint_directory& endpoints, std::uint64_t now_ms) {
   endpoint_choice wanted;
   wanted.service = service;
-  wanted.preferred = "leaving";
+  wanted.preferred = {"leaving"};
   wanted.data_centre = "x";
   const endpoint_state_ptr found = endpoints.choose(wanted, now_ms);
-  return found == nullptr ? "none" : found->record.id;
+  return found == nullptr ? "none" : found->record.identity.id;
 }
 
 endpoint_directory directory_of_four() {
@@ -121,7 +121,7 @@
   void removal_that_looks_like_a_lapse_is_heeded_in_time() {
     endpoint_directory endpoints = directory_of_four();
     for (const char* id : {"leaving", "a", "b"}) {
-      endpoints.lapse(id, {20640, 19105});
+      endpoints.lapse({id}, 0, {20640, 19105});
     }
     CPPUNIT_ASSERT(chosen(endpoints, 19105 + reconnect_ms) != "leaving");
   }
--- a/test/watch_log_test.cc
+++ b/test/watch_log_test.cc
@@ -134,7 +134,7 @@
     watch_log log = log_at(10);
     records::EndpointNews news;
     news.set_gateway("one");
-    news.add_failed("e0");
+    news.add_failed()->set_id("e0");
     log.add_news(news, start_ms);
     records::WatchRequest request;
     request.set_endpoints_revision(10);
@@ -154,7 +154,7 @@
   void old_news_are_not_told() {
     watch_log log = log_at(10);
     records::EndpointNews news;
-    news.add_failed("e0");
+    news.add_failed()->set_id("e0");
     log.add_news(news, start_ms);
     CPPUNIT_ASSERT_EQUAL(0,
                          answer(log, 10, start_ms + 2000).endpoint_news_size());
--- a/test/watch_reply_test.cc
+++ b/test/watch_reply_test.cc
@@ -120,7 +120,7 @@
   void absurdly_many_news_are_refused() {
     records::WatchReply told;
     for (int i = 0; i < 2000; ++i) {
-      told.add_endpoint_news()->add_failed("e1");
+      told.add_endpoint_news()->add_failed()->set_id("e1");
     }
     CPPUNIT_ASSERT(check(told) == errc::wire_too_large);
   }
--- a/tools/common.sh
+++ b/tools/common.sh
@@ -3,7 +3,7 @@
 packages="cmake ninja-build g++ pkg-config libevent-dev libnghttp2-dev
   libprotobuf-dev protobuf-compiler libboost-dev libcli11-dev liblog4cplus-dev
   libcppunit-dev nlohmann-json3-dev libxxhash-dev
-  libhttp-parser-dev clang-format clang-tidy
+  libhttp-parser-dev clang clang-format clang-tidy libclang-rt-14-dev
   python3 python3-scipy"
 
 # Installs what is missing, with Debian's package manager.
