A gateway that is cut off from all others says so and refuses at once

Cause: a gateway that reaches neither stores nor peers can reserve no turn. It said that it was ready, and its clients waited 1.1 s for each refusal, came back to it, and their programs died.

Ruled out: longer waits (nothing comes); refusing where stores are down for all (peers answer then, and a voter is replaced within two seconds).

Change: decide/contact_rule, pure: nothing is heard of any store or peer for 0.8 s though they are asked. Then the gateway is not ready, refuses what needs a record at once (error 1207, not run) with the time that the balancer needs to notice, closes kept connections behind their answers, serves on what needs no record, and asks a peer each 0.25 s whether it is over. One answer ends it.

--- a/include/trayrock/errors.h
+++ b/include/trayrock/errors.h
@@ -45,6 +45,7 @@
   leaving = 1204,
   stale_term = 1205,
   wrong_start = 1206,
+  cut_off = 1207,
 
   budget_exhausted = 1301,
   queue_full = 1302,
--- a/include/trayrock/internal/decide/return_time.h
+++ b/include/trayrock/internal/decide/return_time.h
@@ -36,4 +36,9 @@
 std::chrono::milliseconds return_time(const drain_view& view,
                                       return_rule rule = by_balancer{});
 
+// The same of a gateway that has been cut off from all others for this long:
+// its clients find another one once the balancer has noticed.
+std::chrono::milliseconds return_time_when_cut_off(
+    std::chrono::milliseconds cut_off_for);
+
 }  // namespace trayrock
--- a/include/trayrock/internal/gateway/platform_view.h
+++ b/include/trayrock/internal/gateway/platform_view.h
@@ -73,6 +73,9 @@
 
   peer_relays& relays() { return relays_; }
 
+  // Asks a peer for nothing but an answer, which tells `heard`.
+  void ask_sign_of_life(std::function<void()> heard);
+
  private:
   void watch_configurations();
   void watch_endpoints();
@@ -111,6 +114,7 @@
   answer_times told_now(const records::EndpointChanges& told) const;
 
   event_loop& loop_;
+  rpc_pool& pool_;
   platform::object_store& objects_;
   view_parts parts_;
   platform::group_registry registry_;
@@ -128,6 +132,7 @@
   std::map<std::uint64_t, std::uint64_t> news_seen_ms_;   // when, by id
   std::map<std::string, std::uint64_t> unusable_logged_;  // revision, by id
   timer sweeping_;
+  rpc_call asking_sign_;
 };
 
 }  // namespace trayrock
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -52,6 +52,8 @@
   // When clients that are turned away because the process stops should come
   // back.
   std::function<milliseconds()> back_after_stopping;
+  // How long this gateway has been cut off from all others; 0: it is not.
+  std::function<milliseconds()> cut_off_for;
   // Told of each endpoint that began a request and did not answer it whole.
   std::function<void(const endpoint_identity&)> endpoint_failed;
   // Told of each endpoint at whose address another instance answered.
--- a/include/trayrock/internal/net/http1_server.h
+++ b/include/trayrock/internal/net/http1_server.h
@@ -86,7 +86,7 @@
   void on_refusal(refusal_observer observer);
 
   // From now on every answer closes its connection.
-  void close_after_answers();
+  void close_after_answers(bool closes = true);
 
   // New connections wait, in number up to the backlog, until they are accepted
   // again.
--- a/include/trayrock/internal/records/record_client.h
+++ b/include/trayrock/internal/records/record_client.h
@@ -46,6 +46,10 @@
   // Calls to a store that does not answer at once also go by a relay.
   void use_relays(relay_source relays) { reach_.relays = std::move(relays); }
 
+  // Whether stores and relays alike leave all calls unanswered. Others may tell
+  // it of what else they hear (decide/contact_rule.h).
+  contact_rule& contact() { return reach_.contact; }
+
   // Takes a group unless a newer one is known.
   void adopt(const records::Group& group);
 
--- a/include/trayrock/internal/records/store_calls.h
+++ b/include/trayrock/internal/records/store_calls.h
@@ -18,6 +18,7 @@
 #include <string>
 
 #include "records.pb.h"
+#include "trayrock/internal/decide/contact_rule.h"
 #include "trayrock/internal/decide/relay_choice.h"
 #include "trayrock/internal/metrics.h"
 #include "trayrock/internal/net/rpc.h"
@@ -50,6 +51,7 @@
   metrics_registry& metrics;
   relay_source relays;
   store_paths paths;
+  contact_rule contact;
 
   // True while direct calls to the store stay unanswered.
   bool is_silent(const std::string& store) const;
--- a/src/decide/return_time.cc
+++ b/src/decide/return_time.cc
@@ -1,5 +1,7 @@
 #include "trayrock/internal/decide/return_time.h"
 
+#include <algorithm>
+
 namespace trayrock {
 namespace {
 
@@ -34,4 +36,8 @@
   return std::visit([&](const auto& by) { return time_by(by, view); }, rule);
 }
 
+milliseconds return_time_when_cut_off(milliseconds cut_off_for) {
+  return std::max(balancer_notice - cut_off_for, at_once);
+}
+
 }  // namespace trayrock
--- a/src/errors.cc
+++ b/src/errors.cc
@@ -32,6 +32,7 @@
     error_row{errc::leaving, 503, "process is leaving"},
     error_row{errc::stale_term, 503, "a newer owner of the shard is known"},
     error_row{errc::wrong_start, 503, "meant for another start of the node"},
+    error_row{errc::cut_off, 503, "no other process of the system is in reach"},
     error_row{errc::budget_exhausted, 429, "budget exhausted"},
     error_row{errc::queue_full, 503, "queue is full"},
     error_row{errc::wait_too_long, 503, "expected wait exceeds the limit"},
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -59,6 +59,7 @@
             [this] { return view_.endpoints_age_ms(); },
             [this] { return stages_.time_to_end(); },
             [this] { return stages_.back_after_stopping(); },
+            [this] { return cut_off_for(); },
             [this](const endpoint_identity& at) { view_.note_failure(at); },
             [this](const endpoint_identity& at) { view_.note_superseded(at); }},
         clients_(
@@ -100,6 +101,9 @@
     const timer reload = loop_.on_signal(SIGHUP, [] {
       log_info("reload", {{"outcome", "no setting can change while running"}});
     });
+    const timer contact =
+        loop_.every(milliseconds(contact_rule::tick_period_ms),
+                    [this] { watch_contact(); });
     loop_.run();
     log_info("gateway_stopped", {{"gateway", settings_.service.name}});
     return stages_.exit_code();
@@ -137,9 +141,33 @@
     return made;
   }
 
-  bool ready() const {
+  bool ready() {
     return !stages_.draining() && view_.configuration() != nullptr &&
-           endpoints_.size() > 0 && records_.has_group();
+           endpoints_.size() > 0 && records_.has_group() &&
+           !records_.contact().cut_off();
+  }
+
+  milliseconds cut_off_for() {
+    const std::uint64_t since = records_.contact().cut_off_since_ms();
+    return milliseconds(since == 0 ? 0 : loop_.now_ms() - since);
+  }
+
+  // Looks whether this gateway is cut off from all others. Clients on kept
+  // connections are to find another one then; and peers are asked whether it is
+  // over, since no request does that any more.
+  void watch_contact() {
+    contact_rule& contact = records_.contact();
+    contact.tick(loop_.now_ms());
+    if (contact.cut_off() != was_cut_off_) {
+      was_cut_off_ = contact.cut_off();
+      metrics_.set("cut_off", {}, was_cut_off_ ? 1 : 0);
+      log_warn(was_cut_off_ ? "cut_off" : "cut_off_over",
+               {{"ready", ready() ? "yes" : "no"}});
+      clients_.close_after_answers(was_cut_off_ || stages_.draining());
+    }
+    if (was_cut_off_) {
+      view_.ask_sign_of_life([this] { records_.contact().heard(); });
+    }
   }
 
   void serve_if_ready() {
@@ -167,6 +195,7 @@
   gateway_stages stages_;
   http1_server readiness_;
   http1_server figures_;
+  bool was_cut_off_ = false;
 };
 
 }  // namespace
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -39,6 +39,8 @@
 constexpr std::size_t most_unusable_logged = 256;
 // How often endpoints are dropped whose time is over.
 constexpr milliseconds sweep_period{250};
+// Peers answer in some ms; another one is asked after this.
+constexpr milliseconds sign_limit{250};
 
 platform::gateway_entry entry_of(const service_settings& from) {
   return {from.name, from.rpc_address.text(), from.data_centre};
@@ -118,6 +120,7 @@
                              const gateway_settings& settings,
                              const gateway_policy& policy, view_parts parts)
     : loop_(loop),
+      pool_(pool),
       objects_(objects),
       parts_(parts),
       registry_(loop, objects, policy.repeats_listings),
@@ -229,6 +232,24 @@
   endpoints_.start();
 }
 
+void platform_view::ask_sign_of_life(std::function<void()> heard) {
+  const relay_source peers = relays_.source();
+  const std::string peer = peers.pick();
+  if (peer.empty() || asking_sign_.running()) {
+    return;
+  }
+  asking_sign_ = pool_.ask<records::WatchReply>(
+      peer, "Watch", records::WatchRequest(), sign_limit,
+      [peers, peer,
+       heard = std::move(heard)](const result<records::WatchReply>& reply) {
+        if (reply) {
+          heard();
+        } else {
+          peers.failed(peer, relay_failure::silent);
+        }
+      });
+}
+
 void platform_view::follow() {
   follower_.start(
       {[this] { return position(); }, [this] { return hold(); },
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -4,6 +4,7 @@
 
 #include "platform/messages.h"
 #include "request_flow_state.h"
+#include "trayrock/internal/decide/return_time.h"
 #include "trayrock/internal/gateway/error_answer.h"
 #include "trayrock/internal/log.h"
 
@@ -40,6 +41,10 @@
   }
   watch_ends();
   if (history_.begin(terms_.route())) {
+    if (parts_.cut_off_for() > milliseconds(0)) {
+      refuse(errc::cut_off);
+      return;
+    }
     reserve();
   } else {
     send_next();
@@ -100,9 +105,18 @@
 
 void request_flow::refuse(errc why) {
   end(make_error_code(why).message(), http_status(why));
-  const milliseconds come_back =
-      why == errc::stopping ? parts_.back_after_stopping() : back_after(why);
-  respond_error(answer_.out(), why, come_back);
+  respond_error(answer_.out(), why, come_back_after(why));
+}
+
+milliseconds request_flow::come_back_after(errc why) const {
+  switch (why) {
+    case errc::stopping:
+      return parts_.back_after_stopping();
+    case errc::cut_off:
+      return return_time_when_cut_off(parts_.cut_off_for());
+    default:
+      return back_after(why);
+  }
 }
 
 milliseconds request_flow::elapsed_ms() const {
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -47,6 +47,7 @@
   void fail(errc why);
 
   void refuse(errc why);
+  milliseconds come_back_after(errc why) const;
   milliseconds elapsed_ms() const;
   std::uint64_t elapsed_us() const;
 
--- a/src/net/http1_server.cc
+++ b/src/net/http1_server.cc
@@ -63,7 +63,7 @@
   impl_->refused = std::move(observer);
 }
 
-void http1_server::close_after_answers() { impl_->closing = true; }
+void http1_server::close_after_answers(bool closes) { impl_->closing = closes; }
 
 void http1_server::close_idle() {
   std::vector<std::shared_ptr<internal::http1_server_connection>> idle;
