--- a/fuzz/entries_fuzz.cc
+++ b/fuzz/entries_fuzz.cc
@@ -69,6 +69,7 @@
 
 }  // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): the library's name
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   if (size == 0) {
--- a/include/trayrock/internal/decide/endpoint_identity.h
+++ b/include/trayrock/internal/decide/endpoint_identity.h
@@ -23,6 +23,7 @@
   // older than any start that is.
   std::uint64_t started_ms = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): inside of the generated operator
   auto operator<=>(const endpoint_identity&) const = default;
 
   bool empty() const { return id.empty(); }
--- a/include/trayrock/internal/gateway/platform_view.h
+++ b/include/trayrock/internal/gateway/platform_view.h
@@ -22,6 +22,7 @@
 #include "platform/group_registry.h"
 #include "trayrock/internal/gateway/configuration.h"
 #include "trayrock/internal/gateway/endpoint_directory.h"
+#include "trayrock/internal/gateway/endpoint_entries.h"
 #include "trayrock/internal/gateway/gateway_policy.h"
 #include "trayrock/internal/gateway/peer_news.h"
 #include "trayrock/internal/gateway/peer_relays.h"
@@ -92,8 +93,6 @@
   void take_written(const platform::stored_object& object);
   void take_configuration(const platform::stored_object& object);
   void take_document(const configuration_document& document);
-  void take_listing(const platform::object_listing& found, bool after_loss);
-  void take_changes(const platform::object_changes& seen, std::uint64_t after);
   void apply(const records::EndpointChanges& said, const answer_times& times);
   std::uint64_t apply_listing(const records::EndpointChanges& said,
                               const answer_times& times);
@@ -103,10 +102,6 @@
   void pass_on(const records::EndpointNews& news);
   bool is_new(const records::EndpointNews& news);
 
-  void add_entry(const platform::stored_object& object,
-                 records::EndpointChanges& said);
-  void note_unusable(const platform::stored_object& object,
-                     std::error_code why);
   void withdraw(const records::EndpointChanges& said);
   void note_start(const endpoint& listed);
   void sweep();
@@ -122,6 +117,7 @@
   platform::collection_watcher endpoints_;
   platform::gateway_registry gateways_;
   peer_relays relays_;
+  endpoint_entries entries_;
   watch_log log_;
   watch_follower follower_;
   watch_server server_;
@@ -129,8 +125,7 @@
   std::function<void()> changed_;
   configuration_ptr configuration_;
   configuration_document document_;  // that `configuration_` was read from
-  std::map<std::uint64_t, std::uint64_t> news_seen_ms_;   // when, by id
-  std::map<std::string, std::uint64_t> unusable_logged_;  // revision, by id
+  std::map<std::uint64_t, std::uint64_t> news_seen_ms_;  // when, by id
   timer sweeping_;
   rpc_call asking_sign_;
 };
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -33,10 +33,6 @@
 constexpr std::uint64_t news_memory_ms = 3000;
 // Ids that one line of the log names.
 constexpr std::size_t most_logged_ids = 24;
-// Bytes of a name that another writer has chosen.
-constexpr std::size_t most_logged_name = 64;
-// Unusable entries whose revision is remembered, so that each is one line.
-constexpr std::size_t most_unusable_logged = 256;
 // How often endpoints are dropped whose time is over.
 constexpr milliseconds sweep_period{250};
 // Peers answer in some ms; another one is asked after this.
@@ -135,6 +131,7 @@
            policy.repeats_listings, first_pause(settings.endpoint_notice)}),
       gateways_(objects),
       relays_(loop, gateways_, entry_of(settings.service)),
+      entries_(parts.metrics),
       log_(random_number()),
       follower_(loop, pool, relays_, entry_of(settings.service), policy.watches,
                 timing_within(settings.endpoint_notice)),
@@ -223,11 +220,11 @@
 void platform_view::watch_endpoints() {
   endpoints_.on_snapshot(
       [this](const platform::object_listing& found, bool after_loss) {
-        take_listing(found, after_loss);
+        apply(entries_.of_listing(found, after_loss), answered_now());
       });
   endpoints_.on_answer(
       [this](const platform::object_changes& seen, std::uint64_t after) {
-        take_changes(seen, after);
+        apply(entries_.of_changes(seen, after), answered_now());
       });
   endpoints_.start();
 }
@@ -392,41 +389,6 @@
 
 // ---- Endpoints -------------------------------------------------------------
 
-// What the platform holds of an endpoint.
-void platform_view::add_entry(const platform::stored_object& object,
-                              records::EndpointChanges& said) {
-  const result<endpoint> decoded = platform::decode_endpoint(object);
-  if (decoded) {
-    *said.add_changes()->mutable_record() = encode(decoded.value());
-    unusable_logged_.erase(object.name);
-    return;
-  }
-  records::EndpointRecord& unusable = *said.add_unusable();
-  unusable.set_id(object.name);
-  unusable.set_revision(object.revision);
-  note_unusable(object, decoded.error());
-}
-
-// One line for each revision of an entry, of so many entries at the most.
-void platform_view::note_unusable(const platform::stored_object& object,
-                                  std::error_code why) {
-  parts_.metrics.add("endpoint_entries_unusable_total",
-                     {{"error", std::to_string(why.value())}});
-  const bool known = unusable_logged_.contains(object.name);
-  if (!known && unusable_logged_.size() >= most_unusable_logged) {
-    return;
-  }
-  if (std::exchange(unusable_logged_[object.name], object.revision) ==
-      object.revision) {
-    return;
-  }
-  log_error("endpoint_unusable",
-            {{"endpoint", object.name.substr(0, most_logged_name)},
-             {"revision", std::to_string(object.revision)},
-             {"error", std::to_string(why.value())},
-             {"cause", why.message()}});
-}
-
 // A later instance of an endpoint that is known is worth a line.
 void platform_view::note_start(const endpoint& listed) {
   const endpoint* known = parts_.endpoints.find(listed.identity.id);
@@ -445,43 +407,12 @@
   for (const records::EndpointRecord& each : said.unusable()) {
     if (parts_.endpoints.withdraw(each.id(), each.revision())) {
       log_warn("endpoint_withdrawn",
-               {{"endpoint", each.id().substr(0, most_logged_name)},
+               {{"endpoint", short_name(each.id())},
                 {"revision", std::to_string(each.revision())}});
     }
   }
 }
 
-void platform_view::take_listing(const platform::object_listing& found,
-                                 bool after_loss) {
-  records::EndpointChanges said;
-  said.set_whole(true);
-  said.set_after_loss(after_loss);
-  said.set_revision(found.revision);
-  for (const platform::stored_object& each : found.objects) {
-    add_entry(each, said);
-  }
-  apply(said, answered_now());
-}
-
-void platform_view::take_changes(const platform::object_changes& seen,
-                                 std::uint64_t after) {
-  records::EndpointChanges said;
-  said.set_after(after);
-  said.set_revision(seen.revision);
-  for (const platform::object_change& each : seen.changes) {
-    if (each.removed) {
-      records::EndpointChange& change = *said.add_changes();
-      change.set_removed(true);
-      const endpoint_identity gone = platform::identity_of(each.object);
-      change.mutable_record()->set_id(gone.id);
-      change.mutable_record()->set_started_ms(gone.started_ms);
-    } else {
-      add_entry(each.object, said);
-    }
-  }
-  apply(said, answered_now());
-}
-
 void platform_view::apply(const records::EndpointChanges& said,
                           const answer_times& times) {
   endpoints_.advance(said.revision());
--- a/src/gateway/watch_log.cc
+++ b/src/gateway/watch_log.cc
@@ -12,7 +12,8 @@
 constexpr std::size_t most_news = 512;
 
 std::size_t entries_of(const records::EndpointChanges& said) {
-  return static_cast<std::size_t>(said.changes_size() + said.unusable_size());
+  return static_cast<std::size_t>(said.changes_size()) +
+         static_cast<std::size_t>(said.unusable_size());
 }
 
 std::uint32_t time_left(std::uint64_t until_ms, std::uint64_t now_ms) {
