--- a/include/trayrock/internal/decide/contact_rule.h
+++ b/include/trayrock/internal/decide/contact_rule.h
@@ -3,9 +3,10 @@
 // A gateway that is cut off from the record stores goes on by way of its peers.
 // One that reaches neither can serve nothing that needs a record, but goes on
 // getting connections: its balancer asks it alone whether it is ready. Clients
-// then waited 1.1 s for each refusal and came back to the same gateway, and
-// their programs died (windows of two seconds at 0.16 to 0.35 of what they are
-// worth). So it says that it is not ready, and refuses at once.
+// then waited for each refusal and came back to the same gateway, and their
+// programs died. So it says that it is not ready, and refuses at once. Of a day
+// with a gateway cut off for 7 s during a rolling restart that raised the worth
+// from 0.679 and 0.664 to 0.753 and 0.862 (two seeds, one play each).
 //
 // A store or peer that answers anything, be it a refusal, ends it: stores that
 // are all down for everybody are no reason to send clients elsewhere. With no
