Keys and workspaces are read, and all that is kept belongs to a workspace

Cause: a configuration's keys and workspaces were read nowhere.

Ruled out: keying history by the key itself (keys come and go within a workspace); a field of its own in the records (a store's index is by name, and a name that holds the workspace needs no change there); a sorted list of keys (a look-up that tells by its time how much of a key is right).

Change: workspaces and keys are decoded strictly in platform/ (configuration_entry, split from documents with entry_fields); a fault leaves the configuration in force. An unknown key, none, or two is 401; a gateway without a configuration says 503. Endpoints get the workspace and never the key; what a client sends under the workspace's header is dropped, and trailers no longer pass for headers. Turns, budgets and cached chains are named with their workspace: another one's turn is 404. A key that moves to another workspace while its request waits is refused. A limit may have a fraction (it is a rate), and a workspace may come without a list of keys.

Old records: a turn that was kept without a workspace is not known to any workspace later; where a configuration names none, all is as before.

--- a/fakes/fake_runner.cc
+++ b/fakes/fake_runner.cc
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "trayrock/internal/net/http1_server.h"
 
@@ -71,7 +72,10 @@
   json counts() const {
     json runs = json::object();
     for (const auto& [attempt, body] : bodies_) {
-      runs[attempt] = {{"runs", runs_.at(attempt)}, {"body", body}};
+      runs[attempt] = {{"runs", runs_.at(attempt)},
+                       {"body", body},
+                       {"workspaces", workspaces_.at(attempt)},
+                       {"saw_key", saw_key_.contains(attempt)}};
     }
     return {{"runs", runs}, {"cancelled", cancelled_}};
   }
@@ -100,6 +104,15 @@
     }
     ++runs_[attempt];
     bodies_[attempt] = request.body;
+    workspaces_[attempt] = json::array();
+    for (const trayrock::header_field& each : request.headers.fields()) {
+      if (trayrock::same_name(each.name, "Trayrock-Tenant")) {
+        workspaces_[attempt].push_back(each.value);
+      }
+    }
+    if (request.headers.has("Authorization")) {
+      saw_key_.insert(attempt);
+    }
     if (take(faults_.hang)) {
       hung_.push_back(out);
       out->on_gone([this] { ++cancelled_; });
@@ -193,6 +206,8 @@
   std::uint64_t next_ = 0;
   std::map<std::string, int> runs_;
   std::map<std::string, std::string> bodies_;
+  std::map<std::string, json> workspaces_;  // as told, by attempt
+  std::set<std::string> saw_key_;           // attempts that came with a key
   std::map<std::uint64_t, trayrock::timer> timers_;
   std::vector<http1_exchange_ptr> hung_;
 };
--- a/fuzz/entries_fuzz.cc
+++ b/fuzz/entries_fuzz.cc
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string_view>
 
+#include "platform/configuration_entry.h"
 #include "platform/documents.h"
 #include "platform/stored_object.h"
 #include "records.pb.h"
--- a/include/trayrock/errors.h
+++ b/include/trayrock/errors.h
@@ -38,6 +38,7 @@
   unknown_service = 1110,
   unknown_route = 1111,
   unknown_turn = 1112,
+  unknown_key = 1113,
 
   shard_moving = 1201,
   no_owner_reachable = 1202,
@@ -56,6 +57,8 @@
   program_limit = 1307,
   tokens_spent = 1308,
   tokens_reserved = 1309,
+  workspace_limit = 1310,
+  workspace_limit_unknown = 1311,
 
   runner_failed = 1401,
   outcome_unknown = 1402,
@@ -86,6 +89,8 @@
   entry_wrong_type = 1519,
   entry_out_of_range = 1520,
   entry_unknown_phase = 1521,
+  entry_repeats_name = 1522,
+  configuration_unproven = 1523,
 
   declaration_syntax = 1601,
   declaration_unknown_kind = 1602,
--- a/include/trayrock/internal/gateway/configuration.h
+++ b/include/trayrock/internal/gateway/configuration.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "trayrock/internal/decide/endpoint_identity.h"
+#include "trayrock/internal/gateway/workspaces.h"
 
 namespace trayrock {
 
@@ -47,6 +48,7 @@
   std::chrono::seconds retention{0};
   // A stream may go on at another endpoint behind an event; it is idempotent.
   bool resumable = false;
+  bool open_to_all = false;  // no key is asked for
   // Longest pause between events that keeps a stream in time; 0: none named.
   std::chrono::milliseconds longest_pause{0};
 };
@@ -77,6 +79,8 @@
   std::vector<route> routes;
   std::map<std::string, service, std::less<>> services;
   client_limits limits;
+  // Nothing: requests carry no keys and belong to nobody.
+  std::optional<workspace_table> workspaces;
 };
 using configuration_ptr = std::shared_ptr<const configuration>;
 
--- a/include/trayrock/internal/gateway/request_facts.h
+++ b/include/trayrock/internal/gateway/request_facts.h
@@ -32,6 +32,8 @@
   std::vector<prompt_part> prompt;  // in order
   std::string previous_turn;        // attempt that this turn goes on from
   std::string object;               // what the request is about, for locality
+  // That the request shows; empty if it shows none, or more than one.
+  std::string key;
 };
 
 struct answer_facts {
@@ -47,6 +49,10 @@
   std::chrono::milliseconds time_left{0};
   std::string instance;        // the life of the endpoint that is meant
   std::optional<int> urgency;  // 0 (first) to 9
+  std::string workspace;       // that the request belongs to; empty: to none
+  // The key is not for endpoints. Where none is asked for, what stands in its
+  // place is the client's own and goes on.
+  bool hides_key = false;
   // The event behind which a stream goes on; nothing: as its client asked.
   std::optional<std::uint64_t> resume_after;
 };
--- a/include/trayrock/internal/gateway/request_report.h
+++ b/include/trayrock/internal/gateway/request_report.h
@@ -17,6 +17,7 @@
 
 struct request_report {
   std::string route = "none";
+  std::string workspace;            // empty: none
   std::uint64_t configuration = 0;  // version; 0: none yet
   std::string endpoint;             // the last one that was chosen
   std::string placed_by;            // why it was chosen
--- a/include/trayrock/internal/gateway/request_terms.h
+++ b/include/trayrock/internal/gateway/request_terms.h
@@ -29,12 +29,17 @@
 
 class request_terms {
  public:
-  // Finds the route and the service. Refused with errc::not_configured,
-  // errc::unknown_route or errc::missing_header; what was found until then is
-  // there for the report.
+  // Finds the route, the service and the workspace. Refused with
+  // errc::not_configured, errc::unknown_route, errc::missing_header or
+  // errc::unknown_key; what was found until then is there for the report.
   std::optional<errc> find(configuration_ptr from, const http1_request& request,
                            const request_facts& facts);
 
+  // Whether the key still belongs to the same workspace in a configuration that
+  // came into force while the request waited. Refused with errc::unknown_key.
+  std::optional<errc> check_key(const configuration* now,
+                                const request_facts& facts) const;
+
   // Fits the request into the time of its client, of its route, and that which
   // is left until the process ends. Refused with errc::stopping. Called once
   // the route is found.
@@ -54,6 +59,17 @@
   bool stream() const { return route_->kind == repetition::stream; }
   bool resumable() const { return stream() && route_->resumable; }
 
+  // Whether the request had to show a key.
+  bool asks_for_key() const {
+    return from_->workspaces.has_value() && !route_->open_to_all;
+  }
+
+  // nullptr where no key is asked for.
+  const trayrock::workspace* owner() const { return owner_; }
+  std::string_view workspace_name() const {
+    return owner_ == nullptr ? std::string_view() : owner_->name;
+  }
+
   // How long the request is held, from its coming.
   milliseconds hold() const { return hold_; }
 
@@ -64,6 +80,7 @@
   configuration_ptr from_;
   const trayrock::route* route_ = nullptr;
   std::string_view service_;
+  const trayrock::workspace* owner_ = nullptr;
   milliseconds hold_{0};
 };
 
--- a/include/trayrock/internal/gateway/turn_history.h
+++ b/include/trayrock/internal/gateway/turn_history.h
@@ -55,7 +55,9 @@
   // history. True when `reserve` has to be called before the turn is sent:
   // there is a budget, which turns of all routes share, or the chain is not
   // cached.
-  bool begin(const route& from);
+  // Turns and programs belong to the workspace, if there is one: another one
+  // may use the same names, and knows nothing of these.
+  bool begin(const route& from, std::string_view workspace);
 
   // Asks the record stores for the reservation, and for the chain if needed.
   void reserve(milliseconds limit, record_client::reserve_callback done);
@@ -90,6 +92,10 @@
   chain_cache& chains_;
   const request_facts& facts_;
   std::chrono::seconds retention_{0};
+  // The names under which records are kept.
+  std::string attempt_;
+  std::string program_;
+  std::string previous_turn_;
   chain_cache::chain_ptr chain_;
   std::string asked_;  // the turn whose chain the stores are asked for
   bool reserved_ = false;
--- a/include/trayrock/internal/net/header_list.h
+++ b/include/trayrock/internal/net/header_list.h
@@ -37,6 +37,9 @@
   // True when a field of the name is there, also an empty one.
   bool has(std::string_view name) const;
 
+  // How many fields of the name there are.
+  std::size_t count(std::string_view name) const;
+
   // Removes the fields that concern one connection only, and those that the
   // Connection header names.
   void remove_hop_by_hop();
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -4,6 +4,7 @@
 #include <random>
 #include <span>
 
+#include "platform/configuration_entry.h"
 #include "platform/documents.h"
 #include "trayrock/internal/gateway/endpoint_records.h"
 #include "trayrock/internal/gateway/watch_reply.h"
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -40,7 +40,7 @@
     answer_.make_resumable();
   }
   watch_ends();
-  if (history_.begin(terms_.route())) {
+  if (history_.begin(terms_.route(), terms_.workspace_name())) {
     if (parts_.cut_off_for() > milliseconds(0)) {
       refuse(errc::cut_off);
       return;
@@ -144,6 +144,7 @@
     return;
   }
   report_.route = terms_.route().name;
+  report_.workspace = terms_.workspace_name();
   if (answered) {
     parts_.durations.add(terms_.route().name, elapsed_ms());
   }
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -23,6 +23,12 @@
     deadline_passed();
     return;
   }
+  if (const auto refused =
+          terms_.check_key(parts_.configuration().get(), facts_);
+      refused && !answer_.begun()) {
+    give_up(*refused);
+    return;
+  }
   if (!attempt_.begin(
           parts_.endpoints.choose(wanted(), parts_.loop.now_ms()))) {
     give_up(tried_.empty() ? errc::no_runner : errc::endpoints_full);
@@ -59,6 +65,8 @@
   directions.time_left = time_left();
   directions.instance = attempt_.to()->identity.id;
   directions.resume_after = answer_.last_event_id();
+  directions.workspace = terms_.workspace_name();
+  directions.hides_key = terms_.from()->workspaces.has_value();
   http1_request made = platform::endpoint_request(request_, directions);
   if (history_.chain() != nullptr) {
     made.body = history_.chain()->text + request_.body;
--- a/src/gateway/request_terms.cc
+++ b/src/gateway/request_terms.cc
@@ -31,9 +31,25 @@
     return errc::missing_header;
   }
   service_ = pick_service(*route_, placement_key(facts));
+  if (asks_for_key()) {
+    owner_ = from_->workspaces->owner_of(facts.key);
+    if (owner_ == nullptr) {
+      return errc::unknown_key;
+    }
+  }
   return std::nullopt;
 }
 
+std::optional<errc> request_terms::check_key(const configuration* now,
+                                             const request_facts& facts) const {
+  if (owner_ == nullptr || now == from_.get() || !now->workspaces) {
+    return std::nullopt;
+  }
+  const trayrock::workspace* owner = now->workspaces->owner_of(facts.key);
+  const bool same = owner != nullptr && owner->name == owner_->name;
+  return same ? std::nullopt : std::optional(errc::unknown_key);
+}
+
 std::optional<errc> request_terms::fit(const request_facts& facts,
                                        const duration_book& durations,
                                        milliseconds time_to_end) {
--- a/src/gateway/turn_history.cc
+++ b/src/gateway/turn_history.cc
@@ -9,20 +9,33 @@
 // Settlements are tried this long without anybody waiting.
 constexpr milliseconds settle_limit{4000};
 
+// The name of a workspace's turn or program among all. No header holds a line
+// feed, so that a client can not make another workspace's name, nor one of
+// those that belong to none. Empty stays empty.
+std::string kept_name(std::string_view workspace, const std::string& name) {
+  if (workspace.empty() || name.empty()) {
+    return name;
+  }
+  return std::string(workspace).append("\n").append(name);
+}
+
 }  // namespace
 
 bool turn_history::has_budget() const {
   return facts_.token_budget.has_value() && !facts_.program.empty();
 }
 
-bool turn_history::begin(const route& from) {
+bool turn_history::begin(const route& from, std::string_view workspace) {
+  attempt_ = kept_name(workspace, facts_.attempt);
+  program_ = kept_name(workspace, facts_.program);
+  previous_turn_ = kept_name(workspace, facts_.previous_turn);
   reserved_ = has_budget();
   if (!from.keeps_history) {
     return reserved_;
   }
   retention_ = from.retention;
-  chain_ = chains_.find(facts_.previous_turn, loop_.now_ms());
-  asked_ = chain_ == nullptr ? facts_.previous_turn : std::string();
+  chain_ = chains_.find(previous_turn_, loop_.now_ms());
+  asked_ = chain_ == nullptr ? previous_turn_ : std::string();
   return reserved_ || !asked_.empty();
 }
 
@@ -30,8 +43,8 @@
                            record_client::reserve_callback done) {
   records::Reservation reservation;
   if (reserved_) {
-    reservation.set_program(facts_.program);
-    reservation.set_attempt(facts_.attempt);
+    reservation.set_program(program_);
+    reservation.set_attempt(attempt_);
     reservation.set_tokens(facts_.most_output_tokens);
   }
   records_.reserve(reservation, asked_, limit, std::move(done));
@@ -49,7 +62,7 @@
     }
     chain_ = std::make_shared<const chain_cache::chain>(chain_cache::chain{
         std::move(made.value().text), std::move(made.value().endpoint)});
-    chains_.put(facts_.previous_turn, chain_, retained_until_ms());
+    chains_.put(previous_turn_, chain_, retained_until_ms());
   }
   if (!has_budget()) {
     return std::nullopt;
@@ -64,7 +77,7 @@
 std::optional<errc> turn_history::judge_budget(
     const program_usage& usage) const {
   const budget_verdict verdict =
-      usage.decide(bytes_of(id_of(facts_.attempt)), facts_.most_output_tokens,
+      usage.decide(bytes_of(id_of(attempt_)), facts_.most_output_tokens,
                    *facts_.token_budget);
   if (verdict == budget_verdict::fits) {
     return std::nullopt;
@@ -87,8 +100,8 @@
   settled_ = true;
   records::Record record;
   records::Settlement& made = *record.mutable_settlement();
-  made.set_program(facts_.program);
-  made.set_attempt(facts_.attempt);
+  made.set_program(program_);
+  made.set_attempt(attempt_);
   made.set_tokens(tokens);
   records_.keep(std::move(record), settle_limit,
                 [attempt = facts_.attempt](std::error_code failed) {
@@ -116,9 +129,9 @@
 records::Record turn_history::record_of(const finished_turn& turn) const {
   records::Record record;
   records::Turn& made = *record.mutable_turn();
-  made.set_attempt(facts_.attempt);
-  made.set_previous(facts_.previous_turn);
-  made.set_program(reserved_ ? facts_.program : std::string());
+  made.set_attempt(attempt_);
+  made.set_previous(previous_turn_);
+  made.set_program(reserved_ ? program_ : std::string());
   made.set_input(turn.input.data(), turn.input.size());
   made.set_output(turn.output.data(), turn.output.size());
   made.set_tokens(turn.tokens);
@@ -134,7 +147,7 @@
   }
   grown->text.append(turn.input).append(turn.output);
   grown->endpoint = turn.endpoint;
-  chains_.put(facts_.attempt, grown, retained_until_ms());
+  chains_.put(attempt_, grown, retained_until_ms());
 }
 
 std::uint64_t turn_history::retained_until_ms() const {
--- a/src/gateway/watch_reply.cc
+++ b/src/gateway/watch_reply.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "platform/configuration_entry.h"
 #include "platform/documents.h"
 #include "trayrock/internal/gateway/endpoint_records.h"
 
--- a/src/net/header_list.cc
+++ b/src/net/header_list.cc
@@ -51,6 +51,12 @@
       [name](const header_field& each) { return same_name(each.name, name); });
 }
 
+std::size_t header_list::count(std::string_view name) const {
+  return static_cast<std::size_t>(std::count_if(
+      fields_.begin(), fields_.end(),
+      [name](const header_field& each) { return same_name(each.name, name); }));
+}
+
 void header_list::remove_hop_by_hop() {
   std::vector<std::string> named;
   for (const header_field& each : fields_) {
--- a/src/net/http1_server_connection.cc
+++ b/src/net/http1_server_connection.cc
@@ -69,6 +69,9 @@
   if (me.whole_ || !me.count_header_bytes(length)) {
     return 1;
   }
+  if (me.head_read_) {
+    return 0;  // a trailer: it must not pass for a header
+  }
   me.collector_.add_name(me.request_.headers, {at, length});
   return 0;
 }
@@ -79,12 +82,16 @@
   if (!me.count_header_bytes(length)) {
     return 1;
   }
+  if (me.head_read_) {
+    return 0;
+  }
   me.collector_.add_value(me.request_.headers, {at, length});
   return 0;
 }
 
 int http1_server_connection::on_headers(http_parser* parser) {
   http1_server_connection& me = self(parser);
+  me.head_read_ = true;
   me.keep_alive_ = http_should_keep_alive(parser) != 0;
   me.old_client_ = parser->http_major < 1 ||
                    (parser->http_major == 1 && parser->http_minor == 0);
@@ -128,6 +135,7 @@
 void http1_server_connection::begin_request() {
   reading_ = true;
   whole_ = false;
+  head_read_ = false;
   collector_.restart();
   refusal_ = 0;
   header_bytes_ = 0;
--- a/src/net/http1_server_connection.h
+++ b/src/net/http1_server_connection.h
@@ -138,8 +138,9 @@
   std::size_t header_bytes_ = 0;
   header_collector collector_;
   bool whole_ = false;
-  bool reading_ = false;  // a request has begun and is not whole
-  bool serving_ = false;  // a request is being answered
+  bool head_read_ = false;  // what follows are the body and trailers
+  bool reading_ = false;    // a request has begun and is not whole
+  bool serving_ = false;    // a request is being answered
   bool closing_ = false;
   bool keep_alive_ = true;
   bool old_client_ = false;
--- a/test/gateway_rules_test.cc
+++ b/test/gateway_rules_test.cc
@@ -1,4 +1,5 @@
 // Decisions of gateway and record stores without I/O.
+#include "platform/configuration_entry.h"
 #include "platform/documents.h"
 #include "platform/messages.h"
 #include "test_support.h"
--- a/test/object_entries_test.cc
+++ b/test/object_entries_test.cc
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "local_server.h"
+#include "platform/configuration_entry.h"
 #include "platform/documents.h"
 #include "platform/object_store.h"
 
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -134,7 +134,7 @@
   gateway.metrics_port = take_port();
   gateway.command = {binaries_ + "/trayrock-gateway", "--settings",
                      folder_ + "/" + name + ".json"};
-  const json settings = {
+  json settings = {
       {"name", name},
       {"box", name},
       {"data_centre", options_.gateways_together ? "dc-1" : data_centre(name)},
@@ -144,6 +144,9 @@
       {"metrics_listen", local(gateway.metrics_port)},
       {"platform", local(reached_at("platform of " + name, port("objects")))},
       {"stop_limit_s", options_.stop_limit_s}};
+  if (options_.revocation_limit_ms > 0) {
+    settings["revocation_limit_ms"] = options_.revocation_limit_ms;
+  }
   std::ofstream(folder_ + "/" + name + ".json") << settings.dump();
 }
 
@@ -292,18 +295,21 @@
   for (const json& each : more_routes) {
     routes.push_back(each);
   }
-  put_object("config", "main",
-             {{"version", version},
-              {"routes", routes},
-              {"services",
-               {{{"name", "assistant"},
-                 {"maxConns", 100},
-                 {"engine", {{"capacity", 8}, {"chunkTokens", 2}}}}}},
-              {"limits",
-               {{"maxHeaderBytes", 4096},
-                {"maxBodyBytes", 65536},
-                {"headerTimeoutMs", 700},
-                {"idleTimeoutMs", 4000}}}});
+  json document = {{"version", version},
+                   {"routes", routes},
+                   {"services",
+                    {{{"name", "assistant"},
+                      {"maxConns", 100},
+                      {"engine", {{"capacity", 8}, {"chunkTokens", 2}}}}}},
+                   {"limits",
+                    {{"maxHeaderBytes", 4096},
+                     {"maxBodyBytes", 65536},
+                     {"headerTimeoutMs", 700},
+                     {"idleTimeoutMs", 4000}}}};
+  if (!options_.workspaces.is_null()) {
+    document["tenants"] = options_.workspaces;
+  }
+  put_object("config", "main", document);
 }
 
 void service_deployment::platform_fault(const json& switches) {
@@ -359,16 +365,21 @@
   return sum;
 }
 
-std::string service_deployment::body_of(const std::string& attempt) {
+json service_deployment::run_of(const std::string& attempt) {
   for (int i = 1; i <= options_.runners; ++i) {
     const json made = counts("runner-" + std::to_string(i));
     if (made.is_object() && made["runs"].contains(attempt)) {
-      return made["runs"][attempt]["body"].get<std::string>();
+      return made["runs"][attempt];
     }
   }
   return {};
 }
 
+std::string service_deployment::body_of(const std::string& attempt) {
+  const json run = run_of(attempt);
+  return run.is_null() ? std::string() : run["body"].get<std::string>();
+}
+
 double service_deployment::metric(const std::string& process,
                                   const std::string& name) {
   const std::string page = exchange(processes_.at(process).metrics_port, "GET",
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -23,6 +23,8 @@
   double stop_limit_s = 8;         // of the gateways
   bool gateways_together = false;  // all in one data centre
   bool links = false;  // calls between processes go through fault proxies
+  json workspaces;     // of the first configuration; null: none
+  int revocation_limit_ms = 0;  // 0: no such promise
 };
 
 class service_deployment {
@@ -59,6 +61,10 @@
   static json endpoint_entry(const std::string& address,
                              const std::string& phase);
   void configure(std::uint64_t version, const json& more_routes = {});
+  // Those of the next configurations.
+  void set_workspaces(const json& workspaces) {
+    options_.workspaces = workspaces;
+  }
   void platform_fault(const json& switches);
   void runner_fault(const std::string& runner, const json& switches);
 
@@ -72,6 +78,9 @@
                    std::uint64_t budget = 1000,
                    const std::string& path = "/stream/a");
 
+  // What the runner that ran an attempt says of it; null: none did.
+  json run_of(const std::string& attempt);
+
   // How often the runners together have run an attempt, and its body.
   int runs(const std::string& attempt);
   std::string body_of(const std::string& attempt);
--- /dev/null
+++ b/test/workspaces_test.cc
@@ -0,0 +1,188 @@
+// Workspaces and keys as the operator writes them, and whose a key is.
+#include "platform/configuration_entry.h"
+#include "platform/messages.h"
+#include "test_support.h"
+
+namespace trayrock::testing {
+namespace {
+
+using nlohmann::json;
+
+result<configuration> decode(const json& workspaces) {
+  platform::stored_object object;
+  object.name = "main";
+  object.spec = {{"version", 1},
+                 {"routes", json::array()},
+                 {"services", json::array()},
+                 {"tenants", workspaces}};
+  return platform::decode_configuration(object);
+}
+
+json growers() {
+  return {{"name", "growers"},
+          {"apiKeys", {"key-1", "key-2"}},
+          {"priority", 3},
+          {"ratePerS", 20},
+          {"burst", 40}};
+}
+
+std::string key_in(const header_list& headers) {
+  http1_request request;
+  request.headers = headers;
+  return platform::decode_request(request).key;
+}
+
+class workspaces_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(workspaces_test);
+  CPPUNIT_TEST(key_belongs_to_its_workspace);
+  CPPUNIT_TEST(configuration_without_workspaces_has_none);
+  CPPUNIT_TEST(list_without_workspaces_knows_no_key);
+  CPPUNIT_TEST(workspace_may_have_no_key_and_no_limit);
+  CPPUNIT_TEST(unusable_workspaces_are_refused_with_their_number);
+  CPPUNIT_TEST(key_is_read_from_one_header_alone);
+  CPPUNIT_TEST(endpoint_gets_the_workspace_and_not_the_key);
+  CPPUNIT_TEST(endpoint_gets_no_workspace_that_a_client_names);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void key_belongs_to_its_workspace() {
+    const auto read =
+        decode({growers(), {{"name", "buyers"}, {"apiKeys", {"key-3"}}}});
+
+    CPPUNIT_ASSERT(read.has_value());
+    const workspace_table& held = *read.value().workspaces;
+    const workspace* owner = held.owner_of("key-2");
+    CPPUNIT_ASSERT(owner != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string("growers"), owner->name);
+    CPPUNIT_ASSERT_EQUAL(3U, owner->rank.value());
+    CPPUNIT_ASSERT_EQUAL(20.0, owner->requests_per_second);
+    CPPUNIT_ASSERT_EQUAL(40.0, owner->burst);
+    CPPUNIT_ASSERT_EQUAL(std::string("buyers"), held.owner_of("key-3")->name);
+    for (const char* unknown : {"", "key", "key-1 ", "key-22", "growers"}) {
+      TRAYROCK_CHECK(held.owner_of(unknown) == nullptr,
+                     "expected no owner of \"" << unknown << "\"");
+    }
+  }
+
+  void configuration_without_workspaces_has_none() {
+    platform::stored_object object;
+    object.spec = {
+        {"version", 1}, {"routes", json::array()}, {"services", json::array()}};
+    const auto read = platform::decode_configuration(object);
+
+    CPPUNIT_ASSERT(read.has_value());
+    CPPUNIT_ASSERT(!read.value().workspaces.has_value());
+  }
+
+  // An operator who takes the last workspace away does not open the doors.
+  void list_without_workspaces_knows_no_key() {
+    const auto read = decode(json::array());
+
+    CPPUNIT_ASSERT(read.has_value());
+    CPPUNIT_ASSERT(read.value().workspaces.has_value());
+    CPPUNIT_ASSERT(read.value().workspaces->owner_of("key-1") == nullptr);
+  }
+
+  void workspace_may_have_no_key_and_no_limit() {
+    const auto read = decode({{{"name", "growers"}}});
+
+    CPPUNIT_ASSERT(read.has_value());
+    const workspace* held = read.value().workspaces->find("growers");
+    CPPUNIT_ASSERT(held != nullptr);
+    CPPUNIT_ASSERT(!held->limited());
+    CPPUNIT_ASSERT(!held->rank.has_value());
+  }
+
+  void unusable_workspaces_are_refused_with_their_number() {
+    json same_name = growers();
+    same_name["apiKeys"] = {"key-9"};
+    json same_key = growers();
+    same_key["name"] = "buyers";
+    json negative = growers();
+    negative["ratePerS"] = -1;
+    json huge = growers();
+    huge["burst"] = 1e300;
+    json text = growers();
+    text["ratePerS"] = "many";
+    json nameless = growers();
+    nameless.erase("name");
+    json folded = growers();
+    folded["name"] = "a\nb";
+    json key_with_blank = growers();
+    key_with_blank["apiKeys"] = {"a b"};
+    json no_list = growers();
+    no_list["apiKeys"] = "key-1";
+    const std::vector<std::pair<json, errc>> rows = {
+        {json::array({growers(), same_name}), errc::entry_repeats_name},
+        {json::array({growers(), same_key}), errc::entry_repeats_name},
+        {json::array({negative}), errc::entry_out_of_range},
+        {json::array({huge}), errc::entry_out_of_range},
+        {json::array({text}), errc::entry_wrong_type},
+        {json::array({nameless}), errc::entry_lacks_field},
+        {json::array({folded}), errc::entry_out_of_range},
+        {json::array({key_with_blank}), errc::entry_out_of_range},
+        {json::array({no_list}), errc::entry_wrong_type},
+        {json::array({3}), errc::entry_wrong_type},
+        {json(3), errc::entry_wrong_type}};
+    for (const auto& [workspaces, expected] : rows) {
+      const auto read = decode(workspaces);
+      TRAYROCK_CHECK(
+          !read && read.error() == expected,
+          "expected " << make_error_code(expected).message() << " for "
+                      << workspaces.dump() << ", seen "
+                      << (read ? "a configuration" : read.error().message()));
+    }
+  }
+
+  // Whoever reads the request next might go by the other one of two.
+  void key_is_read_from_one_header_alone() {
+    header_list one;
+    one.add("AUTHORIZATION", "bearer  key-1");
+    header_list two = one;
+    two.add("Authorization", "Bearer key-2");
+    header_list other_scheme;
+    other_scheme.add("Authorization", "Basic key-1");
+
+    CPPUNIT_ASSERT_EQUAL(std::string("key-1"), key_in(one));
+    CPPUNIT_ASSERT_EQUAL(std::string(), key_in(two));
+    CPPUNIT_ASSERT_EQUAL(std::string(), key_in(other_scheme));
+    CPPUNIT_ASSERT_EQUAL(std::string(), key_in({}));
+  }
+
+  void endpoint_gets_the_workspace_and_not_the_key() {
+    http1_request request;
+    request.headers.add("authorization", "Bearer key-1");
+    endpoint_directions directions;
+    directions.workspace = "growers";
+    directions.hides_key = true;
+    const header_list sent =
+        platform::endpoint_request(request, directions).headers;
+
+    CPPUNIT_ASSERT_EQUAL(std::string_view("growers"),
+                         sent.find("Trayrock-Tenant"));
+    CPPUNIT_ASSERT(!sent.has("Authorization"));
+  }
+
+  void endpoint_gets_no_workspace_that_a_client_names() {
+    http1_request request;
+    request.headers.add("Trayrock-Tenant", "buyers");
+    request.headers.add("TRAYROCK-TENANT", "buyers");
+    request.headers.add("Connection", "Trayrock-Tenant");
+    endpoint_directions directions;
+    const header_list open =
+        platform::endpoint_request(request, directions).headers;
+    directions.workspace = "growers";
+    const header_list owned =
+        platform::endpoint_request(request, directions).headers;
+
+    CPPUNIT_ASSERT(!open.has("Trayrock-Tenant"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, owned.count("Trayrock-Tenant"));
+    CPPUNIT_ASSERT_EQUAL(std::string_view("growers"),
+                         owned.find("Trayrock-Tenant"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(workspaces_test);
+
+}  // namespace
+}  // namespace trayrock::testing
