A gateway serves keys only while its configuration is proven to be the newest

Ruled out: the time of an answer in place of that of its question (an answer may be held up behind a cut for seconds); the platform's revision of endpoints (it tells nothing of the configuration); a look at each send besides the one when the request has been read: the rule goes by when the request was sent, so that waiting makes nothing later, while the key itself is looked up again in the configuration in force at each send.

Watches for configurations wait a fifth of the bound; who watches tells its proof with each answer; from half of the bound on, other gateways are asked by turns. Without a proof what needs a key is refused at once (503, error 1523); what needs none is served. The configuration's part of platform_view is a class of its own (configuration_view).

--- a/include/trayrock/internal/gateway/platform_view.h
+++ b/include/trayrock/internal/gateway/platform_view.h
@@ -21,6 +21,7 @@
 #include "platform/gateway_registry.h"
 #include "platform/group_registry.h"
 #include "trayrock/internal/gateway/configuration.h"
+#include "trayrock/internal/gateway/configuration_view.h"
 #include "trayrock/internal/gateway/endpoint_directory.h"
 #include "trayrock/internal/gateway/endpoint_entries.h"
 #include "trayrock/internal/gateway/gateway_policy.h"
@@ -59,7 +60,13 @@
   void start(std::function<void()> changed);
 
   // nullptr: none is known yet.
-  const configuration_ptr& configuration() const { return configuration_; }
+  const configuration_ptr& configuration() const {
+    return configuration_.held();
+  }
+
+  // Whether requests that need a key may be served: the configuration was the
+  // newest one a short time ago.
+  bool is_configuration_proven() const { return configuration_.is_proven(); }
 
   // Milliseconds since the platform, or who watches it, last answered about
   // the endpoints.
@@ -78,7 +85,6 @@
   void ask_sign_of_life(std::function<void()> heard);
 
  private:
-  void watch_configurations();
   void watch_endpoints();
   void follow();
 
@@ -86,13 +92,12 @@
   void release();
   bool watching() const;
   watch_position position() const;
-  std::error_code take_told(const records::WatchReply& told);
+  std::error_code take_told(const records::WatchReply& told,
+                            std::uint64_t asked_ms);
   void expect(std::uint64_t revision);
 
   void take_group(const records::Group& group);
-  void take_written(const platform::stored_object& object);
-  void take_configuration(const platform::stored_object& object);
-  void take_document(const configuration_document& document);
+  void adopted(const configuration_document& held);
   void apply(const records::EndpointChanges& said, const answer_times& times);
   std::uint64_t apply_listing(const records::EndpointChanges& said,
                               const answer_times& times);
@@ -113,18 +118,16 @@
   platform::object_store& objects_;
   view_parts parts_;
   platform::group_registry registry_;
-  platform::collection_watcher configurations_;
   platform::collection_watcher endpoints_;
   platform::gateway_registry gateways_;
   peer_relays relays_;
+  configuration_view configuration_;
   endpoint_entries entries_;
   watch_log log_;
   watch_follower follower_;
   watch_server server_;
   peer_news news_;
   std::function<void()> changed_;
-  configuration_ptr configuration_;
-  configuration_document document_;  // that `configuration_` was read from
   std::map<std::uint64_t, std::uint64_t> news_seen_ms_;  // when, by id
   timer sweeping_;
   rpc_call asking_sign_;
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -44,6 +44,8 @@
   std::string data_centre;
   gateway_policy policy;
   std::function<configuration_ptr()> configuration;  // nullptr: none yet
+  // Whether that was the newest one a short time ago.
+  std::function<bool()> configuration_proven;
   // Milliseconds since the platform last answered about the endpoints.
   std::function<std::uint64_t()> endpoints_age_ms;
   // Until the process ends; the largest value while it goes on. What has begun
--- a/include/trayrock/internal/gateway/watch_follower.h
+++ b/include/trayrock/internal/gateway/watch_follower.h
@@ -46,8 +46,11 @@
   std::function<bool()> hold;
   // Asks the platform again.
   std::function<void()> release;
-  // Takes an answer whole, or nothing of it and says why.
-  std::function<std::error_code(const records::WatchReply&)> take;
+  // Takes an answer whole, or nothing of it and says why. `asked_ms` is when
+  // the question was sent.
+  std::function<std::error_code(const records::WatchReply&,
+                                std::uint64_t asked_ms)>
+      take;
 };
 
 class watch_follower {
@@ -74,9 +77,10 @@
   void step();
   void act(const ask_watcher& asked);
   void act(const watch_platform&);
-  void answered(const std::string& by,
+  void answered(const std::string& by, std::uint64_t asked_ms,
                 const result<records::WatchReply>& reply);
-  bool take(const std::string& by, const records::WatchReply& reply);
+  bool take(const std::string& by, std::uint64_t asked_ms,
+            const records::WatchReply& reply);
   void set_following(bool following, const std::string& cause);
   records::WatchRequest request() const;
 
--- a/include/trayrock/internal/gateway/watch_log.h
+++ b/include/trayrock/internal/gateway/watch_log.h
@@ -52,6 +52,10 @@
   bool answer(const records::WatchRequest& request, std::uint64_t now_ms,
               records::WatchReply& reply) const;
 
+  // Of it only the configuration.
+  bool add_configuration_behind(const records::WatchRequest& request,
+                                records::WatchReply& reply) const;
+
   // Up to which change the endpoints are held; 0: not at all.
   std::uint64_t revision() const { return revision_; }
 
--- a/include/trayrock/internal/gateway/watch_server.h
+++ b/include/trayrock/internal/gateway/watch_server.h
@@ -2,10 +2,12 @@
 //
 // An answer waits until there is something new, or the asking gateway's time
 // for it is over. A gateway that does not watch the platform, or that the
-// platform does not answer, says so at once: then others ask elsewhere.
+// platform does not answer, says so at once: then others ask elsewhere. Its
+// configuration and the proof of it are told all the same.
 //
 // Example:
-//   watch_server server(loop, log, [] { return watching; }, heard_of_peer);
+//   watch_server server(loop, log, [] { return watching; }, heard_of_peer,
+//                       add_proof);
 //   server.serve(rpc);
 //   log.add_endpoints(changes);
 //   server.wake();
@@ -28,10 +30,14 @@
   using peer_callback =
       std::function<void(const relay_peer&, std::uint64_t revision)>;
 
+  // Adds the proof of this gateway's configuration to an answer.
+  using proof_callback = std::function<void(records::WatchReply&)>;
+
   // `log` outlives the object. `watching` says whether this gateway watches
   // the platform and is answered.
   watch_server(event_loop& loop, const watch_log& log,
-               std::function<bool()> watching, peer_callback asked);
+               std::function<bool()> watching, peer_callback asked,
+               proof_callback prove);
   watch_server(const watch_server&) = delete;
   watch_server& operator=(const watch_server&) = delete;
 
@@ -60,6 +66,7 @@
   const watch_log& log_;
   std::function<bool()> watching_;
   peer_callback asked_;
+  proof_callback prove_;
   std::list<waiting_call> waiting_;
   timer soon_;
   timer sweeping_;
--- a/include/trayrock/internal/settings/service_settings.h
+++ b/include/trayrock/internal/settings/service_settings.h
@@ -4,6 +4,8 @@
 // deploy/*.json.in are filled in with its values.
 #pragma once
 
+#include <optional>
+
 #include "trayrock/internal/decide/mechanism.h"
 #include "trayrock/internal/net/loop.h"
 #include "trayrock/internal/settings/settings.h"
@@ -36,6 +38,9 @@
   // From the end of a trouble of the platform, or of the way to it, until this
   // gateway has to know all that the platform does.
   milliseconds reconnect_limit{3000};
+  // A request that is sent later than this after its key was taken away does
+  // not run, wherever this gateway is cut off. Nothing: no such promise.
+  std::optional<milliseconds> revocation_limit;
 };
 
 struct store_settings {
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -56,6 +56,7 @@
             settings.service.data_centre,
             policy_,
             [this] { return view_.configuration(); },
+            [this] { return view_.is_configuration_proven(); },
             [this] { return view_.endpoints_age_ms(); },
             [this] { return stages_.time_to_end(); },
             [this] { return stages_.back_after_stopping(); },
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -4,7 +4,6 @@
 #include <random>
 #include <span>
 
-#include "platform/configuration_entry.h"
 #include "platform/documents.h"
 #include "trayrock/internal/gateway/endpoint_records.h"
 #include "trayrock/internal/gateway/watch_reply.h"
@@ -121,17 +120,18 @@
       objects_(objects),
       parts_(parts),
       registry_(loop, objects, policy.repeats_listings),
-      configurations_(
-          loop, objects, platform::kind_configuration,
-          {configuration_wait,
-           share_of(settings.configuration_notice, configuration_pause_share),
-           policy.repeats_listings, first_pause(settings.endpoint_notice)}),
       endpoints_(
           loop, objects, platform::kind_endpoints,
           {endpoints_wait, endpoints_pause(settings.endpoint_notice),
            policy.repeats_listings, first_pause(settings.endpoint_notice)}),
       gateways_(objects),
       relays_(loop, gateways_, entry_of(settings.service)),
+      configuration_(
+          loop, pool, objects, relays_, settings,
+          {proving_wait(settings.revocation_limit, configuration_wait),
+           share_of(settings.configuration_notice, configuration_pause_share),
+           policy.repeats_listings, first_pause(settings.endpoint_notice)},
+          parts.metrics),
       entries_(parts.metrics),
       log_(random_number()),
       follower_(loop, pool, relays_, entry_of(settings.service), policy.watches,
@@ -141,7 +141,8 @@
           [this](const relay_peer& peer, std::uint64_t revision) {
             relays_.add(peer);
             expect(revision);
-          }),
+          },
+          [this](records::WatchReply& reply) { configuration_.prove(reply); }),
       news_(
           loop, pool, [this] { return follower_.watchers(); },
           entry_of(settings.service), policy.news) {}
@@ -156,9 +157,11 @@
                },
                [this](std::uint64_t revision) { expect(revision); },
                [this](const configuration_document& document) {
-                 take_document(document);
+                 configuration_.take_document(document);
+               },
+               [this]() -> const configuration_document& {
+                 return configuration_.document();
                },
-               [this]() -> const configuration_document& { return document_; },
                [this](const records::EndpointNews& news) { pass_on(news); }});
 }
 
@@ -168,7 +171,8 @@
   parts_.metrics.set("watches_platform", {}, 1);
   registry_.watch_group(
       [this](const records::Group& group) { take_group(group); });
-  watch_configurations();
+  configuration_.start(
+      [this](const configuration_document& held) { adopted(held); });
   watch_endpoints();
   follow();
   sweeping_ = loop_.every(sweep_period, [this] { sweep(); });
@@ -203,21 +207,6 @@
                      static_cast<double>(endpoints_age_ms()));
 }
 
-void platform_view::watch_configurations() {
-  configurations_.on_snapshot(
-      [this](const platform::object_listing& found, bool) {
-        for (const platform::stored_object& each : found.objects) {
-          take_written(each);
-        }
-      });
-  configurations_.on_change([this](const platform::object_change& change) {
-    if (!change.removed) {
-      take_written(change.object);
-    }
-  });
-  configurations_.start();
-}
-
 void platform_view::watch_endpoints() {
   endpoints_.on_snapshot(
       [this](const platform::object_listing& found, bool after_loss) {
@@ -252,7 +241,9 @@
   follower_.start(
       {[this] { return position(); }, [this] { return hold(); },
        [this] { release(); },
-       [this](const records::WatchReply& told) { return take_told(told); }});
+       [this](const records::WatchReply& told, std::uint64_t asked_ms) {
+         return take_told(told, asked_ms);
+       }});
 }
 
 // Another gateway knows the endpoints up to this revision.
@@ -276,7 +267,7 @@
 
 bool platform_view::hold() {
   const bool held =
-      endpoints_.hold() && configurations_.hold() && registry_.hold();
+      endpoints_.hold() && configuration_.hold() && registry_.hold();
   parts_.metrics.set("watches_platform", {}, watching() ? 1 : 0);
   server_.wake();  // those that asked here ask elsewhere
   return held;
@@ -286,7 +277,7 @@
   // One that is to watch has others that rely on it.
   const bool patient = !follower_.is_watcher();
   endpoints_.release(patient);
-  configurations_.release(patient);
+  configuration_.release(patient);
   registry_.release(patient);
   parts_.metrics.set("watches_platform", {}, watching() ? 1 : 0);
 }
@@ -296,10 +287,12 @@
 }
 
 watch_position platform_view::position() const {
-  return {endpoints_.revision(), document_.version, registry_.revision()};
+  return {endpoints_.revision(), configuration_.document().version,
+          registry_.revision()};
 }
 
-std::error_code platform_view::take_told(const records::WatchReply& told) {
+std::error_code platform_view::take_told(const records::WatchReply& told,
+                                         std::uint64_t asked_ms) {
   if (const std::error_code wrong =
           check_watch_reply(told, endpoints_.revision())) {
     return wrong;
@@ -314,9 +307,11 @@
   if (told.group_revision() != 0) {
     registry_.take_told(told.group(), told.group_revision());
   }
-  if (told.configuration() > document_.version) {
-    take_document({told.configuration(), told.configuration_document()});
+  if (told.configuration() > configuration_.document().version) {
+    configuration_.take_document(
+        {told.configuration(), told.configuration_document()});
   }
+  configuration_.take_proof(told, asked_ms);
   for (const records::EndpointNews& each : told.endpoint_news()) {
     take_news(each);
   }
@@ -332,62 +327,15 @@
   changed_();
 }
 
-// Others than the operator may write objects of that kind.
-void platform_view::take_written(const platform::stored_object& object) {
-  if (object.name == platform::name_configuration) {
-    take_configuration(object);
-  }
-}
-
-void platform_view::take_configuration(const platform::stored_object& object) {
-  result<trayrock::configuration> decoded =
-      platform::decode_configuration(object);
-  if (!decoded) {
-    log_error("configuration_unusable",
-              {{"revision", std::to_string(object.revision)},
-               {"cause", decoded.error().message()}});
-    return;
-  }
-  const std::uint64_t held =
-      configuration_ == nullptr ? 0 : configuration_->version;
-  if (decoded.value().version <= held) {
-    return;
-  }
-  log_info("configuration_adopted",
-           {{"version", std::to_string(decoded.value().version)},
-            {"before", std::to_string(held)},
-            {"revision", std::to_string(object.revision)},
-            {"routes", std::to_string(decoded.value().routes.size())}});
-  configuration_ = std::make_shared<const trayrock::configuration>(
-      std::move(decoded.value()));
-  document_ = {configuration_->version, platform::text_of(object)};
-  parts_.metrics.set("configuration_version", {},
-                     static_cast<double>(configuration_->version));
-  log_.set_configuration(document_);
+void platform_view::adopted(const configuration_document& held) {
+  log_.set_configuration(held);
   server_.wake();
   if (!follower_.following()) {
-    news_.note_configuration(configuration_->version);
+    news_.note_configuration(held.version);
   }
   changed_();
 }
 
-// Another gateway has a newer configuration.
-void platform_view::take_document(const configuration_document& document) {
-  const result<platform::stored_object> object =
-      platform::object_of(document.text);
-  if (!object) {
-    log_error("peer_configuration_unusable",
-              {{"version", std::to_string(document.version)},
-               {"cause", object.error().message()}});
-    return;
-  }
-  log_info(
-      "configuration_from_peer",
-      {{"version", std::to_string(document.version)},
-       {"platform_silent_ms", std::to_string(configurations_.silence_ms())}});
-  take_configuration(object.value());
-}
-
 // ---- Endpoints -------------------------------------------------------------
 
 // A later instance of an endpoint that is known is worth a line.
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -29,6 +29,11 @@
   facts_ = platform::decode_request(request_);
   std::optional<errc> refused =
       terms_.find(parts_.configuration(), request_, facts_);
+  if (terms_.found_route() != nullptr && terms_.asks_for_key() &&
+      !parts_.configuration_proven()) {
+    // A key that is not known here may be new, and a known one taken away.
+    refused = errc::configuration_unproven;
+  }
   if (!refused) {
     refused = terms_.fit(facts_, parts_.durations, parts_.time_to_end());
   }
--- a/src/gateway/watch_follower.cc
+++ b/src/gateway/watch_follower.cc
@@ -64,8 +64,9 @@
 void watch_follower::act(const ask_watcher& asked) {
   asking_ = pool_.ask<records::WatchReply>(
       asked.address, "Watch", request(), timing_.wait + timing_.patience,
-      [this, by = asked.address](const result<records::WatchReply>& reply) {
-        answered(by, reply);
+      [this, by = asked.address,
+       asked_ms = loop_.now_ms()](const result<records::WatchReply>& reply) {
+        answered(by, asked_ms, reply);
       });
 }
 
@@ -84,9 +85,9 @@
   return made;
 }
 
-void watch_follower::answered(const std::string& by,
+void watch_follower::answered(const std::string& by, std::uint64_t asked_ms,
                               const result<records::WatchReply>& reply) {
-  if (reply && reply.value().watching() && take(by, reply.value())) {
+  if (reply && reply.value().watching() && take(by, asked_ms, reply.value())) {
     roles_.heard(by);
     if (handlers_.hold()) {
       set_following(true, by);
@@ -97,9 +98,9 @@
   again_ = loop_.after(pause, [this] { step(); });
 }
 
-bool watch_follower::take(const std::string& by,
+bool watch_follower::take(const std::string& by, std::uint64_t asked_ms,
                           const records::WatchReply& reply) {
-  if (const std::error_code why = handlers_.take(reply)) {
+  if (const std::error_code why = handlers_.take(reply, asked_ms)) {
     log_warn("watcher_refused", {{"watcher", by},
                                  {"error", std::to_string(why.value())},
                                  {"cause", why.message()}});
--- a/src/gateway/watch_log.cc
+++ b/src/gateway/watch_log.cc
@@ -150,14 +150,20 @@
   return any;
 }
 
+bool watch_log::add_configuration_behind(const records::WatchRequest& request,
+                                         records::WatchReply& reply) const {
+  if (configuration_.version <= request.configuration()) {
+    return false;
+  }
+  reply.set_configuration(configuration_.version);
+  reply.set_configuration_document(configuration_.text);
+  return true;
+}
+
 bool watch_log::answer(const records::WatchRequest& request,
                        std::uint64_t now_ms, records::WatchReply& reply) const {
   bool any = add_endpoints_behind(request.endpoints_revision(), now_ms, reply);
-  if (configuration_.version > request.configuration()) {
-    reply.set_configuration(configuration_.version);
-    reply.set_configuration_document(configuration_.text);
-    any = true;
-  }
+  any = add_configuration_behind(request, reply) || any;
   if (group_revision_ > request.group_revision()) {
     reply.set_group_revision(group_revision_);
     *reply.mutable_group() = group_;
--- a/src/gateway/watch_server.cc
+++ b/src/gateway/watch_server.cc
@@ -18,11 +18,13 @@
 }  // namespace
 
 watch_server::watch_server(event_loop& loop, const watch_log& log,
-                           std::function<bool()> watching, peer_callback asked)
+                           std::function<bool()> watching, peer_callback asked,
+                           proof_callback prove)
     : loop_(loop),
       log_(log),
       watching_(std::move(watching)),
-      asked_(std::move(asked)) {}
+      asked_(std::move(asked)),
+      prove_(std::move(prove)) {}
 
 void watch_server::serve(rpc_server& server) {
   server.handle_typed<records::WatchRequest>(
@@ -33,8 +35,10 @@
 
 void watch_server::take(const records::WatchRequest& request,
                         const rpc_reply_ptr& reply) {
-  asked_({request.gateway(), request.address(), request.data_centre()},
-         request.endpoints_revision());
+  if (!request.gateway().empty()) {
+    asked_({request.gateway(), request.address(), request.data_centre()},
+           request.endpoints_revision());
+  }
   const std::uint64_t wait =
       std::min<std::uint64_t>(request.wait_ms(), longest_wait_ms);
   waiting_call call{request, reply, loop_.now_ms() + wait};
@@ -55,7 +59,10 @@
     if (!any && now < call.until_ms) {
       return false;
     }
+  } else {
+    log_.add_configuration_behind(call.request, reply);
   }
+  prove_(reply);
   call.reply->send(reply);
   call.reply->finish();
   return true;
--- /dev/null
+++ b/test/workspace_path_test.cc
@@ -0,0 +1,302 @@
+// Keys and workspaces on the whole path, and a key that is taken away.
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <thread>
+
+#include "service_deployment.h"
+#include "test_support.h"
+
+namespace trayrock::testing {
+namespace {
+
+constexpr int code_unknown_turn = 1112;
+constexpr int code_unknown_key = 1113;
+constexpr int code_unproven = 1523;
+
+json workspaces_with(const json& grower_keys) {
+  return {{{"name", "growers"}, {"apiKeys", grower_keys}},
+          {{"name", "buyers"}, {"apiKeys", {"buyer-key"}}}};
+}
+
+std::map<std::string, std::string> with_key(const std::string& key) {
+  return {{"Authorization", "Bearer " + key}};
+}
+
+std::map<std::string, std::string> turn_headers(const std::string& key,
+                                                const std::string& previous,
+                                                int budget = 1000) {
+  std::map<std::string, std::string> made = with_key(key);
+  made["Trayrock-Program-Id"] = "program";
+  made["Trayrock-Session-Id"] = "session";
+  made["Trayrock-Token-Budget"] = std::to_string(budget);
+  made["Trayrock-Token-Usage"] = "100,10";
+  if (!previous.empty()) {
+    made["Trayrock-Previous-Turn"] = previous;
+  }
+  return made;
+}
+
+json open_route() {
+  return {{{"name", "open"},
+           {"host", "local"},
+           {"pathPrefix", "/open/"},
+           {"type", "safe"},
+           {"service", "assistant"},
+           {"public", true}}};
+}
+
+class workspace_path_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(workspace_path_test);
+  CPPUNIT_TEST(only_a_known_key_is_served);
+  CPPUNIT_TEST(endpoint_learns_the_workspace_and_not_the_key);
+  CPPUNIT_TEST(key_in_a_trailer_is_none);
+  CPPUNIT_TEST(route_open_to_all_asks_for_no_key);
+  CPPUNIT_TEST(turn_of_another_workspace_is_not_known);
+  CPPUNIT_TEST(budgets_of_two_workspaces_do_not_meet);
+  CPPUNIT_TEST(kept_connection_gets_401_once_its_key_is_gone);
+  CPPUNIT_TEST(gateway_that_the_platform_ignores_serves_by_others_proofs);
+  CPPUNIT_TEST(no_key_is_served_once_nobody_reaches_the_platform);
+  CPPUNIT_TEST(gateway_that_was_frozen_serves_no_key_that_is_gone);
+  CPPUNIT_TEST(gateway_that_starts_behind_a_cut_serves_no_key);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void only_a_known_key_is_served() {
+    service_deployment system(with_workspaces());
+    system.start_all();
+    const auto none = system.request("gateway-1", "/safe/a", "s1");
+    const auto wrong =
+        system.request("gateway-1", "/safe/a", "s2", with_key("grower-ke"));
+    const auto right =
+        system.request("gateway-1", "/safe/a", "s3", with_key("grower-key"));
+
+    CPPUNIT_ASSERT_EQUAL(401, none.status);
+    CPPUNIT_ASSERT_EQUAL(code_unknown_key, none.error_code());
+    CPPUNIT_ASSERT_EQUAL(401, wrong.status);
+    CPPUNIT_ASSERT_EQUAL(200, right.status);
+    CPPUNIT_ASSERT_EQUAL(0, system.runs("s1") + system.runs("s2"));
+  }
+
+  void endpoint_learns_the_workspace_and_not_the_key() {
+    service_deployment system(with_workspaces());
+    system.start_all();
+    auto headers = with_key("grower-key");
+    headers["trayrock-tenant"] = "buyers";
+    system.request("gateway-1", "/unsafe/a", "u1", headers);
+
+    const json run = system.run_of("u1");
+    CPPUNIT_ASSERT_EQUAL(json({"growers"}).dump(), run["workspaces"].dump());
+    CPPUNIT_ASSERT(!run["saw_key"].get<bool>());
+  }
+
+  void key_in_a_trailer_is_none() {
+    service_deployment system(with_workspaces());
+    system.start_all();
+    const std::string seen = send_raw(
+        system.port("gateway-1"),
+        "POST /safe/a HTTP/1.1\r\nHost: local\r\nTrayrock-Attempt-Id: s1\r\n"
+        "Trailer: Authorization\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\none\r\n0\r\nAuthorization: Bearer grower-key\r\n\r\n",
+        2);
+
+    TRAYROCK_CHECK(seen.starts_with("HTTP/1.1 401"),
+                   "expected 401, seen " << seen);
+  }
+
+  void route_open_to_all_asks_for_no_key() {
+    service_deployment system(with_workspaces());
+    system.start_all();
+    system.configure(2, open_route());
+    wait_until("the route is known", [&] {
+      return system.request("gateway-1", "/open/a", "s1").status == 200;
+    });
+    auto headers = with_key("grower-key");
+    headers["Trayrock-Tenant"] = "growers";
+    const auto answer = system.request("gateway-1", "/open/a", "s2", headers);
+
+    CPPUNIT_ASSERT_EQUAL(200, answer.status);
+    const json run = system.run_of("s2");
+    CPPUNIT_ASSERT(run["workspaces"].empty());
+    CPPUNIT_ASSERT(!run["saw_key"].get<bool>());
+  }
+
+  void turn_of_another_workspace_is_not_known() {
+    service_deployment system(with_workspaces());
+    system.start_all();
+    const auto made = system.request("gateway-1", "/stream/a", "t1",
+                                     turn_headers("grower-key", ""), "one");
+    const auto foreign = system.request("gateway-1", "/stream/a", "t2",
+                                        turn_headers("buyer-key", "t1"), "two");
+    const auto elsewhere = system.request(
+        "gateway-2", "/stream/a", "t3", turn_headers("buyer-key", "t1"), "two");
+    const auto own = system.request("gateway-2", "/stream/a", "t4",
+                                    turn_headers("grower-key", "t1"), "two");
+
+    CPPUNIT_ASSERT_EQUAL(200, made.status);
+    CPPUNIT_ASSERT_EQUAL(404, foreign.status);
+    CPPUNIT_ASSERT_EQUAL(code_unknown_turn, foreign.error_code());
+    CPPUNIT_ASSERT_EQUAL(404, elsewhere.status);
+    CPPUNIT_ASSERT_EQUAL(200, own.status);
+    CPPUNIT_ASSERT_EQUAL(0, system.runs("t2") + system.runs("t3"));
+  }
+
+  // Both name their programs, and even their turns, alike.
+  void budgets_of_two_workspaces_do_not_meet() {
+    service_deployment system(with_workspaces());
+    system.start_all();
+    constexpr int one_turn = 15;
+    const auto first =
+        system.request("gateway-1", "/stream/a", "t1",
+                       turn_headers("grower-key", "", one_turn), "one");
+    const auto other =
+        system.request("gateway-1", "/stream/a", "t1",
+                       turn_headers("buyer-key", "", one_turn), "uno");
+    const auto second =
+        system.request("gateway-1", "/stream/a", "t2",
+                       turn_headers("grower-key", "t1", one_turn), "two");
+
+    CPPUNIT_ASSERT_EQUAL(200, first.status);
+    CPPUNIT_ASSERT_EQUAL(200, other.status);
+    CPPUNIT_ASSERT_EQUAL(402, second.status);
+  }
+
+  void kept_connection_gets_401_once_its_key_is_gone() {
+    service_deployment system(with_workspaces());
+    system.start_all();
+    CPPUNIT_ASSERT_EQUAL(
+        200,
+        system.request("gateway-1", "/safe/a", "s0", with_key("grower-key"))
+            .status);
+    system.set_workspaces(workspaces_with(json::array()));
+    system.configure(2);
+    wait_until("the key is refused", [&] {
+      return system
+                 .request("gateway-1", "/safe/a", "s1", with_key("grower-key"))
+                 .status == 401;
+    });
+    CPPUNIT_ASSERT_EQUAL(
+        200, system.request("gateway-1", "/safe/a", "s2", with_key("buyer-key"))
+                 .status);
+  }
+
+  // One gateway's calls to the platform get no answer for three times the
+  // limit. The others tell it that nothing has changed.
+  void gateway_that_the_platform_ignores_serves_by_others_proofs() {
+    service_options options = with_workspaces();
+    options.links = true;
+    options.revocation_limit_ms = limit_ms;
+    service_deployment system(options);
+    system.start_all();
+    system.link("platform of gateway-1").set(link_fault::silence);
+    const auto begun = std::chrono::steady_clock::now();
+    int refused = 0;
+    int served = 0;
+    while (std::chrono::steady_clock::now() - begun <
+           std::chrono::milliseconds(3 * limit_ms)) {
+      const auto answer = system.request("gateway-1", "/safe/a",
+                                         "s" + std::to_string(served + refused),
+                                         with_key("grower-key"));
+      ++(answer.status == 200 ? served : refused);
+    }
+
+    TRAYROCK_CHECK(refused == 0 && served > 0, "expected none refused, seen "
+                                                   << refused << " of "
+                                                   << served + refused);
+  }
+
+  void no_key_is_served_once_nobody_reaches_the_platform() {
+    service_options options = with_workspaces();
+    options.revocation_limit_ms = limit_ms;
+    service_deployment system(options);
+    system.start_all();
+    system.configure(2, open_route());
+    wait_until("the route is known", [&] {
+      return system.request("gateway-1", "/open/a", "s1").status == 200;
+    });
+    system.platform_fault({{"silent", true}});
+    http_answer refused;
+    wait_until("keys are refused", [&] {
+      refused =
+          system.request("gateway-1", "/safe/a", "s2", with_key("grower-key"));
+      return refused.status == 503;
+    });
+
+    CPPUNIT_ASSERT_EQUAL(code_unproven, refused.error_code());
+    CPPUNIT_ASSERT(refused.headers.contains("retry-after"));
+    const auto unknown =
+        system.request("gateway-1", "/safe/a", "s3", with_key("new-key"));
+    CPPUNIT_ASSERT_EQUAL(503, unknown.status);
+    CPPUNIT_ASSERT_EQUAL(200,
+                         system.request("gateway-1", "/open/a", "s4").status);
+    system.platform_fault({{"silent", false}});
+    wait_until("keys are served again", [&] {
+      return system
+                 .request("gateway-1", "/safe/a", "s5", with_key("grower-key"))
+                 .status == 200;
+    });
+  }
+
+  void gateway_that_was_frozen_serves_no_key_that_is_gone() {
+    service_options options = with_workspaces();
+    options.revocation_limit_ms = limit_ms;
+    service_deployment system(options);
+    system.start_all();
+    system.signal("gateway-1", SIGSTOP);
+    system.set_workspaces(workspaces_with(json::array()));
+    system.configure(2);
+    wait_until("another gateway refuses the key", [&] {
+      return system
+                 .request("gateway-2", "/safe/a", "s1", with_key("grower-key"))
+                 .status == 401;
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(limit_ms));
+    // It waits in the socket until the gateway wakes.
+    auto late = std::async(std::launch::async, [&] {
+      return system.request("gateway-1", "/safe/a", "s2",
+                            with_key("grower-key"));
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    system.signal("gateway-1", SIGCONT);
+    const int status = late.get().status;
+
+    TRAYROCK_CHECK(status == 401 || status == 503,
+                   "expected a refusal, seen " << status);
+    CPPUNIT_ASSERT_EQUAL(0, system.runs("s2"));
+  }
+
+  // It holds a configuration from another gateway at the most, and no proof.
+  void gateway_that_starts_behind_a_cut_serves_no_key() {
+    service_options options = with_workspaces();
+    options.links = true;
+    options.revocation_limit_ms = limit_ms;
+    service_deployment system(options);
+    system.start_all();
+    system.kill("gateway-1");
+    system.link("platform of gateway-1").set(link_fault::silence);
+    system.start("gateway-1");
+    http_answer answer;
+    wait_until("the gateway answers", [&] {
+      answer =
+          system.request("gateway-1", "/safe/a", "s1", with_key("grower-key"));
+      return answer.status != 0;
+    });
+
+    CPPUNIT_ASSERT_EQUAL(503, answer.status);
+    CPPUNIT_ASSERT_EQUAL(0, system.runs("s1"));
+  }
+
+ private:
+  static constexpr int limit_ms = 2000;
+
+  static service_options with_workspaces() {
+    service_options made;
+    made.workspaces = workspaces_with({"grower-key"});
+    return made;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(workspace_path_test);
+
+}  // namespace
+}  // namespace trayrock::testing
