Limits of workspaces hold over all gateways, by shares that record stores give

Ruled out: an equal share for each gateway (clients keep their connections, so that a workspace's requests come in at few gateways, and gateways come and go); shares that follow demand, told among peers (agreed by nobody: two views of who is there give more than the limit); one holder for each workspace (its successor must know what it lent, or give nothing for a window; two holders behind a cut give the limit twice); a bucket of tokens (refuses sustained demand that each window allows).

Change: each record store of the group owns a fixed share of each limit and gives permits out of it in a sliding window (decide/permit_book); a gateway asks the nearest one that has any (decide/permit_sources), and refuses without a call when all have said that they have none (429, 1310, with when the next may be there). Shares add up to the limit whatever anybody knows. What was given is on the stores' disks, all but 1 permit and 1% of a share; a store that replaces another gives nothing for one window. Half of the operator's tolerance is given out. A request that no endpoint ran gives its permit back. A quarter of each share is kept from requests that begin a program.

--- a/include/trayrock/internal/decide/return_time.h
+++ b/include/trayrock/internal/decide/return_time.h
@@ -41,4 +41,8 @@
 std::chrono::milliseconds return_time_when_cut_off(
     std::chrono::milliseconds cut_off_for);
 
+// When a client should come back whose workspace's limit is reached; `next` is
+// how long until a permit may be there.
+std::chrono::milliseconds return_time_at_limit(std::chrono::milliseconds next);
+
 }  // namespace trayrock
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -1,6 +1,7 @@
 // The life of one client's request in the gateway.
 //
-// Route, reserve and read the history (turns), choose an endpoint, send, pass
+// Route, get a permit if the workspace's rate is limited, reserve and read the
+// history (turns), choose an endpoint, send, pass
 // the answer on, record what was said. A request that may run only once is
 // never sent a second time after an endpoint may have begun it. A request that
 // is given up is answered at once.
@@ -26,6 +27,7 @@
 #include "trayrock/internal/metrics.h"
 #include "trayrock/internal/net/http1_client.h"
 #include "trayrock/internal/net/http1_server.h"
+#include "trayrock/internal/records/permit_client.h"
 #include "trayrock/internal/records/record_client.h"
 
 namespace trayrock {
@@ -36,6 +38,7 @@
   event_loop& loop;
   http1_pool& pool;
   record_client& records;
+  permit_client& permits;
   endpoint_directory& endpoints;
   chain_cache& chains;
   metrics_registry& metrics;
--- a/include/trayrock/internal/gateway/request_report.h
+++ b/include/trayrock/internal/gateway/request_report.h
@@ -25,6 +25,7 @@
   std::uint64_t epoch = 0;  // of the group of record stores
   std::uint32_t sends = 0;
   int unreachable = 0;  // endpoints to which no connection could be made
+  std::uint64_t permit_us = 0;   // until a store had said whether it may run
   std::uint64_t reserve_us = 0;  // until the stores had answered
   std::uint64_t head_us = 0;     // until the answer's head
   std::uint64_t keep_us = 0;     // that the stores took to keep the turn
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "trayrock/internal/metrics.h"
 #include "trayrock/internal/net/rpc.h"
@@ -59,11 +60,22 @@
 
   // Told when a group with a newer epoch was heard of.
   void on_group(std::function<void()> changed) {
-    changed_ = std::move(changed);
+    changed_.push_back(std::move(changed));
   }
 
+  // Told of the permits that the disk holds, before open_disk() returns.
+  void on_permits(std::function<void(const records::GivenPermits&)> read) {
+    permits_read_ = std::move(read);
+  }
+
+  // Permits of a workspace on the disk, in place of what was there; and away.
+  void keep_permits(const records::GivenPermits& given,
+                    std::function<void(std::error_code)> durable);
+  void drop_permits(std::span<const std::string> workspaces);
+
  private:
   void take_from_disk(std::string_view key, std::string_view value);
+  void take_permits(std::string_view value);
   std::optional<records::Record> read_record(const std::string& key) const;
   void note_durable(std::span<const std::string> keys);
   void save_state(std::function<void()> durable);
@@ -92,7 +104,8 @@
   records::Record reading_;       // of the disk, at the start
   std::uint64_t unreadable_ = 0;  // records that the disk held at the start
   std::set<std::string> retiring_;
-  std::function<void()> changed_;
+  std::vector<std::function<void()>> changed_;
+  std::function<void(const records::GivenPermits&)> permits_read_;
   timer expiry_;
 };
 
--- a/include/trayrock/internal/settings/service_settings.h
+++ b/include/trayrock/internal/settings/service_settings.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "trayrock/internal/decide/mechanism.h"
+#include "trayrock/internal/decide/permit_book.h"
 #include "trayrock/internal/net/loop.h"
 #include "trayrock/internal/settings/settings.h"
 
@@ -49,6 +50,7 @@
   std::uint64_t tolerated_losses = 1;  // stores that may be lost at once
   std::uint64_t tolerated_data_centre_losses = 0;  // likewise
   bool first_start = false;                        // of the whole system
+  limit_terms limits;  // how requests of workspaces are counted
 };
 
 gateway_settings read_gateway_settings(std::string_view text,
--- a/src/decide/return_time.cc
+++ b/src/decide/return_time.cc
@@ -30,6 +30,11 @@
   return elsewhere ? at_once : for_a_successor;
 }
 
+// Others wait for the same permit. Longer than this no client waits: a third of
+// the five seconds that most have.
+constexpr milliseconds longest_at_limit{1500};
+constexpr milliseconds shortest_at_limit{100};
+
 }  // namespace
 
 milliseconds return_time(const drain_view& view, return_rule rule) {
@@ -40,4 +45,8 @@
   return std::max(balancer_notice - cut_off_for, at_once);
 }
 
+milliseconds return_time_at_limit(milliseconds next) {
+  return std::clamp(next, shortest_at_limit, longest_at_limit);
+}
+
 }  // namespace trayrock
--- a/src/gateway/error_answer.cc
+++ b/src/gateway/error_answer.cc
@@ -10,7 +10,7 @@
 
 // When a client should come back, by why the request was given up.
 constexpr milliseconds back_after_full{150};
-constexpr milliseconds back_after_history{250};
+constexpr milliseconds back_after_history{250};  // or a permit
 constexpr milliseconds back_after_reserved{200};
 constexpr milliseconds back_after_unconfigured{500};
 // Either this gateway is turned away by the platform, and another one serves
@@ -34,6 +34,7 @@
     case errc::endpoints_full:
       return back_after_full;
     case errc::history_unavailable:
+    case errc::workspace_limit_unknown:
       return back_after_history;
     case errc::tokens_reserved:
       return back_after_reserved;
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -39,6 +39,7 @@
                   probe_pace_within(reconnect_ms(settings))),
         peers_(loop_, {}),
         records_(loop_, rpc_, settings.service.data_centre, metrics_),
+        permits_(loop_, rpc_, records_, metrics_, settings.service.data_centre),
         endpoints_(directory_policy_of(settings, policy_)),
         chains_(policy_.caches_chains ? chain_cache_bytes : 0),
         durations_(policy_.durations),
@@ -48,6 +49,7 @@
             loop_,
             pool_,
             records_,
+            permits_,
             endpoints_,
             chains_,
             metrics_,
@@ -126,6 +128,7 @@
     serve_relays(peers_, rpc_, records_);
     if (policy_.relays) {
       records_.use_relays(view_.relays().source());
+      permits_.use_relays(view_.relays().source());
     }
     view_.serve(peers_);
   }
@@ -186,6 +189,7 @@
   platform::object_store platform_;
   rpc_server peers_;
   record_client records_;
+  permit_client permits_;
   endpoint_directory endpoints_;
   chain_cache chains_;
   duration_book durations_;
--- a/src/gateway/peer_relays.cc
+++ b/src/gateway/peer_relays.cc
@@ -17,6 +17,22 @@
 // Less than the asking gateway waits for its relay.
 constexpr milliseconds relayed_call_limit{300};
 
+// Passes a call on to a store, and the store's answer back. The call's handle
+// lives until then.
+template <typename reply_type>
+void pass_on(rpc_pool& pool, const std::string& store, std::string_view method,
+             const google::protobuf::MessageLite& request,
+             const rpc_reply_ptr& reply) {
+  auto call = std::make_shared<rpc_call>();
+  *call = pool.ask<reply_type>(store, method, request, relayed_call_limit,
+                               [reply, call](const result<reply_type>& answer) {
+                                 if (answer) {
+                                   reply->send(answer.value());
+                                 }
+                                 reply->finish();
+                               });
+}
+
 }  // namespace
 
 peer_relays::peer_relays(event_loop& loop, platform::gateway_registry& registry,
@@ -117,20 +133,20 @@
   server.handle_typed<records::RelayRequest>(
       "Relay", [&pool, &own](records::RelayRequest& request,
                              const rpc_reply_ptr& reply) {
-        if (!own.reaches(request.write().store())) {
+        const bool for_permit = request.has_permit();
+        const std::string& store =
+            for_permit ? request.permit().store() : request.write().store();
+        if (!own.reaches(store)) {
           reply->finish();
           return;
         }
-        // The call's handle lives until its answer has been passed on.
-        auto call = std::make_shared<rpc_call>();
-        *call = pool.ask<records::WriteReply>(
-            request.address(), "Write", request.write(), relayed_call_limit,
-            [reply, call](const result<records::WriteReply>& answer) {
-              if (answer) {
-                reply->send(answer.value());
-              }
-              reply->finish();
-            });
+        if (for_permit) {
+          pass_on<records::PermitReply>(pool, request.address(), "Permit",
+                                        request.permit(), reply);
+        } else {
+          pass_on<records::WriteReply>(pool, request.address(), "Write",
+                                       request.write(), reply);
+        }
       });
 }
 
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -45,11 +45,19 @@
     answer_.make_resumable();
   }
   watch_ends();
-  if (history_.begin(terms_.route(), terms_.workspace_name())) {
-    if (parts_.cut_off_for() > milliseconds(0)) {
-      refuse(errc::cut_off);
-      return;
-    }
+  needs_record_ = history_.begin(terms_.route(), terms_.workspace_name());
+  const bool needs_stores = needs_record_ || needs_permit();
+  if (needs_stores && parts_.cut_off_for() > milliseconds(0)) {
+    refuse(errc::cut_off);
+  } else if (needs_permit()) {
+    acquire_permit();
+  } else {
+    go_on();
+  }
+}
+
+void request_flow::go_on() {
+  if (needs_record_) {
     reserve();
   } else {
     send_next();
@@ -119,6 +127,8 @@
       return parts_.back_after_stopping();
     case errc::cut_off:
       return return_time_when_cut_off(parts_.cut_off_for());
+    case errc::workspace_limit:
+      return back_after_limit_;
     default:
       return back_after(why);
   }
@@ -159,6 +169,7 @@
   ended_ = true;
   deadline_.cancel();
   late_guard_.cancel();
+  return_unused_permit();
   report_terms(outcome == "answered");
   report_.endpoint = attempt_.endpoint_id();
   report_.placed_by = placed_by();
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -35,6 +35,7 @@
     return;
   }
   tried_.insert(attempt_.identity());
+  may_run_ = true;
   attempt_.send(outgoing(), observer());
   arm_late_guard();
 }
@@ -237,6 +238,7 @@
 }
 
 void request_flow::after_unreachable() {
+  may_run_ = may_have_run_;
   if (report_.unreachable < most_unreachable) {
     send_next();
   } else {
@@ -245,6 +247,7 @@
 }
 
 void request_flow::after_refusal() {
+  may_run_ = may_have_run_;
   if (sends_are_left()) {
     send_next();
   } else {
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -1,7 +1,8 @@
 // One request of a client, from its coming to the end of its answer: the state
-// that its three sides share.
+// that its sides share.
 //
-// The client's side (request_flow.cc) begins and ends it; the endpoint's side
+// The client's side (request_flow.cc) begins and ends it; its permit
+// (request_flow_permit.cc) lets it run; the endpoint's side
 // (request_flow_endpoint.cc) sends it and takes the answer; the history's side
 // (request_flow_history.cc) reserves tokens and keeps the turn.
 #pragma once
@@ -58,6 +59,21 @@
   void report_terms(bool answered);
   void end(std::string_view outcome, int status);
 
+  // ---- The permit (request_flow_permit.cc) --------------------------------
+
+  bool needs_permit() const;
+  permit_use use_of_permit() const;
+  void acquire_permit();
+  void take_permit(const permit& given);
+  void take_permit(const limit_reached& reached);
+  void take_permit(const permit_unknown&);
+
+  // What no endpoint has run uses up nothing of the workspace's limit.
+  void return_unused_permit();
+
+  // With its permit, if it needs one.
+  void go_on();
+
   // ---- History and budget -------------------------------------------------
 
   void reserve();
@@ -133,7 +149,11 @@
   turn_history history_;
   std::set<endpoint_identity> tried_;
   endpoint_attempt attempt_;
+  bool needs_record_ = false;  // of a reservation, or for its history
+  bool may_run_ = false;       // an endpoint has it, or has had it
   bool may_have_run_ = false;  // a send ended without an answer
+  std::optional<permit> permit_;
+  milliseconds back_after_limit_{0};
   bool ended_ = false;
   timer deadline_;
   timer late_guard_;
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -12,6 +12,8 @@
 
 // Of the store's own state on the disk.
 constexpr std::string_view state_key = "m/state";
+// Of the permits that were given to a workspace, with its name behind.
+constexpr std::string_view permits_prefix = "p/";
 // An answer to a pull is cut once it has grown to this size.
 constexpr std::size_t pull_bytes = 256U << 10;
 // Records, or keys, that one answer looks at.
@@ -61,6 +63,10 @@
     unreadable_ += state_.ParseFromArray(value.data(), size) ? 0 : 1;
     return;
   }
+  if (key.starts_with(permits_prefix)) {
+    take_permits(value);
+    return;
+  }
   // One object for all keeps its memory, and texts stay on the disk: 98 ms of
   // processor time for 48,000 records in place of 162 ms, while gateways wait.
   if (!reading_.ParseFromArray(value.data(), size) ||
@@ -69,6 +75,30 @@
   }
 }
 
+void record_server::take_permits(std::string_view value) {
+  records::GivenPermits read;
+  if (!read.ParseFromArray(value.data(), static_cast<int>(value.size()))) {
+    ++unreadable_;
+  } else if (permits_read_) {
+    permits_read_(read);
+  }
+}
+
+void record_server::keep_permits(const records::GivenPermits& given,
+                                 std::function<void(std::error_code)> durable) {
+  disk_->write({{std::string(permits_prefix) + given.workspace(),
+                 given.SerializeAsString()}},
+               std::move(durable));
+}
+
+void record_server::drop_permits(std::span<const std::string> workspaces) {
+  std::vector<std::string> keys;
+  for (const std::string& each : workspaces) {
+    keys.push_back(std::string(permits_prefix) + each);
+  }
+  disk_->erase(keys);
+}
+
 std::optional<records::Record> record_server::read_record(
     const std::string& key) const {
   const std::optional<std::string> bytes = disk_->read(key);
@@ -135,8 +165,10 @@
               {"counts", state_.counts() ? "yes" : "no"}});
   }
   save_state(std::move(durable));
-  if (newer && changed_) {
-    changed_();
+  if (newer) {
+    for (const auto& each : changed_) {
+      each();
+    }
   }
 }
 
--- a/src/records/store_main.cc
+++ b/src/records/store_main.cc
@@ -6,6 +6,7 @@
 #include "trayrock/internal/log.h"
 #include "trayrock/internal/net/http1_server.h"
 #include "trayrock/internal/process.h"
+#include "trayrock/internal/records/permit_server.h"
 #include "trayrock/internal/records/store_membership_driver.h"
 #include "trayrock/internal/settings/service_settings.h"
 
@@ -39,6 +40,19 @@
       loop, objects,
       !settings.service.trial_without.contains(mechanism::repeated_listings));
   record_server server(loop, rpc, metrics);
+  permit_server permits(
+      loop, metrics, settings.limits,
+      {[&server]() -> const records::StoreState& { return server.state(); },
+       [&server](const records::GivenPermits& given,
+                 std::function<void(std::error_code)> durable) {
+         server.keep_permits(given, std::move(durable));
+       },
+       [&server](const std::vector<std::string>& workspaces) {
+         server.drop_permits(workspaces);
+       }});
+  server.on_permits(
+      [&permits](const records::GivenPermits& read) { permits.restore(read); });
+  server.on_group([&permits] { permits.group_changed(); });
   if (const std::error_code failed = server.open_disk(settings.data_folder)) {
     log_error("store_not_started", {{"error", std::to_string(failed.value())},
                                     {"cause", failed.message()}});
@@ -59,7 +73,10 @@
   log_info("store_started",
            {{"box", settings.service.box}, {"version", TRAYROCK_VERSION}});
   warn_of_trial(settings.service);
-  server.start([&membership] { membership.start(); });
+  server.start([&] {
+    permits.serve(rpc);
+    membership.start();
+  });
   const timer terminate = loop.on_signal(SIGTERM, [&loop] { loop.stop(); });
   const timer reload = loop.on_signal(SIGHUP, [] {
     log_info("reload", {{"outcome", "no setting can change while running"}});
--- a/src/settings/service_settings.cc
+++ b/src/settings/service_settings.cc
@@ -12,6 +12,10 @@
 constexpr double least_notice_ms = 100;
 constexpr double longest_notice_ms = 60000;
 constexpr number_range losses_range{0, 16};
+constexpr double least_window_s = 0.1;
+constexpr double longest_window_s = 3600;
+constexpr double most_overshoot = 1;
+constexpr double most_tolerance = 1e6;
 
 // Platforms give some durations in seconds with a fraction.
 milliseconds seconds_or(strict_object& top, std::string_view key, double least,
@@ -45,6 +49,17 @@
   }
 }
 
+limit_terms read_limits(strict_object& top) {
+  limit_terms made;
+  made.window = seconds_or(top, "limit_window_s", least_window_s,
+                           longest_window_s, made.window);
+  made.overshoot =
+      top.real_or("limit_overshoot", 0, most_overshoot, made.overshoot);
+  made.tolerance =
+      top.real_or("limit_tolerance", 0, most_tolerance, made.tolerance);
+  return made;
+}
+
 service_settings read_service(strict_object& top) {
   service_settings made;
   made.name = top.text("name");
@@ -106,6 +121,7 @@
       top.number_or("tolerated_data_centre_losses", losses_range,
                     made.tolerated_data_centre_losses);
   made.first_start = top.flag_or("first_start", made.first_start);
+  made.limits = read_limits(top);
   top.close();
   return made;
 }
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -123,7 +123,8 @@
       {"platform", local(reached_at("platform of " + name, port("objects")))},
       {"data_folder", folder_ + "/" + name + ".data"},
       {"tolerated_losses", 1},
-      {"first_start", first_start}};
+      {"first_start", first_start},
+      {"limit_window_s", options_.limit_window_s}};
   std::ofstream(folder_ + "/" + name + ".json") << settings.dump();
 }
 
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -25,6 +25,7 @@
   bool links = false;  // calls between processes go through fault proxies
   json workspaces;     // of the first configuration; null: none
   int revocation_limit_ms = 0;  // 0: no such promise
+  double limit_window_s = 1;    // in which limits of workspaces are counted
 };
 
 class service_deployment {
