A gateway that is cut off from the stores gets permits by others at once

From the code: each request asked all five stores directly, 150 ms each, before it went by a relay, also where records had gone by relays for long.

Ruled out: shorter patience (a store that is seven times slower answers in some 20 ms, a busy box later); one direct question at most (a single store that is away would send all by relays).

Change: a store that records do not reach directly is asked by a relay at once; two direct calls without an answer send the request by relays. A newer group in an answer is taken.

--- a/include/trayrock/internal/records/permit_client.h
+++ b/include/trayrock/internal/records/permit_client.h
@@ -1,9 +1,9 @@
 // Gets permits for requests of workspaces whose rate is limited, from the
 // group's record stores.
 //
-// Which store is asked is decided by decide/permit_sources.h. A store that does
-// not answer directly is asked by way of another gateway once the others have
-// none either.
+// Which store is asked is decided by decide/permit_sources.h. One that is known
+// to be out of reach is asked by way of another gateway, and all are once two
+// have given no direct answer.
 //
 // Example:
 //   permit_client permits(loop, pool, records, metrics, "north");
@@ -47,7 +47,7 @@
   using answer_callback = std::function<void(const permit_answer&)>;
 
   // All that is passed in by reference outlives the object.
-  permit_client(event_loop& loop, rpc_pool& pool, const record_client& records,
+  permit_client(event_loop& loop, rpc_pool& pool, record_client& records,
                 metrics_registry& metrics, std::string data_centre);
   permit_client(const permit_client&) = delete;
   permit_client& operator=(const permit_client&) = delete;
@@ -71,7 +71,7 @@
 
   event_loop& loop_;
   rpc_pool& pool_;
-  const record_client& records_;
+  record_client& records_;
   metrics_registry& metrics_;
   permit_sources sources_;
   relay_source relays_;
--- a/src/records/permit_client.cc
+++ b/src/records/permit_client.cc
@@ -12,6 +12,8 @@
 // Stores answer within 1 to 3 ms, one that is seven times slower within 20.
 constexpr milliseconds store_patience{150};
 constexpr milliseconds relay_patience{350};
+// Stores that give a request no direct answer before it goes by relays.
+constexpr int most_unanswered = 2;
 // Before the stores are asked anew when none answered.
 constexpr milliseconds next_round_pause{100};
 // Permits to be given back that are kept for one store and workspace.
@@ -36,6 +38,7 @@
   answer_callback done;
   std::set<std::string> tried;  // in this round
   bool relayed = false;         // this round goes by relays
+  int unanswered = 0;           // direct calls
   rpc_call asking;
   timer again;
   timer limit;
@@ -53,7 +56,7 @@
         find_store(client.records_.group().voters(), asked.store);
     if (to == nullptr) {
       step();
-    } else if (relayed) {
+    } else if (relayed || !client.records_.reaches(to->id())) {
       ask_by_relay(*to);
     } else {
       ask(*to);
@@ -75,14 +78,28 @@
         to.address(), "Permit", client.request_for(wish, to), store_patience,
         [self = shared_from_this(),
          store = to.id()](const result<records::PermitReply>& answer) {
-          self->answered(store, answer);
+          self->direct_answered(store, answer);
         });
   }
 
+  // Whoever gets no answer from two stores is more likely to be cut off from
+  // all than to have met two that are away.
+  void direct_answered(const std::string& store,
+                       const result<records::PermitReply>& answer) {
+    unanswered += answer ? 0 : 1;
+    if (unanswered >= most_unanswered && client.relays_.pick) {
+      relayed = true;
+      unanswered = 0;
+      tried.clear();
+    }
+    answered(store, answer);
+  }
+
   void ask_by_relay(const records::Store& to) {
-    const std::string via = client.relays_.pick();
+    const std::string via =
+        client.relays_.pick ? client.relays_.pick() : std::string();
     if (via.empty()) {
-      step();
+      ask(to);
       return;
     }
     records::RelayRequest request;
@@ -97,6 +114,8 @@
             self->client.relays_.failed(
                 via, relay_answered ? relay_failure::store_unreachable
                                     : relay_failure::silent);
+          } else {
+            self->client.relays_.passed_on(via);
           }
           self->answered(store, answer);
         });
@@ -111,6 +130,9 @@
     const bool usable =
         answer && answer.value().outcome() == records::OUTCOME_OK;
     if (!usable) {
+      if (answer && answer.value().has_group()) {
+        client.records_.adopt(answer.value().group());
+      }
       client.sources_.silent(store, now);
       step();
       return;
@@ -143,8 +165,8 @@
 };
 
 permit_client::permit_client(event_loop& loop, rpc_pool& pool,
-                             const record_client& records,
-                             metrics_registry& metrics, std::string data_centre)
+                             record_client& records, metrics_registry& metrics,
+                             std::string data_centre)
     : loop_(loop),
       pool_(pool),
       records_(records),
