--- a/test/permit_client_test.cc
+++ b/test/permit_client_test.cc
@@ -1,14 +1,15 @@
 // Permits for a gateway that cannot reach the record stores directly.
 //
-// On a day on which seven of twenty gateways were cut off from all record stores
-// for twelve seconds, each of their requests of a limited workspace asked five
-// stores in vain, 150 ms each, before it went by another gateway: the day's worth
-// fell from 0.944 to 0.842.
+// On a day on which seven of twenty gateways were cut off from all record
+// stores for twelve seconds, each of their requests of a limited workspace
+// asked five stores in vain, 150 ms each, before it went by another gateway:
+// the day's worth fell from 0.944 to 0.842.
+#include "trayrock/internal/records/permit_client.h"
+
 #include <optional>
 
 #include "deployment.h"
 #include "test_support.h"
-#include "trayrock/internal/records/permit_client.h"
 
 namespace trayrock::testing {
 namespace {
