--- a/src/decide/return_time.cc
+++ b/src/decide/return_time.cc
@@ -18,7 +18,8 @@
 // Six tries, after which clients give up, outlast with this pause the 4.2 s
 // from a gateway's last request to its successor's first (measured). They wait
 // no longer than a third of the time that they have left, mostly 1.7 s.
-constexpr milliseconds for_a_successor{1500};
+// An outage of the platform leaves keys without service for as long.
+constexpr milliseconds until_served_again{1500};
 
 milliseconds time_by(const always_at_once&, const drain_view&) {
   return at_once;
@@ -27,7 +28,7 @@
 milliseconds time_by(const by_balancer&, const drain_view& view) {
   const bool elsewhere = view.draining_for < balancer_notice ||
                          view.since_last_connection > still_sent;
-  return elsewhere ? at_once : for_a_successor;
+  return elsewhere ? at_once : until_served_again;
 }
 
 // Others wait for the same permit. Longer than this no client waits: a third of
@@ -45,6 +46,8 @@
   return std::max(balancer_notice - cut_off_for, at_once);
 }
 
+milliseconds return_time_when_unproven() { return until_served_again; }
+
 milliseconds return_time_at_limit(milliseconds next) {
   return std::clamp(next, shortest_at_limit, longest_at_limit);
 }
--- a/src/gateway/error_answer.cc
+++ b/src/gateway/error_answer.cc
@@ -13,10 +13,6 @@
 constexpr milliseconds back_after_history{250};  // or a permit
 constexpr milliseconds back_after_reserved{200};
 constexpr milliseconds back_after_unconfigured{500};
-// Either this gateway is turned away by the platform, and another one serves
-// the next try, or the platform is out for all for some seconds.
-constexpr milliseconds back_after_unproven{500};
-
 // A duration as seconds with three decimals.
 std::string seconds_text(milliseconds delay) {
   constexpr std::size_t decimals = 3;
@@ -40,8 +36,6 @@
       return back_after_reserved;
     case errc::not_configured:
       return back_after_unconfigured;
-    case errc::configuration_unproven:
-      return back_after_unproven;
     default:
       return milliseconds(0);
   }
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -127,6 +127,8 @@
       return parts_.back_after_stopping();
     case errc::cut_off:
       return return_time_when_cut_off(parts_.cut_off_for());
+    case errc::configuration_unproven:
+      return return_time_when_unproven();
     case errc::workspace_limit:
       return back_after_limit_;
     default:
--- a/test/permit_load_test.cc
+++ b/test/permit_load_test.cc
@@ -161,9 +161,9 @@
   }
 
   std::vector<permit_store_place> places() const {
-    std::vector<permit_store_place> made;
+    std::vector<permit_store_place> made(store_count);
     for (int i = 0; i < store_count; ++i) {
-      made.push_back({names_[i], centre(i)});
+      made[i] = {names_[i], centre(i)};
     }
     return made;
   }
--- a/test/return_time_test.cc
+++ b/test/return_time_test.cc
@@ -1,6 +1,8 @@
 // When clients that a stopping gateway turns away come back.
 #include "trayrock/internal/decide/return_time.h"
 
+#include <algorithm>
+
 #include "test_support.h"
 
 namespace trayrock::testing {
@@ -13,6 +15,8 @@
   CPPUNIT_TEST(before_the_balancer_notices_clients_come_back_at_once);
   CPPUNIT_TEST(without_new_connections_clients_come_back_at_once);
   CPPUNIT_TEST(gateways_that_all_stop_name_the_time_of_the_successor);
+  CPPUNIT_TEST(client_outlasts_a_platform_that_is_out_for_six_seconds);
+  CPPUNIT_TEST(limit_names_a_time_that_clients_wait);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -32,7 +36,34 @@
     expect(1500, {milliseconds(5100), milliseconds(20)});
   }
 
+  // Keys are refused from some three seconds after the beginning of an outage
+  // until its end. A turn of a program has three tries, each with one return,
+  // and some tenths of a second between them.
+  void client_outlasts_a_platform_that_is_out_for_six_seconds() {
+    constexpr int refused_ms = 3500;
+    CPPUNIT_ASSERT(tries_last_ms(milliseconds(500)) < refused_ms);
+    CPPUNIT_ASSERT(tries_last_ms(return_time_when_unproven()) > refused_ms);
+  }
+
+  void limit_names_a_time_that_clients_wait() {
+    CPPUNIT_ASSERT(return_time_at_limit(milliseconds(0)) == milliseconds(100));
+    CPPUNIT_ASSERT(return_time_at_limit(milliseconds(700)) ==
+                   milliseconds(700));
+    CPPUNIT_ASSERT(return_time_at_limit(milliseconds(5000)) ==
+                   milliseconds(1500));
+  }
+
  private:
+  // From a turn's first refusal to its last one.
+  static long tries_last_ms(milliseconds back_after) {
+    constexpr int tries = 3;
+    constexpr long between_tries_ms = 250;
+    constexpr long deadline_ms = 5000;
+    const long waits =
+        std::min(static_cast<long>(back_after.count()), deadline_ms / 3);
+    return tries * waits + (tries - 1) * between_tries_ms;
+  }
+
   static void expect(int ms, const drain_view& view) {
     const milliseconds seen = return_time(view);
     TRAYROCK_CHECK(seen == milliseconds(ms),
