A replaced store leaves no window beyond a limit; the soak checks keys and limits

Three stores share a limit that three does not divide by their places in the order of their names; the new store's name moves the places of the others, and one gave its old share while another gave its new one.

Ruled out: the new store (it gives nothing for a window); the operator's tolerance hides it on a deployment (half of it is kept), but the bound has to hold by itself.

Change: for one window after a change of stores each gives the least of its shares before and after it.

--- a/include/trayrock/internal/decide/permit_book.h
+++ b/include/trayrock/internal/decide/permit_book.h
@@ -111,8 +111,8 @@
                std::uint64_t now_ms);
 
   // The stores have changed. A store that was not among them gives nothing for
-  // one window. With fewer than before the shares grow one window later, when
-  // what the others gave counts no more.
+  // one window. The others give the least of their shares before and after it
+  // for one window: until then what has been given counts.
   void set_stores(std::vector<std::string> stores, const std::string& own,
                   std::uint64_t now_ms);
 
@@ -148,16 +148,27 @@
   std::uint64_t window_end_ms(std::uint64_t now_ms) const;
   std::uint64_t slot_of(std::uint64_t now_ms) const;
   std::uint64_t slot_ms() const;
-  std::size_t divisor(std::uint64_t now_ms) const;
   std::uint64_t share_of(std::string_view workspace, const request_limit& limit,
                          std::uint64_t now_ms) const;
 
+  // How limits are divided: among so many stores, of which this is one.
+  struct division {
+    std::size_t stores = 0;  // 0: this one is not among them
+    std::size_t place = 0;   // in the order of their names
+  };
+  // One that is over, and still binds.
+  struct former_division {
+    division held;
+    std::uint64_t until_ms = 0;
+  };
+
+  static std::uint64_t part_of(std::uint64_t all, std::string_view workspace,
+                               const division& by);
+
   limit_terms terms_;
   std::map<std::string, entry, std::less<>> held_;
-  std::vector<std::string> stores_;
-  std::size_t place_ = 0;           // of this store among them
-  std::size_t divided_before_ = 0;  // among so many, while that is more
-  std::uint64_t divided_until_ms_ = 0;
+  division division_;
+  std::vector<former_division> former_;
   std::uint64_t closed_until_ms_ = 0;
 };
 
--- a/src/decide/permit_book.cc
+++ b/src/decide/permit_book.cc
@@ -115,12 +115,10 @@
                         const std::string& own) {
   std::sort(stores.begin(), stores.end());
   const auto at = std::find(stores.begin(), stores.end(), own);
-  if (at == stores.end()) {
-    stores_.clear();
-    return;
-  }
-  place_ = static_cast<std::size_t>(at - stores.begin());
-  stores_ = std::move(stores);
+  division_ = at == stores.end()
+                  ? division()
+                  : division{stores.size(),
+                             static_cast<std::size_t>(at - stores.begin())};
 }
 
 void permit_book::restore(std::string_view workspace,
@@ -137,38 +135,45 @@
 
 void permit_book::set_stores(std::vector<std::string> stores,
                              const std::string& own, std::uint64_t now_ms) {
-  const std::size_t before = divisor(now_ms);
-  begin(std::move(stores), own);
-  if (before == 0) {
+  std::erase_if(former_, [now_ms](const former_division& each) {
+    return each.until_ms <= now_ms;
+  });
+  if (division_.stores == 0) {
     // The store whose place it takes may have given its whole share.
     closed_until_ms_ = window_end_ms(now_ms);
-  } else if (stores_.size() < before) {
-    divided_before_ = before;
-    divided_until_ms_ = window_end_ms(now_ms);
+  } else {
+    former_.push_back({division_, window_end_ms(now_ms)});
   }
-}
-
-std::size_t permit_book::divisor(std::uint64_t now_ms) const {
-  return now_ms < divided_until_ms_ ? std::max(divided_before_, stores_.size())
-                                    : stores_.size();
+  begin(std::move(stores), own);
 }
 
 // Whole permits; those that are left over go to stores in an order of each
 // workspace's own.
+std::uint64_t permit_book::part_of(std::uint64_t all,
+                                   std::string_view workspace,
+                                   const division& by) {
+  const std::uint64_t turned =
+      (by.place + XXH3_64bits(workspace.data(), workspace.size())) % by.stores;
+  return all / by.stores + (turned < all % by.stores ? 1 : 0);
+}
+
 std::uint64_t permit_book::share_of(std::string_view workspace,
                                     const request_limit& limit,
                                     std::uint64_t now_ms) const {
   const std::uint64_t all = requests_in_window(limit, terms_);
-  const std::size_t parts = divisor(now_ms);
-  const std::uint64_t turned =
-      (place_ + XXH3_64bits(workspace.data(), workspace.size())) % parts;
-  return all / parts + (turned < all % parts ? 1 : 0);
+  std::uint64_t share = part_of(all, workspace, division_);
+  for (const former_division& each : former_) {
+    if (each.until_ms > now_ms) {
+      share = std::min(share, part_of(all, workspace, each.held));
+    }
+  }
+  return share;
 }
 
 permit_verdict permit_book::acquire(std::string_view workspace,
                                     const request_limit& limit, permit_use use,
                                     std::uint64_t now_ms) {
-  if (stores_.empty() || now_ms < closed_until_ms_) {
+  if (division_.stores == 0 || now_ms < closed_until_ms_) {
     const std::uint64_t left =
         now_ms < closed_until_ms_ ? closed_until_ms_ - now_ms : slot_ms();
     return permit_refused{milliseconds(left)};
@@ -213,12 +218,12 @@
 
 std::uint64_t permit_book::most_unsynced(std::string_view workspace) const {
   const auto held = held_.find(workspace);
-  if (held == held_.end() || stores_.empty()) {
+  if (held == held_.end() || division_.stores == 0) {
     return 1;
   }
   const double share =
       static_cast<double>(requests_in_window(held->second.limit, terms_)) /
-      static_cast<double>(stores_.size());
+      static_cast<double>(division_.stores);
   return 1 + static_cast<std::uint64_t>(share * unsynced_share);
 }
 
--- a/test/fault_soak_test.cc
+++ b/test/fault_soak_test.cc
@@ -5,7 +5,9 @@
 //
 // Checked from what clients and endpoints see: a whole turn is known ever
 // after and its text comes back exactly; nothing runs twice; what was refused
-// as not run has not run; a program's tokens stay within its budget.
+// as not run has not run; a program's tokens stay within its budget; endpoints
+// learn the workspace and never the key; a key that is taken away is served
+// nowhere behind its bound; a workspace's limit holds in every window.
 //
 // One seed is run in CI. By hand: TRAYROCK_SOAK_SEEDS="7 8 9" and
 // TRAYROCK_SOAK_SECONDS=30. A seed that has ever failed is kept in
@@ -21,14 +23,16 @@
 #include <thread>
 
 #include "kept_connection.h"
+#include "key_probes.h"
 #include "service_deployment.h"
 #include "test_support.h"
 
 namespace trayrock::testing {
 namespace {
 
-// Seeds of failures that were found and mended: none yet.
-const std::vector<unsigned> regression_seeds{};
+// Seeds of failures that were found and mended. 43: a replaced store moved the
+// places by which the others share out what a limit leaves over.
+const std::vector<unsigned> regression_seeds{43};
 constexpr unsigned ci_seed = 1;
 constexpr int default_seconds = 12;
 constexpr int clients = 4;
@@ -92,6 +96,7 @@
     for (int i = 0; i < clients; ++i) {
       running.emplace_back([this, i] { run_client(i); });
     }
+    running.emplace_back([this] { run_prober(); });
     inject_series();
     heal();
     over_ = true;
@@ -163,6 +168,7 @@
     std::string bytes = "POST /stream/a HTTP/1.1\r\nHost: local\r\n";
     bytes += "Trayrock-Attempt-Id: " + name + "\r\n";
     bytes += "Trayrock-Program-Id: " + mine.name + "\r\n";
+    bytes += "Authorization: Bearer " + key_of(mine) + "\r\n";
     bytes += "Trayrock-Token-Budget: " + std::to_string(budget) + "\r\n";
     bytes += "Trayrock-Token-Usage: 100," + std::to_string(most_of_a_turn);
     if (!mine.last_turn.empty()) {
@@ -177,11 +183,53 @@
     const std::string name = mine.name + "u" + std::to_string(turn);
     const std::string bytes =
         "GET /unsafe/a HTTP/1.1\r\nHost: local\r\n"
-        "Trayrock-Attempt-Id: " +
-        name + "\r\n\r\n";
+        "Authorization: Bearer " +
+        key_of(mine) + "\r\nTrayrock-Attempt-Id: " + name + "\r\n\r\n";
     note(parse(name, any_gateway(random).exchange(bytes, answer_seconds)));
   }
 
+  // Programs belong to two workspaces, by turns of the clients.
+  static bool is_grower(const std::string& program) {
+    return (program[1] - '0') % 2 == 0;
+  }
+  static std::string key_of(const program& mine) {
+    return is_grower(mine.name) ? "grower-key" : "buyer-key";
+  }
+
+  void run_prober() {
+    std::mt19937 random(seed_ + 900000);
+    while (!over_) {
+      seen_probe probe = probes_.next(random);
+      const std::string bytes =
+          "GET /unsafe/a HTTP/1.1\r\nHost: local\r\nAuthorization: Bearer " +
+          key_probes::key_text(probe.key) +
+          "\r\nTrayrock-Attempt-Id: " + probe.attempt + "\r\n\r\n";
+      note(parse(probe.attempt,
+                 any_gateway(random).exchange(bytes, answer_seconds)));
+      probe.answered = std::chrono::steady_clock::now();
+      probes_.add(probe);
+      std::this_thread::sleep_for(std::chrono::milliseconds(random() % 80));
+    }
+  }
+
+  static json workspaces_with(std::size_t newest_key) {
+    return {{{"name", "growers"}, {"apiKeys", {"grower-key"}}},
+            {{"name", "buyers"}, {"apiKeys", {"buyer-key"}}},
+            {{"name", "probers"},
+             {"apiKeys", {key_probes::key_text(newest_key)}},
+             {"ratePerS", key_probes::per_second},
+             {"burst", key_probes::burst}}};
+  }
+
+  // The platform has to answer: other faults of this series are over.
+  void take_key_away() {
+    const std::size_t gone = probes_.newest_key();
+    record("take key " + std::to_string(gone) + " away");
+    system_.set_workspaces(workspaces_with(gone + 1));
+    system_.configure(gone + 2);
+    probes_.key_taken_away();
+  }
+
   // A connection of this client, kept for as long as the gateway keeps it.
   kept_connection& any_gateway(std::mt19937& random) {
     thread_local std::map<std::string, kept_connection> connections;
@@ -195,6 +243,9 @@
     service_options options;
     options.links = true;
     options.stop_limit_s = 3;
+    options.workspaces = workspaces_with(0);
+    options.revocation_limit_ms =
+        static_cast<int>(key_probes::revocation_limit.count());
     return options;
   }
 
@@ -224,7 +275,7 @@
     const std::string store = "store-" + std::to_string(1 + random() % 3);
     const std::string runner = "runner-" + std::to_string(1 + random() % 2);
     const auto pause = std::chrono::milliseconds(200 + random() % 1500);
-    switch (random() % 9) {
+    switch (random() % 10) {
       case 0:
         record("kill " + gateway);
         system_.kill(gateway);
@@ -259,6 +310,9 @@
         platform_fault(random() % 2 == 0 ? "outage" : "silent", pause);
         break;
       case 7:
+        take_key_away();
+        break;
+      case 8:
         record("lose answers");
         system_.platform_fault({{"lose_write_answers", 1 + random() % 2}});
         break;
@@ -362,6 +416,10 @@
         bodies[attempt] = run["body"].get<std::string>();
       }
     }
+    check_workspaces();
+    for (std::string& fault : probes_.faults(runs)) {
+      report(std::move(fault));
+    }
     for (const auto& [attempt, count] : runs) {
       if (count > 1) {
         report(attempt + " ran " + std::to_string(count) + " times");
@@ -369,7 +427,8 @@
     }
     for (const seen_request& each : seen_) {
       const bool promised = each.status == 503 || each.status == 429 ||
-                            each.status == 402 || each.status == 404;
+                            each.status == 402 || each.status == 404 ||
+                            each.status == 401;
       if (promised && runs.contains(each.attempt)) {
         report(each.attempt + " was refused with " +
                std::to_string(each.status) + " and ran");
@@ -385,6 +444,21 @@
     }
   }
 
+  // Endpoints saw the right workspace and no key.
+  void check_workspaces() {
+    for (const char* name : {"runner-1", "runner-2"}) {
+      const json made = system_.counts(name);
+      for (const auto& [attempt, run] : made["runs"].items()) {
+        const std::string owner = attempt[0] == 'q'    ? "probers"
+                                  : is_grower(attempt) ? "growers"
+                                                       : "buyers";
+        if (run["workspaces"] != json::array({owner}) || run["saw_key"]) {
+          report(attempt + " came with " + run["workspaces"].dump());
+        }
+      }
+    }
+  }
+
   unsigned seed_;
   int seconds_;
   service_deployment system_;
@@ -394,6 +468,7 @@
   std::vector<std::string> faults_;
   std::vector<seen_request> seen_;
   std::map<std::string, std::string> expected_bodies_;
+  key_probes probes_;
   std::ostringstream injected_;
 };
 
--- a/test/permit_book_test.cc
+++ b/test/permit_book_test.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(restart_gives_no_fresh_share);
   CPPUNIT_TEST(store_that_joins_gives_nothing_for_a_window);
   CPPUNIT_TEST(shares_grow_a_window_after_a_store_has_left);
+  CPPUNIT_TEST(replaced_store_leaves_no_window_beyond_the_limit);
   CPPUNIT_TEST(store_outside_of_the_group_gives_nothing);
   CPPUNIT_TEST(smallest_limit_is_given_by_one_store);
   CPPUNIT_TEST(near_store_is_asked_first);
@@ -176,6 +177,42 @@
     CPPUNIT_ASSERT_EQUAL(30, drain(book, 6500));
   }
 
+  // Found by the soak (seed 43): a disk was replaced, and nine requests of a
+  // workspace ran in a second that allows eight. A limit that three stores do
+  // not divide is shared out by their places, and the new one's name had moved
+  // the places of the others.
+  void replaced_store_leaves_no_window_beyond_the_limit() {
+    constexpr request_limit eight{1, 3, 1};
+    for (const char* gone : {"store-1", "store-2", "store-3"}) {
+      for (const char* fresh : {"store-0", "store-15", "store-25", "store-9"}) {
+        std::vector<std::string> after{fresh};
+        int given_in_a_window = 0;
+        for (const std::string& each : three) {
+          permit_book book = book_of(each);
+          given_in_a_window += drain(book, 1000, eight);
+        }
+        for (const std::string& each : three) {
+          if (each != gone) {
+            after.push_back(each);
+          }
+        }
+        for (const std::string& each : three) {
+          if (each == gone) {
+            continue;
+          }
+          permit_book book = book_of(each);
+          drain(book, 1000, eight);
+          book.set_stores(after, each, 1500);
+          given_in_a_window += drain(book, 1600, eight);
+        }
+        TRAYROCK_CHECK(given_in_a_window <= 8, "expected 8 at the most with "
+                                                   << fresh << " for " << gone
+                                                   << ", seen "
+                                                   << given_in_a_window);
+      }
+    }
+  }
+
   void store_outside_of_the_group_gives_nothing() {
     permit_book book = book_of("store-1");
     book.set_stores({"store-2", "store-3"}, "store-1", 1000);
