Emptied data centres get nothing, and cold endpoints no more than they bear

Cause: nothing in the code read evacuations, and the time that an endpoint stays cold was read and thrown away.

Ruled out: a flag on each endpoint's record (late for those that register meanwhile); an equal share of a cold endpoint for each gateway (under one request a second with more than 26 gateways, so that all may send in the same second); permits of the record stores for cold endpoints (a question for each request).

Change: evacuations are watched by the few gateways that watch the platform, told whole with their revision, and never replaced by older ones (gateway/evacuation_view). Who may send to a cold endpoint follows from a hash of endpoint and gateway; each has two requests in any second, together what the configuration allows (decide/cold_start). Endpoints that are taken back, or that answer again behind a failure, count as cold until their records say more. Where only cold endpoints are left and their shares are used up, requests are refused at once (1408).

--- a/include/trayrock/errors.h
+++ b/include/trayrock/errors.h
@@ -67,6 +67,7 @@
   answer_invalid = 1405,
   endpoints_full = 1406,
   stopping = 1407,
+  endpoints_cold = 1408,
 
   platform_unavailable = 1501,
   version_conflict = 1502,
--- a/include/trayrock/internal/decide/endpoint_choice.h
+++ b/include/trayrock/internal/decide/endpoint_choice.h
@@ -40,6 +40,8 @@
 // rose by 0.005 to 0.007 on each of four sites, in the mean of 3 to 15 days.
 constexpr double default_elsewhere_factor = 3;
 constexpr double default_unconnected_factor = 1.25;
+// A cold endpoint is slow, and its cache holds nothing yet.
+constexpr double default_cold_factor = 2;
 
 // How endpoints are weighed.
 struct choice_policy {
@@ -47,6 +49,7 @@
   bool keeps_previous = true;
   double elsewhere_factor = default_elsewhere_factor;
   double unconnected_factor = default_unconnected_factor;
+  double cold_factor = default_cold_factor;
   // What is equally loaded is drawn from; else the first one is taken.
   bool draws_among_equals = true;
   // Latencies near the usual one count alike; else each counts by itself.
--- a/include/trayrock/internal/decide/endpoint_state.h
+++ b/include/trayrock/internal/decide/endpoint_state.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <memory>
 
+#include "trayrock/internal/decide/cold_start.h"
 #include "trayrock/internal/decide/endpoint_health.h"
 #include "trayrock/internal/gateway/configuration.h"
 
@@ -37,6 +38,27 @@
   // Another endpoint sits at its address: this instance does not come back,
   // whatever a late record of the platform says.
   bool superseded = false;
+  bool evacuated = false;  // its data centre is being emptied
+
+  cold_limit cold;                  // of its service
+  std::uint64_t cold_until_ms = 0;  // as its record says; 0: it is not
+  // Likewise, where nothing has been said yet: behind an evacuation, or after a
+  // failure that may have been a restart.
+  std::uint64_t presumed_cold_until_ms = 0;
+  std::uint32_t cold_share = 0;  // of this gateway, in any second
+  second_window sent;            // where its service has a limit
+
+  // On trial, too, it may have restarted.
+  bool is_cold(std::uint64_t now_ms) const {
+    return cold.exists() &&
+           (cold_until_ms > now_ms || presumed_cold_until_ms > now_ms ||
+            health.on_trial(now_ms));
+  }
+
+  // It is cold, and this gateway has no more requests for it in this second.
+  bool takes_no_more(std::uint64_t now_ms) const {
+    return is_cold(now_ms) && sent.count(now_ms) >= cold_share;
+  }
 };
 
 // Shared with the attempts at the endpoint, which may outlast its record.
--- a/include/trayrock/internal/gateway/configuration.h
+++ b/include/trayrock/internal/gateway/configuration.h
@@ -17,6 +17,7 @@
 #include <string_view>
 #include <vector>
 
+#include "trayrock/internal/decide/cold_start.h"
 #include "trayrock/internal/decide/endpoint_identity.h"
 #include "trayrock/internal/gateway/workspaces.h"
 
@@ -63,6 +64,7 @@
 struct service {
   std::string name;
   std::uint32_t max_connections = 0;  // of one endpoint, from all callers
+  cold_limit cold;
   std::optional<engine_limits> engine;
 };
 
@@ -92,7 +94,8 @@
   std::string data_centre;
   std::uint32_t capacity = 1;  // requests worked on at once
   bool draining = false;
-  std::uint64_t revision = 0;  // of the platform's record of it
+  std::uint64_t revision = 0;             // of the platform's record of it
+  std::chrono::milliseconds cold_for{0};  // from that revision on
 };
 
 // The route of the host with the longest prefix of the path; nullptr if none.
--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -24,6 +24,7 @@
 #include "trayrock/internal/decide/endpoint_choice.h"
 #include "trayrock/internal/decide/endpoint_state.h"
 #include "trayrock/internal/decide/lapse_rule.h"
+#include "trayrock/internal/gateway/evacuation_list.h"
 #include "trayrock/internal/gateway/former_endpoints.h"
 
 namespace trayrock {
@@ -40,6 +41,10 @@
   bool operator==(const directory_policy&) const = default;
 };
 
+// This gateway's share of what a cold endpoint bears (decide/cold_start.h).
+using cold_sharing =
+    std::function<std::uint32_t(const cold_limit&, const endpoint&)>;
+
 class endpoint_directory {
  public:
   endpoint_directory() = default;
@@ -52,10 +57,22 @@
   std::vector<std::string> replace(const std::vector<endpoint>& listed,
                                    bool after_loss, const answer_times& times);
 
+  // The data centres that are being emptied: nothing is sent there. Endpoints
+  // of one that is taken back count as cold, since their records may be late.
+  // True if the list differs from the one before.
+  bool evacuate(const data_centre_set& emptied, std::uint64_t now_ms);
+
+  // What the services' cold endpoints bear.
+  void set_cold_limits(const configuration& from);
+
+  // Finds out anew how much of it is this gateway's, for endpoints that are
+  // cold now.
+  void share_cold(const cold_sharing& share_of, std::uint64_t now_ms);
+
   // Takes a record. One of a later instance than the known one takes its place,
   // with nothing held, in flight or noted against it; one of an earlier
   // instance or revision changes nothing.
-  void update(const endpoint& changed);
+  void update(const endpoint& changed, std::uint64_t now_ms);
 
   // The instance is gone, by an answer of the platform of that revision. A
   // later instance that is known stays; where the answer names none, what is
@@ -86,8 +103,12 @@
   endpoint_state_ptr choose(const endpoint_choice& wanted,
                             std::uint64_t now_ms) const;
 
+  // Whether some of the service would take a request if they were not cold.
+  bool are_held_back_when_cold(std::string_view service,
+                               std::uint64_t now_ms) const;
+
   // Bookkeeping of one attempt.
-  static void begin(endpoint_state& at);
+  static void begin(endpoint_state& at, std::uint64_t now_ms);
   // Ends it; true if the endpoint is left alone from now on.
   static bool end(endpoint_state& at, attempt_outcome outcome,
                   double latency_ms, std::uint64_t now_ms);
@@ -117,7 +138,8 @@
 
   endpoint_state_ptr made_state(const endpoint_identity& of) const;
   endpoint_state_ptr known_instance(const endpoint_identity& wanted) const;
-  void take(const endpoint& listed, std::uint64_t oldest_revision);
+  void take(const endpoint& listed, std::uint64_t oldest_revision,
+            std::uint64_t now_ms);
   known_endpoints::iterator find_gone(const endpoint_identity& gone,
                                       std::uint64_t revision);
   void drop(known_endpoints::iterator known);
@@ -132,6 +154,8 @@
   std::map<std::string, std::vector<endpoint_state_ptr>, std::less<>>
       by_service_;
   former_endpoints former_;
+  data_centre_set emptied_;
+  std::map<std::string, cold_limit, std::less<>> cold_limits_;  // by service
 };
 
 }  // namespace trayrock
--- a/include/trayrock/internal/gateway/peer_relays.h
+++ b/include/trayrock/internal/gateway/peer_relays.h
@@ -40,6 +40,10 @@
   // All that are known, without this gateway.
   std::vector<relay_peer> peers() const { return choice_.peers(); }
 
+  // Whether a list of them has been read that this gateway was on, or that came
+  // behind its own entry.
+  bool are_known() const { return known_; }
+
  private:
   std::string pick();
   void take(const std::vector<platform::gateway_entry>& listed);
@@ -52,6 +56,7 @@
   platform::gateway_entry own_;
   relay_choice choice_;
   bool looking_ = false;
+  bool known_ = false;
   std::uint64_t looked_at_ms_ = 0;
   timer again_;
 };
--- a/include/trayrock/internal/gateway/platform_view.h
+++ b/include/trayrock/internal/gateway/platform_view.h
@@ -24,6 +24,7 @@
 #include "trayrock/internal/gateway/configuration_view.h"
 #include "trayrock/internal/gateway/endpoint_directory.h"
 #include "trayrock/internal/gateway/endpoint_entries.h"
+#include "trayrock/internal/gateway/evacuation_view.h"
 #include "trayrock/internal/gateway/gateway_policy.h"
 #include "trayrock/internal/gateway/peer_news.h"
 #include "trayrock/internal/gateway/peer_relays.h"
@@ -98,6 +99,7 @@
 
   void take_group(const records::Group& group);
   void adopted(const configuration_document& held);
+  void take_evacuations(const evacuation_list& held);
   void apply(const records::EndpointChanges& said, const answer_times& times);
   std::uint64_t apply_listing(const records::EndpointChanges& said,
                               const answer_times& times);
@@ -109,6 +111,7 @@
 
   void withdraw(const records::EndpointChanges& said);
   void note_start(const endpoint& listed);
+  void share_cold_endpoints();
   void sweep();
   answer_times answered_now() const;
   answer_times told_now(const records::EndpointChanges& told) const;
@@ -117,11 +120,13 @@
   rpc_pool& pool_;
   platform::object_store& objects_;
   view_parts parts_;
+  relay_peer own_;
   platform::group_registry registry_;
   platform::collection_watcher endpoints_;
   platform::gateway_registry gateways_;
   peer_relays relays_;
   configuration_view configuration_;
+  evacuation_view evacuations_;
   endpoint_entries entries_;
   watch_log log_;
   watch_follower follower_;
--- a/include/trayrock/internal/gateway/watch_follower.h
+++ b/include/trayrock/internal/gateway/watch_follower.h
@@ -28,6 +28,7 @@
   std::uint64_t endpoints_revision = 0;
   std::uint64_t configuration = 0;  // its version
   std::uint64_t group_revision = 0;
+  std::uint64_t evacuations_revision = 0;
 };
 
 struct watch_timing {
--- a/include/trayrock/internal/gateway/watch_log.h
+++ b/include/trayrock/internal/gateway/watch_log.h
@@ -20,6 +20,7 @@
 #include <string>
 
 #include "records.pb.h"
+#include "trayrock/internal/gateway/evacuation_list.h"
 
 namespace trayrock {
 
@@ -42,6 +43,7 @@
 
   void set_configuration(const configuration_document& held);
   void set_group(const records::Group& group, std::uint64_t revision);
+  void set_evacuations(const evacuation_list& held);
 
   // Endpoints that a gateway found failing or superseded. Those of late are
   // told to whoever asks.
@@ -75,6 +77,8 @@
   records::EndpointChanges all_records(std::uint64_t now_ms) const;
   bool add_endpoints_behind(std::uint64_t known, std::uint64_t now_ms,
                             records::WatchReply& reply) const;
+  bool add_evacuations_behind(const records::WatchRequest& request,
+                              records::WatchReply& reply) const;
   bool add_news_behind(const records::WatchRequest& request,
                        std::uint64_t now_ms, records::WatchReply& reply) const;
 
@@ -89,6 +93,7 @@
   configuration_document configuration_;
   std::uint64_t group_revision_ = 0;
   records::Group group_;
+  evacuation_list evacuations_;
   std::deque<numbered_news> news_;
   std::uint64_t last_news_ = 0;
 };
--- a/include/trayrock/internal/settings/service_settings.h
+++ b/include/trayrock/internal/settings/service_settings.h
@@ -42,6 +42,10 @@
   // A request that is sent later than this after its key was taken away does
   // not run, wherever this gateway is cut off. Nothing: no such promise.
   std::optional<milliseconds> revocation_limit;
+  // The endpoints of a data centre get no request later than this after the
+  // operator has begun to empty it. Nothing: none is ever emptied, and the
+  // platform is not asked.
+  std::optional<milliseconds> evacuation_notice;
 };
 
 struct store_settings {
--- a/src/decide/endpoint_choice.cc
+++ b/src/decide/endpoint_choice.cc
@@ -68,7 +68,8 @@
 };
 
 double load_of(const endpoint_state& at, const endpoint_choice& wanted,
-               const choice_policy& policy, const latency_scale& latencies) {
+               const choice_policy& policy, const latency_scale& latencies,
+               std::uint64_t now_ms) {
   double load = (at.in_flight + 1) * latencies.of(at) / at.record.capacity;
   if (at.record.data_centre != wanted.data_centre) {
     load *= policy.elsewhere_factor;
@@ -76,6 +77,9 @@
   if (wanted.connected && !wanted.connected(at.record)) {
     load *= policy.unconnected_factor;
   }
+  if (at.is_cold(now_ms)) {
+    load *= policy.cold_factor;
+  }
   return load;
 }
 
@@ -84,7 +88,8 @@
   const bool tried = wanted.excluded != nullptr &&
                      wanted.excluded->contains(at.record.identity);
   const bool over = at.kept_until_ms != 0 && at.kept_until_ms <= now_ms;
-  return !at.record.draining && !at.superseded && !over && !tried;
+  return !at.record.draining && !at.superseded && !at.evacuated && !over &&
+         !tried && !at.takes_no_more(now_ms);
 }
 
 // An endpoint on trial gets one request at a time.
@@ -119,11 +124,12 @@
 const endpoint_state_ptr& least_loaded(
     std::span<const endpoint_state_ptr> candidates,
     const endpoint_choice& wanted, const choice_policy& policy,
-    const latency_scale& latencies) {
+    const latency_scale& latencies, std::uint64_t now_ms) {
   std::vector<std::size_t> least;
   double least_load = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const double load = load_of(*candidates[i], wanted, policy, latencies);
+    const double load =
+        load_of(*candidates[i], wanted, policy, latencies, now_ms);
     if (least.empty() || load < least_load) {
       least.assign(1, i);
       least_load = load;
@@ -157,7 +163,7 @@
   }
   const latency_scale latencies(candidates, policy.levels_latencies, now_ms);
   const endpoint_state_ptr& least =
-      least_loaded(candidates, wanted, policy, latencies);
+      least_loaded(candidates, wanted, policy, latencies, now_ms);
   const auto preferred =
       std::find_if(candidates.begin(), candidates.end(), [&](const auto& each) {
         return each->record.identity == wanted.preferred;
--- a/src/errors.cc
+++ b/src/errors.cc
@@ -54,6 +54,8 @@
     error_row{errc::answer_invalid, 502, "endpoint's answer is not usable"},
     error_row{errc::endpoints_full, 503, "endpoints refused the request"},
     error_row{errc::stopping, 503, "the gateway is about to end"},
+    error_row{errc::endpoints_cold, 503,
+              "endpoints that have just started take no more now"},
     error_row{errc::platform_unavailable, 503, "platform unavailable"},
     error_row{errc::version_conflict, 409, "stored version differs"},
     error_row{errc::journal_sealed, 503, "journal was sealed by a successor"},
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -36,7 +36,7 @@
     return false;
   }
   sent_at_us_ = loop_.now_us();
-  endpoint_directory::begin(*endpoint_);
+  endpoint_directory::begin(*endpoint_, loop_.now_ms());
   in_flight_ = true;
   head_ = {};
   answer_ = {};
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -15,6 +15,11 @@
   return before_ms + latency_weight * (latency_ms - before_ms);
 }
 
+void presume_cold(endpoint_state& at, std::uint64_t now_ms) {
+  at.presumed_cold_until_ms =
+      now_ms + static_cast<std::uint64_t>(at.cold.lasts.count());
+}
+
 }  // namespace
 
 std::vector<std::string> endpoint_directory::replace(
@@ -26,7 +31,7 @@
   }
   const bool lapsed = lapsed_at_once(missing_from(ids));
   for (const endpoint& each : listed) {
-    take(each, 0);
+    take(each, 0, times.now_ms);
   }
   std::vector<std::string> kept;
   if (after_loss || lapsed) {
@@ -107,7 +112,8 @@
 
 // Takes a record unless a later instance, or a later record, is known.
 void endpoint_directory::take(const endpoint& listed,
-                              std::uint64_t oldest_revision) {
+                              std::uint64_t oldest_revision,
+                              std::uint64_t now_ms) {
   const endpoint* held = find(listed.identity.id);
   const bool late =
       (held != nullptr && held->identity.is_newer_than(listed.identity)) ||
@@ -122,19 +128,24 @@
              listed.revision < state->record.revision) {
     return;
   }
+  const bool later = listed.revision > state->record.revision;
+  if (later) {
+    const auto left = static_cast<std::uint64_t>(listed.cold_for.count());
+    state->cold_until_ms = left == 0 ? 0 : now_ms + left;
+  }
   state->record = listed;
   state->kept_until_ms = 0;
   by_id_[listed.identity.id] = std::move(state);
 }
 
-void endpoint_directory::update(const endpoint& changed) {
+void endpoint_directory::update(const endpoint& changed, std::uint64_t now_ms) {
   const endpoint_state_ptr gone = former_.find(changed.identity);
   const endpoint* held = find(changed.identity.id);
   const bool listed = held != nullptr && held->identity == changed.identity;
   // The record by which a gone instance was known is no news of it.
   const std::uint64_t oldest =
       gone != nullptr && !listed ? gone->record.revision + 1 : 0;
-  take(changed, oldest);
+  take(changed, oldest, now_ms);
   index();
 }
 
@@ -219,10 +230,55 @@
 void endpoint_directory::index() {
   by_service_.clear();
   for (const auto& [id, state] : by_id_) {
+    const auto limit = cold_limits_.find(state->record.service);
+    state->cold = limit == cold_limits_.end() ? cold_limit() : limit->second;
+    state->evacuated = emptied_.contains(state->record.data_centre);
     by_service_[state->record.service].push_back(state);
   }
 }
 
+bool endpoint_directory::evacuate(const data_centre_set& emptied,
+                                  std::uint64_t now_ms) {
+  if (emptied == emptied_) {
+    return false;
+  }
+  emptied_ = emptied;
+  for (const auto& [id, state] : by_id_) {
+    const bool taken_back =
+        state->evacuated && !emptied_.contains(state->record.data_centre);
+    if (taken_back) {
+      presume_cold(*state, now_ms);
+    }
+  }
+  index();
+  return true;
+}
+
+void endpoint_directory::set_cold_limits(const configuration& from) {
+  std::map<std::string, cold_limit, std::less<>> limits;
+  for (const auto& [name, each] : from.services) {
+    if (each.cold.exists()) {
+      limits.emplace(name, each.cold);
+    }
+  }
+  if (limits != cold_limits_) {
+    cold_limits_ = std::move(limits);
+    index();
+  }
+}
+
+void endpoint_directory::share_cold(const cold_sharing& share_of,
+                                    std::uint64_t now_ms) {
+  if (cold_limits_.empty()) {
+    return;
+  }
+  for (const auto& [id, state] : by_id_) {
+    if (state->is_cold(now_ms)) {
+      state->cold_share = share_of(state->cold, state->record);
+    }
+  }
+}
+
 endpoint_state_ptr endpoint_directory::choose(const endpoint_choice& wanted,
                                               std::uint64_t now_ms) const {
   const auto found = by_service_.find(wanted.service);
@@ -232,13 +288,32 @@
   return choose_endpoint(found->second, wanted, policy_.choice, now_ms);
 }
 
-void endpoint_directory::begin(endpoint_state& at) { ++at.in_flight; }
+bool endpoint_directory::are_held_back_when_cold(std::string_view service,
+                                                 std::uint64_t now_ms) const {
+  const auto found = by_service_.find(service);
+  return found != by_service_.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [now_ms](const endpoint_state_ptr& each) {
+                       return !each->record.draining && !each->evacuated &&
+                              each->takes_no_more(now_ms);
+                     });
+}
+
+void endpoint_directory::begin(endpoint_state& at, std::uint64_t now_ms) {
+  ++at.in_flight;
+  if (at.cold.exists()) {
+    at.sent.add(now_ms);
+  }
+}
 
 bool endpoint_directory::end(endpoint_state& at, attempt_outcome outcome,
                              double latency_ms, std::uint64_t now_ms) {
   at.in_flight -= at.in_flight > 0 ? 1 : 0;
   switch (outcome) {
     case attempt_outcome::answered:
+      if (at.health.on_trial(now_ms)) {
+        presume_cold(at, now_ms);
+      }
       at.health.answered(now_ms);
       at.latency_ms = smoothed(at.latency_ms, latency_ms);
       at.latency_at_ms = now_ms;
--- a/src/gateway/endpoint_records.cc
+++ b/src/gateway/endpoint_records.cc
@@ -3,6 +3,11 @@
 #include <algorithm>
 
 namespace trayrock {
+namespace {
+
+constexpr std::uint64_t most_cold_ms = std::uint64_t{365} * 24 * 3600 * 1000;
+
+}  // namespace
 
 records::EndpointRecord encode(const endpoint& from) {
   records::EndpointRecord made;
@@ -14,6 +19,7 @@
   made.set_capacity(from.capacity);
   made.set_draining(from.draining);
   made.set_revision(from.revision);
+  made.set_cold_ms(static_cast<std::uint64_t>(from.cold_for.count()));
   return made;
 }
 
@@ -44,6 +50,8 @@
   made.capacity = std::max(1U, from.capacity());
   made.draining = from.draining();
   made.revision = from.revision();
+  made.cold_for =
+      std::chrono::milliseconds(std::min(from.cold_ms(), most_cold_ms));
   return made;
 }
 
--- a/src/gateway/error_answer.cc
+++ b/src/gateway/error_answer.cc
@@ -12,6 +12,8 @@
 constexpr milliseconds back_after_full{150};
 constexpr milliseconds back_after_history{250};  // or a permit
 constexpr milliseconds back_after_reserved{200};
+// Within a second every gateway's share of a cold endpoint is free again.
+constexpr milliseconds back_after_cold{1000};
 constexpr milliseconds back_after_unconfigured{500};
 // A duration as seconds with three decimals.
 std::string seconds_text(milliseconds delay) {
@@ -32,6 +34,8 @@
     case errc::history_unavailable:
     case errc::workspace_limit_unknown:
       return back_after_history;
+    case errc::endpoints_cold:
+      return back_after_cold;
     case errc::tokens_reserved:
       return back_after_reserved;
     case errc::not_configured:
--- a/src/gateway/peer_relays.cc
+++ b/src/gateway/peer_relays.cc
@@ -51,6 +51,7 @@
         if (found) {
           take(found.value());
         }
+        known_ = known;
         if (!known) {
           announce();
         }
@@ -124,6 +125,7 @@
           log_warn("peers_unknown", {{"cause", found.error().message()}});
           return;
         }
+        known_ = true;
         take(found.value());
       });
 }
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -16,6 +16,8 @@
 // forgotten them shows by one of them within a few seconds.
 constexpr milliseconds configuration_wait{5000};
 constexpr milliseconds endpoints_wait{9000};
+constexpr milliseconds evacuations_wait{13000};
+constexpr milliseconds evacuations_pause{10};
 // Configurations may come in quick succession. Between two watches passes this
 // share of the time that one has to be in force; with 100 ms, 15 gateways made
 // 218 calls in two seconds of such a row.
@@ -52,6 +54,18 @@
   return share_of(notice, first_pause_share);
 }
 
+// Evacuations are single and urgent; an outage of the platform shows by the
+// other watches.
+std::optional<platform::watch_pace> evacuation_pace(
+    const gateway_settings& settings, const gateway_policy& policy) {
+  if (!settings.evacuation_notice) {
+    return std::nullopt;
+  }
+  return platform::watch_pace{evacuations_wait, evacuations_pause,
+                              policy.repeats_listings,
+                              first_pause(settings.endpoint_notice)};
+}
+
 std::uint64_t random_number() {
   std::random_device source;
   return (std::uint64_t{source()} << 32U) | source() | 1U;
@@ -119,6 +133,8 @@
       pool_(pool),
       objects_(objects),
       parts_(parts),
+      own_{settings.service.name, settings.service.rpc_address.text(),
+           settings.service.data_centre},
       registry_(loop, objects, policy.repeats_listings),
       endpoints_(
           loop, objects, platform::kind_endpoints,
@@ -132,6 +148,7 @@
            share_of(settings.configuration_notice, configuration_pause_share),
            policy.repeats_listings, first_pause(settings.endpoint_notice)},
           parts.metrics),
+      evacuations_(loop, objects, evacuation_pace(settings, policy)),
       entries_(parts.metrics),
       log_(random_number()),
       follower_(loop, pool, relays_, entry_of(settings.service), policy.watches,
@@ -173,6 +190,8 @@
       [this](const records::Group& group) { take_group(group); });
   configuration_.start(
       [this](const configuration_document& held) { adopted(held); });
+  evacuations_.start(
+      [this](const evacuation_list& held) { take_evacuations(held); });
   watch_endpoints();
   follow();
   sweeping_ = loop_.every(sweep_period, [this] { sweep(); });
@@ -192,6 +211,7 @@
 }
 
 void platform_view::sweep() {
+  share_cold_endpoints();
   const std::vector<std::string> gone = parts_.endpoints.sweep(loop_.now_ms());
   if (!gone.empty()) {
     log_info("unlisted_endpoints_dropped",
@@ -207,6 +227,20 @@
                      static_cast<double>(endpoints_age_ms()));
 }
 
+// A gateway that does not know yet who else is there has no share: it may be
+// one of many that have just started.
+void platform_view::share_cold_endpoints() {
+  if (!relays_.are_known()) {
+    return;
+  }
+  const std::vector<relay_peer> peers = relays_.peers();
+  parts_.endpoints.share_cold(
+      [&](const cold_limit& limit, const endpoint& of) {
+        return cold_share(limit, of.identity, of.data_centre, own_, peers);
+      },
+      loop_.now_ms());
+}
+
 void platform_view::watch_endpoints() {
   endpoints_.on_snapshot(
       [this](const platform::object_listing& found, bool after_loss) {
@@ -266,8 +300,8 @@
 // ---- Who watches -----------------------------------------------------------
 
 bool platform_view::hold() {
-  const bool held =
-      endpoints_.hold() && configuration_.hold() && registry_.hold();
+  const bool held = endpoints_.hold() && configuration_.hold() &&
+                    registry_.hold() && evacuations_.hold();
   parts_.metrics.set("watches_platform", {}, watching() ? 1 : 0);
   server_.wake();  // those that asked here ask elsewhere
   return held;
@@ -279,6 +313,7 @@
   endpoints_.release(patient);
   configuration_.release(patient);
   registry_.release(patient);
+  evacuations_.release(patient);
   parts_.metrics.set("watches_platform", {}, watching() ? 1 : 0);
 }
 
@@ -288,7 +323,7 @@
 
 watch_position platform_view::position() const {
   return {endpoints_.revision(), configuration_.document().version,
-          registry_.revision()};
+          registry_.revision(), evacuations_.held().revision};
 }
 
 std::error_code platform_view::take_told(const records::WatchReply& told,
@@ -312,6 +347,11 @@
         {told.configuration(), told.configuration_document()});
   }
   configuration_.take_proof(told, asked_ms);
+  if (told.evacuations_revision() != 0) {
+    evacuations_.take_told(
+        {told.evacuations_revision(),
+         {told.evacuated().begin(), told.evacuated().end()}});
+  }
   for (const records::EndpointNews& each : told.endpoint_news()) {
     take_news(each);
   }
@@ -328,6 +368,7 @@
 }
 
 void platform_view::adopted(const configuration_document& held) {
+  parts_.endpoints.set_cold_limits(*configuration_.held());
   log_.set_configuration(held);
   server_.wake();
   if (!follower_.following()) {
@@ -336,6 +377,14 @@
   changed_();
 }
 
+void platform_view::take_evacuations(const evacuation_list& held) {
+  log_.set_evacuations(held);
+  if (parts_.endpoints.evacuate(held.data_centres, loop_.now_ms())) {
+    share_cold_endpoints();
+    server_.wake();
+  }
+}
+
 // ---- Endpoints -------------------------------------------------------------
 
 // A later instance of an endpoint that is known is worth a line.
@@ -373,6 +422,7 @@
     kept_until = apply_changes(said, times);
   }
   withdraw(said);
+  share_cold_endpoints();
   log_.add_endpoints(said, kept_until);
   if (!said.changes().empty() || !said.unusable().empty()) {
     if (!follower_.following()) {
@@ -432,7 +482,7 @@
     if (!each.removed()) {
       const endpoint changed = decode(each.record()).value();
       note_start(changed);
-      parts_.endpoints.update(changed);
+      parts_.endpoints.update(changed, times.now_ms);
     } else if (lapsed) {
       parts_.endpoints.lapse(instance, said.revision(), times);
     } else {
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -31,7 +31,7 @@
   }
   if (!attempt_.begin(
           parts_.endpoints.choose(wanted(), parts_.loop.now_ms()))) {
-    give_up(tried_.empty() ? errc::no_runner : errc::endpoints_full);
+    give_up(why_none_is_chosen());
     return;
   }
   tried_.insert(attempt_.identity());
@@ -40,6 +40,15 @@
   arm_late_guard();
 }
 
+errc request_flow::why_none_is_chosen() const {
+  if (!tried_.empty()) {
+    return errc::endpoints_full;
+  }
+  const bool cold = parts_.endpoints.are_held_back_when_cold(
+      terms_.service(), parts_.loop.now_ms());
+  return cold ? errc::endpoints_cold : errc::no_runner;
+}
+
 endpoint_choice request_flow::wanted() const {
   endpoint_choice made;
   made.service = terms_.service();
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -93,6 +93,7 @@
 
   // What the next endpoint should be like.
   endpoint_choice wanted() const;
+  errc why_none_is_chosen() const;
 
   // The endpoint that made the turn before; empty if there is none.
   endpoint_identity turn_before() const;
--- a/src/gateway/watch_follower.cc
+++ b/src/gateway/watch_follower.cc
@@ -79,6 +79,7 @@
   made.set_endpoints_revision(known.endpoints_revision);
   made.set_configuration(known.configuration);
   made.set_group_revision(known.group_revision);
+  made.set_evacuations_revision(known.evacuations_revision);
   made.set_news_log(news_log_);
   made.set_news(news_);
   made.set_wait_ms(static_cast<std::uint32_t>(timing_.wait.count()));
--- a/src/gateway/watch_log.cc
+++ b/src/gateway/watch_log.cc
@@ -86,6 +86,10 @@
   group_revision_ = revision;
 }
 
+void watch_log::set_evacuations(const evacuation_list& held) {
+  evacuations_ = held;
+}
+
 void watch_log::add_news(const records::EndpointNews& news,
                          std::uint64_t now_ms) {
   news_.push_back({++last_news_, now_ms, news});
@@ -160,6 +164,18 @@
   return true;
 }
 
+bool watch_log::add_evacuations_behind(const records::WatchRequest& request,
+                                       records::WatchReply& reply) const {
+  if (evacuations_.revision <= request.evacuations_revision()) {
+    return false;
+  }
+  reply.set_evacuations_revision(evacuations_.revision);
+  for (const std::string& each : evacuations_.data_centres) {
+    reply.add_evacuated(each);
+  }
+  return true;
+}
+
 bool watch_log::answer(const records::WatchRequest& request,
                        std::uint64_t now_ms, records::WatchReply& reply) const {
   bool any = add_endpoints_behind(request.endpoints_revision(), now_ms, reply);
@@ -169,6 +185,7 @@
     *reply.mutable_group() = group_;
     any = true;
   }
+  any = add_evacuations_behind(request, reply) || any;
   return add_news_behind(request, now_ms, reply) || any;
 }
 
--- a/src/gateway/watch_reply.cc
+++ b/src/gateway/watch_reply.cc
@@ -15,6 +15,8 @@
 // News in one answer; more than the gateways of the largest site can send in
 // the second that news are told.
 constexpr int most_news = 1024;
+// Data centres that are emptied at once; more than any customer has.
+constexpr int most_evacuated = 256;
 
 bool usable(const records::EndpointChange& change) {
   return change.removed() ? !change.record().id().empty()
@@ -60,7 +62,8 @@
 
 std::error_code check_watch_reply(const records::WatchReply& told,
                                   std::uint64_t known) {
-  if (told.endpoint_news_size() > most_news) {
+  if (told.endpoint_news_size() > most_news ||
+      told.evacuated_size() > most_evacuated) {
     return errc::wire_too_large;
   }
   const bool group_is_usable =
--- a/src/settings/service_settings.cc
+++ b/src/settings/service_settings.cc
@@ -102,6 +102,10 @@
     made.revocation_limit =
         notice_or(top, "revocation_limit_ms", milliseconds(0));
   }
+  if (top.has("evacuation_notice_ms")) {
+    made.evacuation_notice =
+        notice_or(top, "evacuation_notice_ms", milliseconds(0));
+  }
   top.close();
   return made;
 }
--- /dev/null
+++ b/test/cold_endpoint_load_test.cc
@@ -0,0 +1,201 @@
+// Half of a service's endpoints have just started while callers go on: plays
+// the load in virtual time with the product's own choice, and checks what the
+// cold endpoints get and what callers are refused.
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <random>
+
+#include "test_support.h"
+#include "trayrock/internal/gateway/endpoint_directory.h"
+
+namespace trayrock::testing {
+namespace {
+
+constexpr int data_centre_count = 3;
+constexpr double allowed_a_second = 26;
+constexpr std::uint64_t cold_ms = 3000;
+constexpr std::uint64_t day_ms = 4000;
+constexpr std::uint64_t start_ms = 10000;
+constexpr std::uint64_t turn_ms = 300;
+constexpr std::uint32_t capacity = 16;
+// Requests a second for each endpoint; cold ones alone bear twice as many.
+constexpr double load_an_endpoint = 12;
+
+struct fleet {
+  int gateways = 0;
+  int endpoints = 0;
+  bool all_cold = false;  // else every second one
+};
+
+struct outcome {
+  int requests = 0;
+  int refused = 0;
+  std::size_t most_in_a_second = 0;  // at one cold endpoint, of all gateways
+};
+
+std::string data_centre_of(int number) {
+  return "dc-" + std::to_string(number % data_centre_count);
+}
+
+class cold_world {
+ public:
+  cold_world(const fleet& size, std::uint64_t seed)
+      : size_(size), random_(seed) {
+    for (int i = 0; i < size.gateways; ++i) {
+      peers_.push_back({"gateway-" + std::to_string(i), "", data_centre_of(i)});
+    }
+    for (int i = 0; i < size.gateways; ++i) {
+      add_gateway(static_cast<std::size_t>(i));
+    }
+  }
+
+  outcome run() {
+    const double rate = load_an_endpoint * size_.endpoints / 1000;  // a ms
+    double at_ms = 0;
+    while (at_ms < day_ms) {
+      at_ms += std::exponential_distribution<double>(rate)(random_);
+      come(start_ms + static_cast<std::uint64_t>(at_ms));
+    }
+    return result();
+  }
+
+ private:
+  struct ending {
+    std::uint64_t at_ms = 0;
+    endpoint_state_ptr at;
+    bool operator<(const ending& other) const { return at_ms > other.at_ms; }
+  };
+
+  void add_gateway(std::size_t own) {
+    configuration held;
+    held.services["s"].name = "s";
+    held.services["s"].cold = {allowed_a_second,
+                               std::chrono::milliseconds(cold_ms)};
+    endpoint_directory known;
+    known.set_cold_limits(held);
+    known.replace(endpoints(), false, {start_ms, start_ms});
+    std::vector<relay_peer> others = peers_;
+    others.erase(others.begin() + static_cast<std::ptrdiff_t>(own));
+    known.share_cold(
+        [&](const cold_limit& limit, const endpoint& of) {
+          return cold_share(limit, of.identity, of.data_centre, peers_[own],
+                            others);
+        },
+        start_ms);
+    directories_.push_back(std::move(known));
+  }
+
+  std::vector<endpoint> endpoints() const {
+    std::vector<endpoint> made;
+    for (int i = 0; i < size_.endpoints; ++i) {
+      endpoint each;
+      each.identity = {std::to_string(i)};
+      each.service = "s";
+      each.capacity = capacity;
+      each.data_centre = data_centre_of(i);
+      each.revision = 1;
+      each.cold_for = std::chrono::milliseconds(is_cold(i) ? cold_ms : 0);
+      made.push_back(each);
+    }
+    return made;
+  }
+
+  bool is_cold(int endpoint) const {
+    return size_.all_cold || endpoint % 2 == 0;
+  }
+
+  void come(std::uint64_t now_ms) {
+    while (!endings_.empty() && endings_.top().at_ms <= now_ms) {
+      const ending done = endings_.top();
+      endings_.pop();
+      endpoint_directory::end(*done.at, attempt_outcome::answered, turn_ms,
+                              done.at_ms);
+    }
+    const std::size_t own = random_() % directories_.size();
+    endpoint_choice wanted;
+    wanted.service = "s";
+    wanted.data_centre = peers_[own].data_centre;
+    wanted.draw = random_();
+    const endpoint_state_ptr to = directories_[own].choose(wanted, now_ms);
+    ++seen_.requests;
+    if (to == nullptr) {
+      ++seen_.refused;
+      return;
+    }
+    endpoint_directory::begin(*to, now_ms);
+    endings_.push({now_ms + turn_ms, to});
+    const int number = std::stoi(to->record.identity.id);
+    if (is_cold(number) && now_ms < start_ms + cold_ms) {
+      arrivals_[number].push_back(now_ms);
+    }
+  }
+
+  outcome result() const {
+    outcome made = seen_;
+    for (const auto& [number, times] : arrivals_) {
+      for (auto first = times.begin(); first != times.end(); ++first) {
+        const auto end = std::lower_bound(first, times.end(), *first + 1000);
+        made.most_in_a_second = std::max(made.most_in_a_second,
+                                         static_cast<std::size_t>(end - first));
+      }
+    }
+    return made;
+  }
+
+  fleet size_;
+  std::mt19937_64 random_;
+  std::vector<relay_peer> peers_;
+  std::vector<endpoint_directory> directories_;
+  std::priority_queue<ending> endings_;
+  std::map<int, std::vector<std::uint64_t>> arrivals_;
+  outcome seen_;
+};
+
+class cold_endpoint_load_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(cold_endpoint_load_test);
+  CPPUNIT_TEST(small_fleet_keeps_the_bound_and_serves_all);
+  CPPUNIT_TEST(large_fleet_keeps_the_bound_and_serves_all);
+  CPPUNIT_TEST(all_endpoints_cold_serve_what_the_bound_lets_through);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void small_fleet_keeps_the_bound_and_serves_all() { check({20, 44, false}); }
+
+  void large_fleet_keeps_the_bound_and_serves_all() {
+    check({354, 494, false});
+  }
+
+  void all_endpoints_cold_serve_what_the_bound_lets_through() {
+    for (const fleet& size : {fleet{20, 44, true}, fleet{354, 494, true}}) {
+      const outcome seen = cold_world(size, 1).run();
+      const std::string text = text_of(size, seen);
+      CPPUNIT_ASSERT_MESSAGE(text, seen.most_in_a_second <= allowed_a_second);
+      // Half of the bound is asked for.
+      CPPUNIT_ASSERT_MESSAGE(text, seen.refused < seen.requests / 10);
+    }
+  }
+
+ private:
+  static void check(const fleet& size) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      const outcome seen = cold_world(size, seed).run();
+      const std::string text = text_of(size, seen);
+      CPPUNIT_ASSERT_MESSAGE(text, seen.most_in_a_second <= allowed_a_second);
+      CPPUNIT_ASSERT_MESSAGE(text, seen.refused == 0);
+    }
+  }
+
+  static std::string text_of(const fleet& size, const outcome& seen) {
+    return std::to_string(size.gateways) +
+           " gateways: " + std::to_string(seen.refused) + " of " +
+           std::to_string(seen.requests) + " refused, at most " +
+           std::to_string(seen.most_in_a_second) +
+           " in a second at one cold endpoint";
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(cold_endpoint_load_test);
+
+}  // namespace
+}  // namespace trayrock::testing
--- a/test/endpoint_directory_test.cc
+++ b/test/endpoint_directory_test.cc
@@ -45,7 +45,7 @@
     endpoints.replace({named("a"), named("b")}, false, {start_ms});
     attempt_at(endpoints, "a", attempt_outcome::other_instance);
     endpoints.remove({"a"}, 0);
-    endpoints.update(named("a"));
+    endpoints.update(named("a"), start_ms);
     CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 9000));
   }
 
@@ -64,7 +64,7 @@
     endpoints.lapse({"a"}, 0, {start_ms});
     endpoints.sweep(start_ms + 2000);
     CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(endpoints, start_ms + 2000));
-    endpoints.update(named("a"));
+    endpoints.update(named("a"), start_ms);
     endpoints.sweep(start_ms + 9000);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints.size());
   }
@@ -134,8 +134,8 @@
     endpoint_directory endpoints;
     endpoints.replace({named("a")}, false, {start_ms});
     attempt_at(endpoints, "a", attempt_outcome::refused);
-    endpoints.update(named("b"));
-    endpoint_directory::begin(*state_of(endpoints, "b"));
+    endpoints.update(named("b"), start_ms);
+    endpoint_directory::begin(*state_of(endpoints, "b"), start_ms);
     CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(endpoints, start_ms + 500));
   }
 
@@ -159,7 +159,7 @@
     endpoint_directory endpoints;
     endpoints.replace({named("b")}, false, {start_ms});
     endpoints.supersede({"a"});
-    endpoints.update(named("a"));
+    endpoints.update(named("a"), start_ms);
     CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 10));
   }
 
@@ -186,7 +186,7 @@
   static void attempt_at(endpoint_directory& endpoints, const std::string& id,
                          attempt_outcome outcome) {
     const auto at = state_of(endpoints, id);
-    endpoint_directory::begin(*at);
+    endpoint_directory::begin(*at, start_ms);
     endpoint_directory::end(*at, outcome, 1, start_ms);
   }
 
--- a/test/endpoint_identity_test.cc
+++ b/test/endpoint_identity_test.cc
@@ -47,7 +47,7 @@
 
 endpoint_directory directory_with(const endpoint& known) {
   endpoint_directory made;
-  made.update(known);
+  made.update(known, now_ms);
   return made;
 }
 
@@ -93,15 +93,15 @@
     attempt(*former, attempt_outcome::unreachable);
     CPPUNIT_ASSERT(chosen(endpoints) == nullptr);
 
-    endpoints.update(instance(second_start, 2));
+    endpoints.update(instance(second_start, 2), now_ms);
     CPPUNIT_ASSERT_EQUAL(second_start, chosen_start(endpoints));
     CPPUNIT_ASSERT(!chosen(endpoints)->health.avoided(now_ms));
   }
 
   void new_instance_has_nothing_in_flight() {
     endpoint_directory endpoints = directory_with(instance(first_start, 1));
-    endpoint_directory::begin(*chosen(endpoints));
-    endpoints.update(instance(second_start, 2));
+    endpoint_directory::begin(*chosen(endpoints), now_ms);
+    endpoints.update(instance(second_start, 2), now_ms);
     CPPUNIT_ASSERT_EQUAL(0U, chosen(endpoints)->in_flight);
   }
 
@@ -109,7 +109,7 @@
     endpoint_directory endpoints =
         directory_with(instance(first_start, 1, true));
     CPPUNIT_ASSERT(chosen(endpoints) == nullptr);
-    endpoints.update(instance(second_start, 2));
+    endpoints.update(instance(second_start, 2), now_ms);
     CPPUNIT_ASSERT_EQUAL(second_start, chosen_start(endpoints));
   }
 
@@ -123,20 +123,20 @@
   void restart_and_removal_in_one_answer_leave_the_new_instance() {
     endpoint_directory endpoints = directory_with(instance(first_start, 1));
     endpoints.remove({"a", first_start}, 5);
-    endpoints.update(instance(second_start, 4));
+    endpoints.update(instance(second_start, 4), now_ms);
     CPPUNIT_ASSERT_EQUAL(second_start, chosen_start(endpoints));
   }
 
   void record_of_the_former_instance_changes_nothing() {
     endpoint_directory endpoints = directory_with(instance(second_start, 2));
-    endpoints.update(instance(first_start, 9, true));
+    endpoints.update(instance(first_start, 9, true), now_ms);
     CPPUNIT_ASSERT_EQUAL(second_start, chosen_start(endpoints));
   }
 
   // Of an earlier version of a gateway, which knows no starts.
   void record_without_a_start_does_not_replace_one_with() {
     endpoint_directory endpoints = directory_with(instance(second_start, 2));
-    endpoints.update(instance(0, 9, true));
+    endpoints.update(instance(0, 9, true), now_ms);
     CPPUNIT_ASSERT_EQUAL(second_start, chosen_start(endpoints));
   }
 
@@ -165,9 +165,9 @@
   void late_answer_of_the_former_instance_changes_nothing() {
     endpoint_directory endpoints = directory_with(instance(first_start, 1));
     const endpoint_state_ptr former = chosen(endpoints);
-    endpoint_directory::begin(*former);
-    endpoints.update(instance(second_start, 2));
-    endpoint_directory::begin(*chosen(endpoints));
+    endpoint_directory::begin(*former, now_ms);
+    endpoints.update(instance(second_start, 2), now_ms);
+    endpoint_directory::begin(*chosen(endpoints), now_ms);
     endpoint_directory::end(*former, attempt_outcome::unreachable, 1, now_ms);
     CPPUNIT_ASSERT_EQUAL(1U, chosen(endpoints)->in_flight);
     CPPUNIT_ASSERT(!chosen(endpoints)->health.avoided(now_ms));
@@ -190,7 +190,7 @@
     endpoint_directory endpoints = directory_with(instance(first_start, 1));
     endpoints.supersede({"a", second_start});
     CPPUNIT_ASSERT_EQUAL(first_start, chosen_start(endpoints));
-    endpoints.update(instance(second_start, 2));
+    endpoints.update(instance(second_start, 2), now_ms);
     CPPUNIT_ASSERT(chosen(endpoints) == nullptr);
   }
 
@@ -198,7 +198,7 @@
     endpoint_directory endpoints = directory_with(instance(second_start, 2));
     endpoint other = instance(0, 3);
     other.identity = {"b", first_start};
-    endpoints.update(other);
+    endpoints.update(other, now_ms);
     endpoint_choice wanted;
     wanted.service = service;
     wanted.preferred = {"a", first_start};
@@ -238,7 +238,7 @@
 
  private:
   static void attempt(endpoint_state& at, attempt_outcome outcome) {
-    endpoint_directory::begin(at);
+    endpoint_directory::begin(at, now_ms);
     endpoint_directory::end(at, outcome, 1, now_ms);
   }
 
@@ -272,7 +272,7 @@
                    std::uint64_t seed) {
     switch (heard.what) {
       case word::kind::record:
-        endpoints.update(heard.about);
+        endpoints.update(heard.about, now_ms);
         return;
       case word::kind::listing:
         endpoints.replace({heard.about}, seed % 2 == 0, {now_ms, now_ms});
--- a/test/gateway_rules_test.cc
+++ b/test/gateway_rules_test.cc
@@ -141,7 +141,7 @@
     std::string chosen;
     for (int i = 0; i < 4; ++i) {
       const endpoint_state_ptr to = directory.choose(wanted, now);
-      endpoint_directory::begin(*to);
+      endpoint_directory::begin(*to, now);
       chosen += to->record.identity.id;
     }
     CPPUNIT_ASSERT_EQUAL(std::string("bbab"), chosen);
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -148,6 +148,9 @@
   if (options_.revocation_limit_ms > 0) {
     settings["revocation_limit_ms"] = options_.revocation_limit_ms;
   }
+  if (options_.evacuation_notice_ms > 0) {
+    settings["evacuation_notice_ms"] = options_.evacuation_notice_ms;
+  }
   std::ofstream(folder_ + "/" + name + ".json") << settings.dump();
 }
 
@@ -247,6 +250,12 @@
   }
 }
 
+void service_deployment::remove_object(const std::string& kind,
+                                       const std::string& name) {
+  exchange(port("objects"), "DELETE", "/objects/" + kind + "/" + name, "", {},
+           5);
+}
+
 json service_deployment::object(const std::string& kind,
                                 const std::string& name) {
   return exchange(port("objects"), "GET", "/objects/" + kind + "/" + name, "",
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -24,8 +24,9 @@
   bool gateways_together = false;  // all in one data centre
   bool links = false;  // calls between processes go through fault proxies
   json workspaces;     // of the first configuration; null: none
-  int revocation_limit_ms = 0;  // 0: no such promise
-  double limit_window_s = 1;    // in which limits of workspaces are counted
+  int revocation_limit_ms = 0;   // 0: no such promise
+  int evacuation_notice_ms = 0;  // 0: no data centre is ever emptied
+  double limit_window_s = 1;     // in which limits of workspaces are counted
 };
 
 class service_deployment {
@@ -57,6 +58,7 @@
   // The operator's and the runners' writes to the platform.
   void put_object(const std::string& kind, const std::string& name,
                   const json& spec);
+  void remove_object(const std::string& kind, const std::string& name);
   json object(const std::string& kind, const std::string& name);
   void register_runner(const std::string& name, const std::string& phase);
   static json endpoint_entry(const std::string& address,
--- a/test/watch_log_test.cc
+++ b/test/watch_log_test.cc
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(gap_empties_the_log);
   CPPUNIT_TEST(changes_that_overlap_count_once);
   CPPUNIT_TEST(newer_configuration_and_group_are_told);
+  CPPUNIT_TEST(evacuations_are_told_whole_to_those_behind);
   CPPUNIT_TEST(news_are_told_once_and_not_to_their_sender);
   CPPUNIT_TEST(old_news_are_not_told);
   CPPUNIT_TEST(what_is_left_of_a_lapse_is_told);
@@ -130,6 +131,20 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, reply.group().epoch());
   }
 
+  void evacuations_are_told_whole_to_those_behind() {
+    watch_log log = log_at(10);
+    log.set_evacuations({12, {"north", "south"}});
+    const records::WatchReply reply = answer(log, 10);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, reply.evacuations_revision());
+    CPPUNIT_ASSERT_EQUAL(2, reply.evacuated_size());
+
+    records::WatchRequest request;
+    request.set_endpoints_revision(10);
+    request.set_evacuations_revision(12);
+    records::WatchReply known;
+    CPPUNIT_ASSERT(!log.answer(request, start_ms, known));
+  }
+
   void news_are_told_once_and_not_to_their_sender() {
     watch_log log = log_at(10);
     records::EndpointNews news;
