Gateways that start hear all they need from others, not from the platform

Ruled out: the watches themselves (two gateways of each data centre); pages that are larger (the platform's); asking a seed of the settings (stale or down, and no list of others).

Change: a gateway that starts asks the platform for the list of gateways only, at a tenth of the price, until it is on it; who is to watch by that list reads the rest, and everybody else asks a watcher, from the first question on (decide/watch_roles `first`). A gateway that knows nothing yet keeps such a question until it does; one that does not watch tells one that starts all that it has. Nobody waits longer than 2.5 s before it asks the platform itself, and then both ways. Proofs of a configuration are asked for without the endpoints.

Of 30, 354 and 700 gateways of a data centre two read all (watch_roles_test).

--- a/include/trayrock/internal/decide/watch_roles.h
+++ b/include/trayrock/internal/decide/watch_roles.h
@@ -25,6 +25,7 @@
 //   roles.unusable(address, now);    // silent, or it does not watch
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -44,6 +45,11 @@
 struct watch_platform {};
 using watch_step = std::variant<ask_watcher, watch_platform>;
 
+// What a gateway that has just started, and knows nothing, does.
+struct wait_for_peers {};
+using first_watch_step =
+    std::variant<ask_watcher, watch_platform, wait_for_peers>;
+
 // Who watches: a few of each data centre, or every gateway by itself.
 struct few_watch {
   bool operator==(const few_watch&) const = default;
@@ -61,6 +67,19 @@
   // What to do now. Asked again before each poll.
   watch_step next(std::span<const relay_peer> peers, std::uint64_t now_ms);
 
+  // The same before anything is known. `listed`: this gateway has been seen on
+  // a list of all, so that those that started with it are on it, too. Until
+  // then it does not take itself for a watcher, or all that start together
+  // would read everything from the platform; nor does it wait for long.
+  first_watch_step first(std::span<const relay_peer> peers, bool listed,
+                         std::chrono::milliseconds since_start,
+                         std::uint64_t now_ms);
+
+  // The same while the platform is asked already and has not answered: others
+  // may know what it does not tell.
+  first_watch_step beside_platform(std::span<const relay_peer> peers,
+                                   std::uint64_t now_ms);
+
   // True when this gateway is one of those that are to watch, by what it knows
   // of the peers.
   bool is_watcher(std::span<const relay_peer> peers,
--- a/include/trayrock/internal/gateway/peer_relays.h
+++ b/include/trayrock/internal/gateway/peer_relays.h
@@ -10,6 +10,7 @@
 //   records.use_relays(relays.source());
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -28,8 +29,9 @@
   peer_relays& operator=(const peer_relays&) = delete;
 
   // Makes this gateway known to the others, unless an earlier life of it is
-  // known by the same address.
-  void start();
+  // known by the same address. `listed` is told once a list has been read that
+  // this gateway is on.
+  void start(std::function<void()> listed);
 
   // What a client of the record stores needs to use the peers.
   relay_source source();
@@ -40,8 +42,7 @@
   // All that are known, without this gateway.
   std::vector<relay_peer> peers() const { return choice_.peers(); }
 
-  // Whether a list of them has been read that this gateway was on, or that came
-  // behind its own entry.
+  // Whether a list of them has been read that this gateway was on.
   bool are_known() const { return known_; }
 
  private:
@@ -49,7 +50,10 @@
   void take(const std::vector<platform::gateway_entry>& listed);
   bool is_among(const std::vector<platform::gateway_entry>& listed) const;
   void announce();
+  void look_for_self();
   void look_for_peers();
+  void take_if_listed(
+      const result<std::vector<platform::gateway_entry>>& found);
 
   event_loop& loop_;
   platform::gateway_registry& registry_;
@@ -57,6 +61,8 @@
   relay_choice choice_;
   bool looking_ = false;
   bool known_ = false;
+  std::function<void()> listed_;
+  int looks_ = 0;  // for this gateway itself, on lists of all
   std::uint64_t looked_at_ms_ = 0;
   timer again_;
 };
--- a/include/trayrock/internal/gateway/watch_follower.h
+++ b/include/trayrock/internal/gateway/watch_follower.h
@@ -1,5 +1,5 @@
 // Asks gateways that watch the platform for what is new, in place of the
-// platform.
+// platform, from the start on.
 //
 // Whom it asks, and when this gateway has to watch by itself, is decided by
 // decide/watch_roles.h.
@@ -42,6 +42,8 @@
 watch_timing timing_within(milliseconds notice);
 
 struct follower_handlers {
+  // Whether this gateway has been seen on a list of all.
+  std::function<bool()> listed;
   std::function<watch_position()> position;
   // Asks the platform nothing more; false as long as that is not possible.
   std::function<bool()> hold;
@@ -65,8 +67,11 @@
 
   void start(follower_handlers handlers);
 
+  // A list of all gateways has been read: this one may be to watch.
+  void peers_listed();
+
   // Whether others watch for this gateway at present.
-  bool following() const { return following_; }
+  bool following() const { return role_ == role::asks; }
 
   // Whether this gateway is one of those that are to watch.
   bool is_watcher() const;
@@ -75,14 +80,18 @@
   std::vector<std::string> watchers() const;
 
  private:
+  enum class role { starts, asks, watches };
+
   void step();
   void act(const ask_watcher& asked);
   void act(const watch_platform&);
+  void act(const wait_for_peers&);
   void answered(const std::string& by, std::uint64_t asked_ms,
                 const result<records::WatchReply>& reply);
+  void told_by_watcher(const std::string& by);
   bool take(const std::string& by, std::uint64_t asked_ms,
             const records::WatchReply& reply);
-  void set_following(bool following, const std::string& cause);
+  void set_role(role now, const std::string& cause);
   records::WatchRequest request() const;
 
   event_loop& loop_;
@@ -92,7 +101,8 @@
   watch_timing timing_;
   watch_roles roles_;
   follower_handlers handlers_;
-  bool following_ = false;
+  role role_ = role::starts;
+  std::uint64_t started_ms_ = 0;
   std::uint64_t news_log_ = 0;  // of the watcher that was heard last
   std::uint64_t news_ = 0;      // its last news
   rpc_call asking_;
--- a/include/trayrock/internal/gateway/watch_server.h
+++ b/include/trayrock/internal/gateway/watch_server.h
@@ -3,7 +3,8 @@
 // An answer waits until there is something new, or the asking gateway's time
 // for it is over. A gateway that does not watch the platform, or that the
 // platform does not answer, says so at once: then others ask elsewhere. Its
-// configuration and the proof of it are told all the same.
+// configuration and the proof of it are told all the same, and to a gateway
+// that has just started all that it knows.
 //
 // Example:
 //   watch_server server(loop, log, [] { return watching; }, heard_of_peer,
@@ -58,6 +59,8 @@
 
   void take(const records::WatchRequest& request, const rpc_reply_ptr& reply);
 
+  bool fill(const waiting_call& call, records::WatchReply& reply) const;
+
   // True if the call has been answered.
   bool answer(const waiting_call& call);
   void answer_due();
--- a/src/decide/watch_roles.cc
+++ b/src/decide/watch_roles.cc
@@ -22,6 +22,8 @@
 // for several seconds.
 constexpr std::uint32_t failures_before_alone = 3;
 constexpr std::uint64_t alone_ms = 3000;
+// So long a gateway that has just started waits to be told by others.
+constexpr std::chrono::milliseconds first_patience{2500};
 
 std::uint64_t order_of(const std::string& name) {
   return XXH3_64bits(name.data(), name.size());
@@ -101,6 +103,28 @@
   return found;
 }
 
+first_watch_step watch_roles::first(std::span<const relay_peer> peers,
+                                    bool listed,
+                                    std::chrono::milliseconds since_start,
+                                    std::uint64_t now_ms) {
+  const bool alone = std::holds_alternative<all_watch>(sharing_) ||
+                     alone_until_ms_ > now_ms || since_start >= first_patience;
+  if (alone || (listed && is_watcher(peers, now_ms))) {
+    return watch_platform{};
+  }
+  return beside_platform(peers, now_ms);
+}
+
+first_watch_step watch_roles::beside_platform(std::span<const relay_peer> peers,
+                                              std::uint64_t now_ms) {
+  ++turn_;
+  const std::vector<std::string> found = candidates(peers, now_ms);
+  if (found.empty()) {
+    return wait_for_peers{};
+  }
+  return ask_watcher{found.front()};
+}
+
 watch_step watch_roles::next(std::span<const relay_peer> peers,
                              std::uint64_t now_ms) {
   if (is_watcher(peers, now_ms)) {
--- a/src/gateway/configuration_view.cc
+++ b/src/gateway/configuration_view.cc
@@ -46,7 +46,7 @@
     }
   });
   watcher_.on_current([this](std::uint64_t sent_ms) { proof_.shown(sent_ms); });
-  watcher_.start();
+  watcher_.start_held();
 }
 
 // Others than the operator may write objects of that kind.
@@ -147,6 +147,7 @@
   metrics_.add("proofs_asked_total");
   records::WatchRequest request;
   request.set_configuration(document_.version);
+  request.set_configuration_only(true);
   asking_ = pool_.ask<records::WatchReply>(
       peer.address, "Watch", request, proof_patience,
       [this, asked = loop_.now_ms(),
--- a/src/gateway/evacuation_view.cc
+++ b/src/gateway/evacuation_view.cc
@@ -51,7 +51,7 @@
         }
         adopt(std::move(data_centres), seen.revision);
       });
-  watcher_->start();
+  watcher_->start_held();
 }
 
 void evacuation_view::take_told(const evacuation_list& told) {
--- a/src/gateway/peer_relays.cc
+++ b/src/gateway/peer_relays.cc
@@ -12,6 +12,9 @@
 // Gateways that start together have announced themselves by then. The list is
 // read ahead, since a cut may take the platform away with the stores.
 constexpr milliseconds first_listing_delay{500};
+// Lists that may be old are read until this gateway is on one, so many times.
+// They cost a tenth.
+constexpr int most_old_listings = 4;
 // Least time between two listings of the gateways.
 constexpr std::uint64_t listing_pause_ms = 1000;
 // Less than the asking gateway waits for its relay.
@@ -44,21 +47,45 @@
 
 // An entry stays when a process ends. Of 91 gateways that lose power together
 // each saves two of three calls by looking first, at a tenth of a call's price.
-void peer_relays::start() {
+void peer_relays::start(std::function<void()> listed) {
+  listed_ = std::move(listed);
   registry_.list(
       [this](const result<std::vector<platform::gateway_entry>>& found) {
-        const bool known = found && is_among(found.value());
-        if (found) {
-          take(found.value());
-        }
-        known_ = known;
-        if (!known) {
+        take_if_listed(found);
+        if (!known_) {
           announce();
         }
       },
       platform::freshness::may_be_old);
 }
 
+void peer_relays::take_if_listed(
+    const result<std::vector<platform::gateway_entry>>& found) {
+  if (!found) {
+    return;
+  }
+  take(found.value());
+  if (!known_ && is_among(found.value())) {
+    known_ = true;
+    listed_();
+  }
+}
+
+void peer_relays::look_for_self() {
+  const bool may_be_old = looks_ < most_old_listings;
+  ++looks_;
+  registry_.list(
+      [this](const result<std::vector<platform::gateway_entry>>& found) {
+        take_if_listed(found);
+        if (!known_) {
+          again_ =
+              loop_.after(first_listing_delay, [this] { look_for_self(); });
+        }
+      },
+      may_be_old ? platform::freshness::may_be_old
+                 : platform::freshness::current);
+}
+
 bool peer_relays::is_among(
     const std::vector<platform::gateway_entry>& listed) const {
   return std::any_of(listed.begin(), listed.end(),
@@ -72,7 +99,7 @@
 void peer_relays::announce() {
   registry_.announce(own_, [this](bool known) {
     if (known) {
-      again_ = loop_.after(first_listing_delay, [this] { look_for_peers(); });
+      again_ = loop_.after(first_listing_delay, [this] { look_for_self(); });
     } else {
       again_ = loop_.after(announce_pause, [this] { announce(); });
     }
@@ -125,8 +152,7 @@
           log_warn("peers_unknown", {{"cause", found.error().message()}});
           return;
         }
-        known_ = true;
-        take(found.value());
+        take_if_listed(found);
       });
 }
 
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -184,9 +184,7 @@
 
 void platform_view::start(std::function<void()> changed) {
   changed_ = std::move(changed);
-  relays_.start();
-  parts_.metrics.set("watches_platform", {}, 1);
-  registry_.watch_group(
+  registry_.follow_group(
       [this](const records::Group& group) { take_group(group); });
   configuration_.start(
       [this](const configuration_document& held) { adopted(held); });
@@ -194,6 +192,7 @@
       [this](const evacuation_list& held) { take_evacuations(held); });
   watch_endpoints();
   follow();
+  relays_.start([this] { follower_.peers_listed(); });
   sweeping_ = loop_.every(sweep_period, [this] { sweep(); });
 }
 
@@ -217,6 +216,7 @@
     log_info("unlisted_endpoints_dropped",
              {{"endpoints", id_list(gone).text()}});
   }
+  parts_.metrics.set("watches_platform", {}, watching() ? 1 : 0);
   parts_.metrics.set("endpoints_known", {},
                      static_cast<double>(parts_.endpoints.size()));
   parts_.metrics.set("endpoints_unlisted", {},
@@ -250,7 +250,7 @@
       [this](const platform::object_changes& seen, std::uint64_t after) {
         apply(entries_.of_changes(seen, after), answered_now());
       });
-  endpoints_.start();
+  endpoints_.start_held();
 }
 
 void platform_view::ask_sign_of_life(std::function<void()> heard) {
@@ -273,8 +273,8 @@
 
 void platform_view::follow() {
   follower_.start(
-      {[this] { return position(); }, [this] { return hold(); },
-       [this] { release(); },
+      {[this] { return relays_.are_known(); }, [this] { return position(); },
+       [this] { return hold(); }, [this] { release(); },
        [this](const records::WatchReply& told, std::uint64_t asked_ms) {
          return take_told(told, asked_ms);
        }});
@@ -302,7 +302,6 @@
 bool platform_view::hold() {
   const bool held = endpoints_.hold() && configuration_.hold() &&
                     registry_.hold() && evacuations_.hold();
-  parts_.metrics.set("watches_platform", {}, watching() ? 1 : 0);
   server_.wake();  // those that asked here ask elsewhere
   return held;
 }
@@ -314,7 +313,6 @@
   configuration_.release(patient);
   registry_.release(patient);
   evacuations_.release(patient);
-  parts_.metrics.set("watches_platform", {}, watching() ? 1 : 0);
 }
 
 bool platform_view::watching() const {
--- a/src/gateway/watch_follower.cc
+++ b/src/gateway/watch_follower.cc
@@ -14,6 +14,8 @@
 constexpr double patience_share = 0.075;
 // How often a gateway that watches by itself looks whether it has to.
 constexpr milliseconds role_period{500};
+// While a gateway that has just started knows of no other one.
+constexpr milliseconds start_period{50};
 // Between an answer and the next question, so that a row of changes costs few
 // questions: what is told has waited longer already.
 constexpr milliseconds pause{40};
@@ -37,7 +39,8 @@
 
 void watch_follower::start(follower_handlers handlers) {
   handlers_ = std::move(handlers);
-  again_ = loop_.after(role_period, [this] { step(); });
+  started_ms_ = loop_.now_ms();
+  step();
 }
 
 bool watch_follower::is_watcher() const {
@@ -48,16 +51,35 @@
   return roles_.watchers(peers_.peers(), loop_.now_ms());
 }
 
+void watch_follower::peers_listed() {
+  const bool waits =
+      role_ == role::starts && handlers_.position().endpoints_revision == 0;
+  if (waits) {
+    asking_.cancel();
+    step();
+  }
+}
+
 void watch_follower::step() {
-  // Without a first listing there is nothing to go on from.
-  const bool known = handlers_.position().endpoints_revision != 0;
-  const watch_step next = known ? roles_.next(peers_.peers(), loop_.now_ms())
-                                : watch_step(watch_platform{});
-  std::visit([this](const auto& each) { act(each); }, next);
+  const auto go_on = [this](const auto& each) { act(each); };
+  const std::uint64_t now = loop_.now_ms();
+  if (handlers_.position().endpoints_revision != 0) {
+    std::visit(go_on, roles_.next(peers_.peers(), now));
+    return;
+  }
+  const bool asked_platform = role_ == role::watches;
+  std::visit(go_on, asked_platform
+                        ? roles_.beside_platform(peers_.peers(), now)
+                        : roles_.first(peers_.peers(), handlers_.listed(),
+                                       milliseconds(now - started_ms_), now));
+}
+
+void watch_follower::act(const wait_for_peers&) {
+  again_ = loop_.after(start_period, [this] { step(); });
 }
 
 void watch_follower::act(const watch_platform&) {
-  set_following(false, "watches");
+  set_role(role::watches, "platform");
   again_ = loop_.after(role_period, [this] { step(); });
 }
 
@@ -88,17 +110,27 @@
 
 void watch_follower::answered(const std::string& by, std::uint64_t asked_ms,
                               const result<records::WatchReply>& reply) {
-  if (reply && reply.value().watching() && take(by, asked_ms, reply.value())) {
-    roles_.heard(by);
-    if (handlers_.hold()) {
-      set_following(true, by);
+  // One that does not watch tells what it knows to those that know nothing.
+  const bool knew_nothing = handlers_.position().endpoints_revision == 0;
+  const bool tells =
+      reply && (reply.value().watching() || reply.value().endpoints_size() > 0);
+  if (tells && take(by, asked_ms, reply.value())) {
+    if (reply.value().watching()) {
+      told_by_watcher(by);
     }
-  } else {
+  } else if (tells || !reply || !knew_nothing) {
     roles_.unusable(by, loop_.now_ms());
-  }
+  }  // else both have just started
   again_ = loop_.after(pause, [this] { step(); });
 }
 
+void watch_follower::told_by_watcher(const std::string& by) {
+  roles_.heard(by);
+  if (handlers_.hold()) {
+    set_role(role::asks, by);
+  }
+}
+
 bool watch_follower::take(const std::string& by, std::uint64_t asked_ms,
                           const records::WatchReply& reply) {
   if (const std::error_code why = handlers_.take(reply, asked_ms)) {
@@ -112,14 +144,15 @@
   return true;
 }
 
-void watch_follower::set_following(bool following, const std::string& cause) {
-  if (following == following_) {
+void watch_follower::set_role(role now, const std::string& cause) {
+  if (now == role_) {
     return;
   }
-  following_ = following;
+  role_ = now;
+  const bool watches = now == role::watches;
   log_info("watch_role",
-           {{"role", following ? "asks" : "watches"}, {"whom", cause}});
-  if (!following) {
+           {{"role", watches ? "watches" : "asks"}, {"whom", cause}});
+  if (watches) {
     handlers_.release();
   }
 }
--- a/src/gateway/watch_reply.cc
+++ b/src/gateway/watch_reply.cc
@@ -32,7 +32,9 @@
       return errc::wire_too_large;
     }
     const bool follows = each.whole() || each.after() <= known;
-    if (!follows || each.revision() > known + most_revisions_ahead) {
+    const bool possible =
+        known == 0 || each.revision() <= known + most_revisions_ahead;
+    if (!follows || !possible) {
       return errc::wire_out_of_step;
     }
     const bool named =
--- a/src/gateway/watch_server.cc
+++ b/src/gateway/watch_server.cc
@@ -15,6 +15,10 @@
 // have gathered them for about as long.
 constexpr milliseconds gathering{60};
 
+bool knows_nothing(const records::WatchRequest& request) {
+  return request.endpoints_revision() == 0;
+}
+
 }  // namespace
 
 watch_server::watch_server(event_loop& loop, const watch_log& log,
@@ -47,20 +51,32 @@
   }
 }
 
+// False: there is nothing to say yet.
+bool watch_server::fill(const waiting_call& call,
+                        records::WatchReply& reply) const {
+  const std::uint64_t now = loop_.now_ms();
+  const bool may_wait = now < call.until_ms;
+  const bool all = !call.request.configuration_only();
+  if (all && watching_()) {
+    reply.set_watching(true);
+    return log_.answer(call.request, now, reply) || !may_wait;
+  }
+  if (all && knows_nothing(call.request)) {
+    log_.answer(call.request, now, reply);
+    // Both may have started together.
+    return log_.revision() != 0 || !may_wait;
+  }
+  log_.add_configuration_behind(call.request, reply);
+  return true;
+}
+
 bool watch_server::answer(const waiting_call& call) {
   if (call.reply->gone()) {
     return true;
   }
   records::WatchReply reply;
-  const std::uint64_t now = loop_.now_ms();
-  if (watching_()) {
-    reply.set_watching(true);
-    const bool any = log_.answer(call.request, now, reply);
-    if (!any && now < call.until_ms) {
-      return false;
-    }
-  } else {
-    log_.add_configuration_behind(call.request, reply);
+  if (!fill(call, reply)) {
+    return false;
   }
   prove_(reply);
   call.reply->send(reply);
--- a/test/watch_roles_test.cc
+++ b/test/watch_roles_test.cc
@@ -60,6 +60,9 @@
   CPPUNIT_TEST(gateway_that_asked_the_platform_asks_watchers_again);
   CPPUNIT_TEST(watcher_that_was_silent_is_asked_again);
   CPPUNIT_TEST(news_go_to_the_watchers_of_all_data_centres);
+  CPPUNIT_TEST(start_of_a_fleet_reads_the_platform_by_its_watchers_only);
+  CPPUNIT_TEST(gateway_that_is_not_listed_yet_waits_for_peers);
+  CPPUNIT_TEST(gateway_that_nobody_tells_reads_the_platform_after_a_while);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -68,6 +71,34 @@
                          watchers_among(peers_in("north", 19)).size());
   }
 
+  void start_of_a_fleet_reads_the_platform_by_its_watchers_only() {
+    for (const int count : {30, 354, 700}) {
+      const auto peers = peers_in("north", count);
+      int readers = 0;
+      for (const relay_peer& each : peers) {
+        const first_watch_step step =
+            roles_of(each, few_watch{})
+                .first(without(peers, each.name), true, {}, start_ms);
+        readers += std::holds_alternative<watch_platform>(step) ? 1 : 0;
+      }
+      TRAYROCK_CHECK(readers == 2, count << " gateways: expected 2, seen "
+                                         << readers << " that read all");
+    }
+  }
+
+  void gateway_that_is_not_listed_yet_waits_for_peers() {
+    watch_roles roles("north-1", "north", few_watch{});
+    const first_watch_step step = roles.first({}, false, {}, start_ms);
+    CPPUNIT_ASSERT(std::holds_alternative<wait_for_peers>(step));
+  }
+
+  void gateway_that_nobody_tells_reads_the_platform_after_a_while() {
+    watch_roles roles("north-1", "north", few_watch{});
+    const first_watch_step step =
+        roles.first({}, false, std::chrono::milliseconds(2500), start_ms);
+    CPPUNIT_ASSERT(std::holds_alternative<watch_platform>(step));
+  }
+
   void two_gateways_or_fewer_all_watch() {
     CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                          watchers_among(peers_in("north", 1)).size());
