A gateway asks a silent platform for the list of gateways again

Cause: the first list of gateways of a start was one call.

Ruled out: watchers that read slowly (endpoints, group and configuration were there 10 to 40 ms behind the list of gateways).

Change: the list is asked for again beside a call without an answer, as listings are, and a gateway announces itself only once it has read one. The stand-in of the platform counts its calls.

Test: shared_watch_test, three lists are asked for of a silent platform (one before); a gateway that starts among others lists neither endpoints nor configurations.

--- a/fakes/fake_objects.cc
+++ b/fakes/fake_objects.cc
@@ -58,6 +58,8 @@
   }
 
   void serve(const http_request& request, const http_exchange_ptr& out) {
+    const bool watches = request.query.contains("watch");
+    ++calls_[(watches ? "WATCH" : request.method) + " " + request.path];
     if (faults_.silent) {
       silenced_.push_back(out);
       return;
@@ -84,6 +86,9 @@
       faults_.garble_reads = body.value("garble_reads", faults_.garble_reads);
       remove_all(body.value("remove_all", ""));
       cut_when_faulty();
+    } else if (request.path == "/calls") {
+      reply(out, status_ok, calls_);
+      return;
     } else if (request.path == "/forget") {
       changes_.clear();
       oldest_kept_ = revision_;
@@ -271,6 +276,7 @@
   std::deque<change> changes_;
   std::deque<waiting_watch> watches_;
   std::vector<http_exchange_ptr> silenced_;
+  std::map<std::string, int> calls_;  // by method and path
   trayrock::timer expiry_;
 };
 
--- a/include/trayrock/internal/gateway/peer_relays.h
+++ b/include/trayrock/internal/gateway/peer_relays.h
@@ -51,6 +51,7 @@
   bool is_among(const std::vector<platform::gateway_entry>& listed) const;
   void announce();
   void look_for_self();
+  void look_answered(const result<std::vector<platform::gateway_entry>>& found);
   void look_for_peers();
   void take_if_listed(
       const result<std::vector<platform::gateway_entry>>& found);
@@ -62,7 +63,10 @@
   bool looking_ = false;
   bool known_ = false;
   std::function<void()> listed_;
-  int looks_ = 0;  // for this gateway itself, on lists of all
+  int looks_ = 0;  // lists of all that were read for this gateway itself
+  bool announcing_ = false;
+  bool announced_ = false;
+  milliseconds look_patience_;
   std::uint64_t looked_at_ms_ = 0;
   timer again_;
 };
--- a/src/gateway/peer_relays.cc
+++ b/src/gateway/peer_relays.cc
@@ -15,6 +15,9 @@
 // Lists that may be old are read until this gateway is on one, so many times.
 // They cost a tenth.
 constexpr int most_old_listings = 4;
+// The first repetition of a list without an answer, and the longest pause.
+constexpr milliseconds first_look_patience{250};
+constexpr milliseconds longest_look_patience{1000};
 // Least time between two listings of the gateways.
 constexpr std::uint64_t listing_pause_ms = 1000;
 // Less than the asking gateway waits for its relay.
@@ -43,20 +46,47 @@
     : loop_(loop),
       registry_(registry),
       own_(std::move(own)),
-      choice_(own_.name, own_.data_centre) {}
+      choice_(own_.name, own_.data_centre),
+      look_patience_(first_look_patience) {}
 
 // An entry stays when a process ends. Of 91 gateways that lose power together
 // each saves two of three calls by looking first, at a tenth of a call's price.
 void peer_relays::start(std::function<void()> listed) {
   listed_ = std::move(listed);
+  look_for_self();
+}
+
+// A list without an answer is asked for again beside the first: a call to a
+// platform that is silent is lost even if it is back in the next moment.
+void peer_relays::look_for_self() {
+  const bool may_be_old = looks_ < most_old_listings;
   registry_.list(
       [this](const result<std::vector<platform::gateway_entry>>& found) {
-        take_if_listed(found);
-        if (!known_) {
-          announce();
-        }
+        look_answered(found);
       },
-      platform::freshness::may_be_old);
+      may_be_old ? platform::freshness::may_be_old
+                 : platform::freshness::current);
+  again_ = loop_.after(look_patience_, [this] { look_for_self(); });
+  look_patience_ =
+      std::min(look_patience_ + look_patience_ / 2, longest_look_patience);
+}
+
+void peer_relays::look_answered(
+    const result<std::vector<platform::gateway_entry>>& found) {
+  if (known_ || !found) {
+    return;
+  }
+  ++looks_;
+  again_.cancel();
+  take_if_listed(found);
+  if (known_) {
+    return;
+  }
+  if (announced_) {
+    again_ = loop_.after(first_listing_delay, [this] { look_for_self(); });
+  } else if (!announcing_) {
+    announce();
+  }
 }
 
 void peer_relays::take_if_listed(
@@ -71,21 +101,6 @@
   }
 }
 
-void peer_relays::look_for_self() {
-  const bool may_be_old = looks_ < most_old_listings;
-  ++looks_;
-  registry_.list(
-      [this](const result<std::vector<platform::gateway_entry>>& found) {
-        take_if_listed(found);
-        if (!known_) {
-          again_ =
-              loop_.after(first_listing_delay, [this] { look_for_self(); });
-        }
-      },
-      may_be_old ? platform::freshness::may_be_old
-                 : platform::freshness::current);
-}
-
 bool peer_relays::is_among(
     const std::vector<platform::gateway_entry>& listed) const {
   return std::any_of(listed.begin(), listed.end(),
@@ -97,12 +112,12 @@
 }
 
 void peer_relays::announce() {
+  announcing_ = true;
   registry_.announce(own_, [this](bool known) {
-    if (known) {
-      again_ = loop_.after(first_listing_delay, [this] { look_for_self(); });
-    } else {
-      again_ = loop_.after(announce_pause, [this] { announce(); });
-    }
+    announcing_ = false;
+    announced_ = known;
+    again_ = loop_.after(known ? first_listing_delay : announce_pause,
+                         [this] { look_for_self(); });
   });
 }
 
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -327,6 +327,13 @@
            switches.dump(), {}, 5);
 }
 
+int service_deployment::platform_calls(const std::string& call) {
+  return exchange(processes_.at("objects").second_port, "GET", "/calls", "", {},
+                  5)
+      .parsed()
+      .value(call, 0);
+}
+
 void service_deployment::runner_fault(const std::string& runner,
                                       const json& switches) {
   exchange(port(runner), "POST", "/fault", switches.dump(), {}, 5);
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -69,6 +69,9 @@
     options_.workspaces = workspaces;
   }
   void platform_fault(const json& switches);
+  // How often the platform was called so, answered or not: "GET /objects/KIND"
+  // for a list, "WATCH /objects/KIND".
+  int platform_calls(const std::string& call);
   void runner_fault(const std::string& runner, const json& switches);
 
   // A request as a client makes it; `headers` are added to the usual ones.
--- a/test/shared_watch_test.cc
+++ b/test/shared_watch_test.cc
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(leaving_endpoint_is_left_by_those_that_do_not_watch);
   CPPUNIT_TEST(others_watch_when_the_watchers_are_gone);
   CPPUNIT_TEST(those_that_ask_serve_while_the_platform_is_out);
+  CPPUNIT_TEST(gateway_asks_a_silent_platform_for_the_others_again);
+  CPPUNIT_TEST(gateway_that_starts_among_others_reads_no_endpoints);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -95,7 +97,45 @@
     }
   }
 
+  // A call to a platform that is silent is lost even if it is back in the next
+  // moment.
+  void gateway_asks_a_silent_platform_for_the_others_again() {
+    service_deployment system(together());
+    system.start("objects");
+    wait_until("the platform answers", [&] {
+      return system.platform_calls("GET /objects/config") == 0;
+    });
+    system.platform_fault({{"silent", true}});
+    system.start(gateway(1));
+    wait_until("three lists are asked for",
+               [&] { return system.platform_calls(list_of_gateways) >= 3; });
+    CPPUNIT_ASSERT_EQUAL(0, system.platform_calls("POST " + gateways));
+  }
+
+  void gateway_that_starts_among_others_reads_no_endpoints() {
+    service_deployment system(together());
+    start_shared(system);
+    const std::vector<int> watching = watchers(system);
+    int follower = 1;
+    while (std::find(watching.begin(), watching.end(), follower) !=
+           watching.end()) {
+      ++follower;
+    }
+    system.kill(gateway(follower));
+    const int lists = system.platform_calls("GET /objects/servers");
+    const int configurations = system.platform_calls("GET /objects/config");
+    system.start(gateway(follower));
+    system.wait_ready(gateway(follower));
+
+    CPPUNIT_ASSERT_EQUAL(lists, system.platform_calls("GET /objects/servers"));
+    CPPUNIT_ASSERT_EQUAL(configurations,
+                         system.platform_calls("GET /objects/config"));
+  }
+
  private:
+  inline static const std::string gateways = "/objects/trayrock-gateways";
+  inline static const std::string list_of_gateways = "GET " + gateways;
+
   static void start_shared(service_deployment& system) {
     system.start_all();
     wait_until("two watch", [&] { return watchers(system).size() == 2; });
