Calls of a platform that is not up yet count as not told

Cause: the new test of starts asked the stand-in for its counts while it was still starting, and the parser's answer has no members then.

--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -328,10 +328,11 @@
 }
 
 int service_deployment::platform_calls(const std::string& call) {
-  return exchange(processes_.at("objects").second_port, "GET", "/calls", "", {},
-                  5)
-      .parsed()
-      .value(call, 0);
+  constexpr int not_told = -1;
+  const json counted =
+      exchange(processes_.at("objects").second_port, "GET", "/calls", "", {}, 5)
+          .parsed();
+  return counted.is_object() ? counted.value(call, 0) : not_told;
 }
 
 void service_deployment::runner_fault(const std::string& runner,
