Engines get turns of late programs last, and those under way before new ones

Cause: engines admit by arrival.

Change: the gateway sets the urgency of a turn at an engine (decide/urgency): by the route's rank, programs under way before new ones, and behind all others programs whose time is over. Which are under way it knows from the turn before, or from having seen the program (decide/program_sightings).

--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -20,6 +20,7 @@
 
 #include "trayrock/internal/decide/duration_book.h"
 #include "trayrock/internal/decide/late_rule.h"
+#include "trayrock/internal/decide/program_sightings.h"
 #include "trayrock/internal/gateway/chain_cache.h"
 #include "trayrock/internal/gateway/configuration.h"
 #include "trayrock/internal/gateway/endpoint_directory.h"
@@ -44,6 +45,7 @@
   metrics_registry& metrics;
   duration_book& durations;
   std::map<std::string, late_rule, std::less<>>& late_rules;  // by service
+  program_sightings& programs;
   std::string data_centre;
   gateway_policy policy;
   std::function<configuration_ptr()> configuration;  // nullptr: none yet
--- a/include/trayrock/internal/gateway/request_terms.h
+++ b/include/trayrock/internal/gateway/request_terms.h
@@ -73,6 +73,9 @@
   // How long the request is held, from its coming.
   milliseconds hold() const { return hold_; }
 
+  // Whether the service's endpoints are model engines.
+  bool at_engine() const;
+
   // Of the service's engine; one where it is not known.
   std::uint64_t tokens_per_event() const;
 
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -55,6 +55,7 @@
             metrics_,
             durations_,
             late_rules_,
+            programs_,
             settings.service.data_centre,
             policy_,
             [this] { return view_.configuration(); },
@@ -194,6 +195,7 @@
   chain_cache chains_;
   duration_book durations_;
   std::map<std::string, late_rule, std::less<>> late_rules_;
+  program_sightings programs_;
   platform_view view_;
   gateway_parts parts_;
   http1_server clients_;
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -41,6 +41,7 @@
     refuse(*refused);
     return;
   }
+  note_program();
   if (resumable()) {
     answer_.make_resumable();
   }
@@ -56,6 +57,17 @@
   }
 }
 
+// Calls of tools belong to a program, too, but are no turns of it.
+void request_flow::note_program() {
+  if (!terms_.at_engine() || facts_.program.empty()) {
+    return;
+  }
+  const std::uint64_t now = parts_.loop.now_ms();
+  program_goes_on_ = !facts_.previous_turn.empty() ||
+                     parts_.programs.knows(facts_.program, now);
+  parts_.programs.note(facts_.program, now);
+}
+
 void request_flow::go_on() {
   if (needs_record_) {
     reserve();
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -5,6 +5,7 @@
 
 #include "platform/messages.h"
 #include "request_flow_state.h"
+#include "trayrock/internal/decide/urgency.h"
 #include "trayrock/internal/log.h"
 
 namespace trayrock::internal {
@@ -64,6 +65,20 @@
   return made;
 }
 
+// Only model engines go by it.
+std::optional<int> request_flow::urgency() const {
+  if (!terms_.at_engine()) {
+    return std::nullopt;
+  }
+  turn_view turn;
+  if (facts_.program_time_left) {
+    turn.program_time_left = *facts_.program_time_left - elapsed_ms();
+  }
+  turn.goes_on = program_goes_on_;
+  turn.rank = terms_.route().rank;
+  return urgency_of(turn);
+}
+
 endpoint_identity request_flow::turn_before() const {
   return history_.chain() == nullptr
              ? endpoint_identity()
@@ -76,6 +91,7 @@
   directions.instance = attempt_.to()->identity.id;
   directions.resume_after = answer_.last_event_id();
   directions.workspace = terms_.workspace_name();
+  directions.urgency = urgency();
   directions.hides_key = terms_.from()->workspaces.has_value();
   http1_request made = platform::endpoint_request(request_, directions);
   if (history_.chain() != nullptr) {
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -94,6 +94,8 @@
   // What the next endpoint should be like.
   endpoint_choice wanted() const;
   errc why_none_is_chosen() const;
+  std::optional<int> urgency() const;
+  void note_program();
 
   // The endpoint that made the turn before; empty if there is none.
   endpoint_identity turn_before() const;
@@ -151,6 +153,7 @@
   std::set<endpoint_identity> tried_;
   endpoint_attempt attempt_;
   bool needs_record_ = false;  // of a reservation, or for its history
+  bool program_goes_on_ = false;
   bool may_run_ = false;       // an endpoint has it, or has had it
   bool may_have_run_ = false;  // a send ended without an answer
   std::optional<permit> permit_;
--- a/src/gateway/request_terms.cc
+++ b/src/gateway/request_terms.cc
@@ -63,11 +63,15 @@
   return std::nullopt;
 }
 
-std::uint64_t request_terms::tokens_per_event() const {
+bool request_terms::at_engine() const {
   const auto found = from_->services.find(service_);
-  const bool engine =
-      found != from_->services.end() && found->second.engine.has_value();
-  return engine ? found->second.engine->tokens_per_event : 1;
+  return found != from_->services.end() && found->second.engine.has_value();
+}
+
+std::uint64_t request_terms::tokens_per_event() const {
+  return at_engine()
+             ? from_->services.find(service_)->second.engine->tokens_per_event
+             : 1;
 }
 
 }  // namespace trayrock
