--- a/include/trayrock/internal/decide/contact_rule.h
+++ b/include/trayrock/internal/decide/contact_rule.h
@@ -4,9 +4,7 @@
 // One that reaches neither can serve nothing that needs a record, but goes on
 // getting connections: its balancer asks it alone whether it is ready. Clients
 // then waited for each refusal and came back to the same gateway, and their
-// programs died. So it says that it is not ready, and refuses at once. Of a day
-// with a gateway cut off for 7 s during a rolling restart that raised the worth
-// from 0.679 and 0.664 to 0.753 and 0.862 (two seeds, one play each).
+// programs died. So it says that it is not ready, and refuses at once.
 //
 // A store or peer that answers anything, be it a refusal, ends it: stores that
 // are all down for everybody are no reason to send clients elsewhere. With no
--- a/include/trayrock/internal/decide/endpoint_choice.h
+++ b/include/trayrock/internal/decide/endpoint_choice.h
@@ -7,10 +7,10 @@
 // loaded. A gateway sees its own requests only; with many gateways that is so
 // few that most endpoints look alike. So what looks alike is drawn from, and an
 // endpoint's latency counts only where it lies far above what is usual: else
-// all gateways send to the same few. Of the turns of a load with a burst, 91
-// gateways and 128 engines, 52 in 100 waited longer than they took before, and
-// 23 do now (test/endpoint_choice_load_test.cc). Endpoints that have failed
-// lately are taken only if too few others are left.
+// all gateways send to the same few (test/endpoint_choice_load_test.cc plays
+// it). Endpoints that have failed lately are taken only if too few others are
+// left. Nothing goes to a data centre that is being emptied, and to endpoints
+// that have just started no more than they bear (decide/cold_start.h).
 //
 // Example:
 //   endpoint_choice wanted;
@@ -34,10 +34,8 @@
 // What a request to another data centre, or on a new connection, costs in
 // time and money, as a share of the load of a request that is close.
 //
-// With 1.5 a single request under way sent the next one to another data centre.
-// With 3 fewer bytes crossed between data centres (0.171 to 0.152 GB, 0.294 to
-// 0.255 GB and 0.189 to 0.161 GB on three days with 20 gateways), and worth
-// rose by 0.005 to 0.007 on each of four sites, in the mean of 3 to 15 days.
+// High enough that a single request under way does not send the next one to
+// another data centre, and low enough that a loaded one does.
 constexpr double default_elsewhere_factor = 3;
 constexpr double default_unconnected_factor = 1.25;
 // A cold endpoint is slow, and its cache holds nothing yet.
--- a/include/trayrock/internal/decide/return_time.h
+++ b/include/trayrock/internal/decide/return_time.h
@@ -47,11 +47,9 @@
 
 // When a client should come back whose key cannot be served, since neither the
 // platform nor other gateways have shown for seconds that the configuration is
-// the newest: the platform is out for all, most likely, and back soon.
-//
-// Of a day with outages of 6 and 5 s callers got 0.731 of the worth with it,
-// and 0.456 with half a second, in which they used up their tries (one play of
-// each, at the same seed); test/return_time_test.cc plays one client.
+// the newest: the platform is out for all, most likely, and back soon. Clients
+// who came back earlier would use up their tries (test/return_time_test.cc
+// plays one).
 std::chrono::milliseconds return_time_when_unproven();
 
 }  // namespace trayrock
--- a/include/trayrock/internal/decide/watch_roles.h
+++ b/include/trayrock/internal/decide/watch_roles.h
@@ -7,10 +7,6 @@
 // watch at once cost calls, and one that finds nobody who watches asks the
 // platform itself, since a gap would leave it with an old configuration.
 //
-// On a day with two outages 91 gateways and 43 stores made 13,415 calls with a
-// watch each, and 4,362 with these roles and what stores do likewise (one play
-// of each).
-//
 // Two, so that one that is lost or whose watch is forgotten by the platform
 // leaves another one, and the others ask them by turns. With two gateways or
 // fewer in each data centre, all watch.
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <random>
-#include <span>
 
+#include "endpoint_log_lines.h"
 #include "platform/documents.h"
 #include "trayrock/internal/gateway/endpoint_records.h"
 #include "trayrock/internal/gateway/watch_reply.h"
@@ -33,8 +33,6 @@
 // News are told for a second (gateway/watch_log.cc), by gateways whose clocks
 // do not run together.
 constexpr std::uint64_t news_memory_ms = 3000;
-// Ids that one line of the log names.
-constexpr std::size_t most_logged_ids = 24;
 // How often endpoints are dropped whose time is over.
 constexpr milliseconds sweep_period{250};
 // Peers answer in some ms; another one is asked after this.
@@ -71,58 +69,6 @@
   return (std::uint64_t{source()} << 32U) | source() | 1U;
 }
 
-// A line's list of ids, cut short where there are too many.
-class id_list {
- public:
-  id_list() = default;
-  explicit id_list(std::span<const std::string> ids) {
-    for (const std::string& each : ids) {
-      add(each);
-    }
-  }
-
-  void add(const std::string& id) {
-    ++count_;
-    if (count_ <= most_logged_ids) {
-      text_.append(text_.empty() ? "" : " ").append(id);
-    }
-  }
-  std::string text() const {
-    return count_ <= most_logged_ids
-               ? text_
-               : text_ + " and " + std::to_string(count_ - most_logged_ids) +
-                     " more";
-  }
-
- private:
-  std::size_t count_ = 0;
-  std::string text_;
-};
-
-void log_changes(const records::EndpointChanges& said) {
-  id_list registered;
-  id_list draining;
-  id_list removed;
-  for (const records::EndpointChange& each : said.changes()) {
-    id_list& into = each.removed()             ? removed
-                    : each.record().draining() ? draining
-                                               : registered;
-    into.add(each.record().id());
-  }
-  log_info("endpoints_changed", {{"revision", std::to_string(said.revision())},
-                                 {"registered", registered.text()},
-                                 {"draining", draining.text()},
-                                 {"removed", removed.text()}});
-}
-
-void log_avoided(const records::EndpointIdentity& instance,
-                 const records::EndpointNews& news) {
-  log_info("endpoint_avoided",
-           {{"endpoint", instance.id()},
-            {"started_ms", std::to_string(instance.started_ms())},
-            {"by", "report of " + news.gateway()}});
-}
-
 }  // namespace
 
 platform_view::platform_view(event_loop& loop, rpc_pool& pool,
@@ -213,8 +159,7 @@
   share_cold_endpoints();
   const std::vector<std::string> gone = parts_.endpoints.sweep(loop_.now_ms());
   if (!gone.empty()) {
-    log_info("unlisted_endpoints_dropped",
-             {{"endpoints", id_list(gone).text()}});
+    log_info("unlisted_endpoints_dropped", {{"endpoints", ids_text(gone)}});
   }
   parts_.metrics.set("watches_platform", {}, watching() ? 1 : 0);
   parts_.metrics.set("endpoints_known", {},
@@ -449,7 +394,7 @@
        {"revision", std::to_string(said.revision())},
        {"after_loss", said.after_loss() ? "yes" : "no"},
        {"unserved_ms_ago", std::to_string(times.now_ms - times.unserved_ms)},
-       {"kept", id_list(kept).text()}});
+       {"kept", ids_text(kept)}});
   if (kept.empty()) {
     return 0;
   }
