--- a/test/cold_start_test.cc
+++ b/test/cold_start_test.cc
@@ -14,6 +14,7 @@
 
 std::vector<relay_peer> gateways(int count) {
   std::vector<relay_peer> made;
+  made.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     made.push_back({"gateway-" + std::to_string(i), "",
                     "dc-" + std::to_string(i % data_centre_count)});
