--- a/src/decide/configuration_proof.cc
+++ b/src/decide/configuration_proof.cc
@@ -13,9 +13,7 @@
 // Parts of the limit. A watch that waits for a fifth of it gives proofs of two
 // fifths at the most; those who ask a gateway that watches have them a tenth
 // later. What is left, two fifths and more, is for calls that get no answer. A
-// tenth costs a quarter more calls (1,453 in place of 1,189 of a day) and
-// gained nothing beyond noise in an outage of 6 s (0.734 against 0.731 of the
-// worth).
+// tenth costs more calls and gains nothing.
 constexpr int waits_per_limit = 5;
 // From half of the limit on other gateways are asked.
 constexpr int ageing_per_limit = 2;
--- a/src/decide/permit_book.cc
+++ b/src/decide/permit_book.cc
@@ -13,10 +13,8 @@
 
 // The part of the operator's tolerance that is given out.
 constexpr double given_tolerance = 0.5;
-// The part of a share that requests which begin a program leave alone. Of a day
-// with six hot workspaces, on which a program is worth what it ends with,
-// callers got 0.801 of the worth in place of 0.767 with nothing kept (one play
-// of each, at the same seed).
+// The part of a share that requests which begin a program leave alone: a
+// program that cannot go on is lost with all that was spent on it.
 constexpr double kept_for_programs = 0.25;
 // The part of a share that may be given out ahead of the disk, and one permit
 // more. With a tenth of the limit and 20 requests as tolerance, half of which
