KNOWN-RED lists all open cases; the check asks for four parts

Change: each entry has the test, command and seed, what was seen and the issue; tools/check fails for an entry with a missing part or a test that does not exist.

--- a/test/known_red.h
+++ b/test/known_red.h
@@ -1,7 +1,7 @@
 // The tests that are known to fail for a real fault: KNOWN-RED.txt at the root.
 //
-// One line each: the test (binary::case), its cause, the open issue, command
-// and seed, and what was seen, separated by '|'.
+// One line each: the test (binary::case), command and seed, what was seen, and
+// the open issue, separated by '|' (checked by tools/check).
 //
 // Example:
 //   const known_red known = known_red::parse(text);
--- a/test/known_red_test.cc
+++ b/test/known_red_test.cc
@@ -16,7 +16,7 @@
  public:
   void only_the_named_test_is_known() {
     const known_red known = known_red::parse(
-        "path_test::all_is_served | cause | issue 1 | command | seen\n");
+        "path_test::all_is_served | command | seen | issue 1\n");
     CPPUNIT_ASSERT(known.names("path_test::all_is_served"));
     CPPUNIT_ASSERT(!known.names("path_test::all"));
     CPPUNIT_ASSERT(!known.names("path_test"));
