A store syncs what it read at its start

Callers could lose an acknowledged turn: a store that was killed between a write and its sync read the record back at its start, acknowledged a retry of it (the retry's sync covers only the new file), and lost it with the next loss of power.

Change: opening the log syncs the newest file; older ones were synced before a newer one was begun. The start waits for one sync.

--- a/include/trayrock/internal/records/segment_log.h
+++ b/include/trayrock/internal/records/segment_log.h
@@ -60,7 +60,8 @@
   static constexpr std::size_t segment_bytes = 4U << 20;
 
   // Reads all records in the order of writing; of a key that was written twice,
-  // the later record is indexed. `files` must outlive the log. Errors:
+  // the later record is indexed. All visited records are durable when this
+  // returns. `files` must outlive the log. Errors:
   // errc::disk_failed; errc::disk_format if there are files of another format.
   static result<std::unique_ptr<segment_log>> open(disk_files& files,
                                                    const visitor& visit);
@@ -103,6 +104,7 @@
   std::error_code read_segments(const visitor& visit);
   std::error_code read_segment(std::uint32_t number, const std::string& name,
                                const visitor& visit);
+  std::error_code sync_newest();
   std::error_code start_segment();
   void index_record(std::string_view key, const record_location& location);
   void release(const record_location& location);
--- a/src/records/segment_log.cc
+++ b/src/records/segment_log.cc
@@ -169,6 +169,21 @@
     }
     next_number_ = number + 1;
   }
+  return sync_newest();
+}
+
+// A killed process may have left unsynced records in its last file. Other
+// stores may count on them once they were visited.
+std::error_code segment_log::sync_newest() {
+  if (segments_.empty()) {
+    return {};
+  }
+  const auto& [number, newest] = *segments_.rbegin();
+  if (const std::error_code failed = newest->file->sync()) {
+    log_error("disk_not_synced", {{"file", file_name(number)},
+                                  {"cause", failed.message()}});
+    return errc::disk_failed;
+  }
   return {};
 }
 
--- a/test/segment_log_test.cc
+++ b/test/segment_log_test.cc
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(current_file_is_not_removed);
   CPPUNIT_TEST(nothing_synced_is_lost_at_any_loss_of_power);
   CPPUNIT_TEST(one_sync_covers_all_files_before_it);
+  CPPUNIT_TEST(records_read_after_a_kill_survive_a_loss_of_power);
   CPPUNIT_TEST(files_of_another_format_are_rejected);
   CPPUNIT_TEST(file_with_another_header_is_rejected);
   CPPUNIT_TEST(damaged_record_is_not_returned);
@@ -166,6 +167,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{records}, seen.size());
   }
 
+  // Guards against the loss of acknowledged records: a store acknowledges what
+  // it read at its start, also if a killed process did not sync it.
+  void records_read_after_a_kill_survive_a_loss_of_power() {
+    constexpr std::uint64_t seeds = 50;
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+      volatile_disk disk(seed);
+      contents ignored;
+      const std::vector<disk_record> unsynced{{"a", "one"}};
+      CPPUNIT_ASSERT(open_log(disk, ignored)->append(unsynced).has_value());
+      contents read_after_kill;
+      open_log(disk, read_after_kill);
+      disk.restore();
+      contents read_after_power_loss;
+      open_log(disk, read_after_power_loss);
+      TRAYROCK_CHECK(read_after_kill == read_after_power_loss,
+                     "seed " << seed << ": read " << read_after_kill.size()
+                             << " records before the loss of power, then "
+                             << read_after_power_loss.size());
+    }
+  }
+
   void files_of_another_format_are_rejected() {
     volatile_disk disk(1);
     disk.put("CURRENT", "MANIFEST-000002\n");
