A retried write waits for its first sync only

Callers saw 503 (1507, 1509) while the disks of the stores were slow: a gateway gives up a call after 600 ms and sends the write again, and the store let each retry wait for one more sync. With syncs of some 600 ms no reply came in time, although the record had long been durable.

Beside six loops of dd, syncs of an appended file took 410 ms on average (995 ms at most), of a preallocated file that was overwritten 367 ms (895 ms); so a preallocated log would not help.

Evidence: record_client_test retry_of_a_write_needs_no_further_sync, whose file layer holds back syncs, fails on the former write path with 1507 (second request, one sync admitted at each store) and passes now.

Change: pending_writes keeps the requests that wait for a record; all get their reply when its write ends. A record that is durable already is acknowledged without a sync, which holds since the newest file is synced at the start. record_disk takes its file layer from the caller.

--- a/include/trayrock/internal/records/record_disk.h
+++ b/include/trayrock/internal/records/record_disk.h
@@ -7,7 +7,8 @@
 // the content of the disk is unknown.
 //
 // Example:
-//   auto disk = record_disk::open(loop, "/data", visit);
+//   auto disk =
+//       record_disk::open(loop, std::make_unique<posix_files>("/data"), visit);
 //   disk.value()->write({{"t/a1", bytes}}, [](std::error_code) { ... });
 #pragma once
 
@@ -38,11 +39,11 @@
  public:
   using done_callback = std::function<void(std::error_code)>;
 
-  // Reads the folder; calls `visit` for each record in the order of writing.
-  // Errors: errc::disk_failed; errc::disk_format if the folder has files of
-  // another format.
+  // Reads the files; calls `visit` for each record in the order of writing.
+  // Errors: errc::disk_failed; errc::disk_format if there are files of another
+  // format.
   static result<std::unique_ptr<record_disk>> open(
-      event_loop& loop, const std::string& folder,
+      event_loop& loop, std::unique_ptr<disk_files> files,
       const segment_log::visitor& visit);
 
   record_disk(const record_disk&) = delete;
--- a/include/trayrock/internal/records/record_index.h
+++ b/include/trayrock/internal/records/record_index.h
@@ -67,6 +67,11 @@
   // longer kept in memory.
   void durable(const std::string& key) { pending_.erase(key); }
 
+  // True from the adding of a record until it is on disk.
+  bool is_pending(const std::string& key) const {
+    return pending_.contains(key);
+  }
+
   bool has(const std::string& key) const;
 
   // The complete record, or nothing if it is not stored.
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -21,6 +21,7 @@
 
 #include "trayrock/internal/metrics.h"
 #include "trayrock/internal/net/rpc.h"
+#include "trayrock/internal/records/pending_writes.h"
 #include "trayrock/internal/records/record_disk.h"
 #include "trayrock/internal/records/record_index.h"
 
@@ -33,8 +34,9 @@
   record_server(const record_server&) = delete;
   record_server& operator=(const record_server&) = delete;
 
-  // Loads the folder's records and state. Errors: errc::disk_failed,
+  // Loads the records and the state. Errors: errc::disk_failed,
   // errc::disk_format.
+  std::error_code open_disk(std::unique_ptr<disk_files> files);
   std::error_code open_disk(const std::string& folder);
 
   // Registers the methods; an empty disk gets a new id. Calls back once the id
@@ -81,7 +83,8 @@
   void load_entry(std::string_view key, std::string_view value);
   void load_permits(std::string_view value);
   std::optional<records::Record> read_record(const std::string& key) const;
-  void mark_durable(std::span<const std::string> keys);
+  // The write of a record ended, with success unless disk_failed_ is set.
+  void on_written(const std::string& key);
   void save_state(std::function<void()> durable);
   void write(const records::WriteRequest& request, const rpc_reply_ptr& reply);
   void send_write_reply(const records::WriteRequest& request,
@@ -102,6 +105,7 @@
   std::unique_ptr<record_disk> disk_;
   metrics_registry& metrics_;
   record_index index_;
+  pending_writes pending_;
   records::StoreState state_;
   std::uint64_t log_ = 0;
   bool disk_failed_ = false;
--- a/src/records/record_disk.cc
+++ b/src/records/record_disk.cc
@@ -24,8 +24,8 @@
     std::error_code failed;
   };
 
-  impl(event_loop& loop_in, const std::string& folder)
-      : loop(loop_in), files(folder) {}
+  impl(event_loop& loop_in, std::unique_ptr<disk_files> files_in)
+      : loop(loop_in), files(std::move(files_in)) {}
   impl(const impl&) = delete;
   impl& operator=(const impl&) = delete;
   ~impl() {
@@ -146,7 +146,7 @@
   }
 
   event_loop& loop;
-  posix_files files;
+  std::unique_ptr<disk_files> files;
   std::unique_ptr<segment_log> log;
   std::array<int, 2> pipe{-1, -1};
   event* finished_event = nullptr;
@@ -166,11 +166,11 @@
 record_disk::~record_disk() = default;
 
 result<std::unique_ptr<record_disk>> record_disk::open(
-    event_loop& loop, const std::string& folder,
+    event_loop& loop, std::unique_ptr<disk_files> files,
     const segment_log::visitor& visit) {
-  auto made = std::make_unique<impl>(loop, folder);
+  auto made = std::make_unique<impl>(loop, std::move(files));
   result<std::unique_ptr<segment_log>> log =
-      segment_log::open(made->files, visit);
+      segment_log::open(*made->files, visit);
   if (!log) {
     return log.error();
   }
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -40,10 +40,15 @@
       log_(new_log()) {}
 
 std::error_code record_server::open_disk(const std::string& folder) {
-  result<std::unique_ptr<record_disk>> disk = record_disk::open(
-      loop_, folder, [this](std::string_view key, std::string_view value) {
-        load_entry(key, value);
-      });
+  return open_disk(std::make_unique<posix_files>(folder));
+}
+
+std::error_code record_server::open_disk(std::unique_ptr<disk_files> files) {
+  result<std::unique_ptr<record_disk>> disk =
+      record_disk::open(loop_, std::move(files),
+                        [this](std::string_view key, std::string_view value) {
+                          load_entry(key, value);
+                        });
   if (!disk) {
     return disk.error();
   }
@@ -109,9 +114,16 @@
   return record;
 }
 
-void record_server::mark_durable(std::span<const std::string> keys) {
-  for (const std::string& each : keys) {
-    index_.durable(each);
+void record_server::on_written(const std::string& key) {
+  index_.durable(key);
+  for (const pending_write& each : pending_.take(key)) {
+    constexpr double us_per_ms = 1000;
+    metrics_.observe(
+        "disk_write_ms", {},
+        static_cast<double>(loop_.now_us() - each.began_us) / us_per_ms);
+    send_write_reply(each.request,
+                     disk_failed_ ? records::OUTCOME_DISK_FAILED : each.outcome,
+                     each.reply);
   }
 }
 
@@ -189,23 +201,20 @@
     return;
   }
   const std::string key = record_key(request.record());
-  std::vector<disk_record> changes;
-  if (index_.add(request.record(), loop_.now_ms())) {
-    changes.push_back({key, request.record().SerializeAsString()});
+  const bool added = index_.add(request.record(), loop_.now_ms());
+  if (!index_.is_pending(key)) {
+    send_write_reply(request, outcome, reply);
+    return;
+  }
+  // A retry waits for the write of the first request, not for a further sync.
+  pending_.add(key, {request, outcome, reply, loop_.now_us()});
+  if (added) {
+    disk_->write({{key, request.record().SerializeAsString()}},
+                 [this, key](std::error_code failed) {
+                   disk_failed_ = disk_failed_ || failed;
+                   on_written(key);
+                 });
   }
-  // A record that is stored already may not be on disk yet, so its reply waits
-  // for the next sync too.
-  const std::uint64_t began = loop_.now_us();
-  disk_->write(std::move(changes), [this, request, outcome, reply, key,
-                                    began](std::error_code failed) {
-    disk_failed_ = disk_failed_ || failed;
-    index_.durable(key);
-    constexpr double us_per_ms = 1000;
-    metrics_.observe("disk_write_ms", {},
-                     static_cast<double>(loop_.now_us() - began) / us_per_ms);
-    send_write_reply(request, failed ? records::OUTCOME_DISK_FAILED : outcome,
-                     reply);
-  });
 }
 
 void record_server::send_write_reply(const records::WriteRequest& request,
@@ -335,7 +344,9 @@
                [this, keys = std::move(keys),
                 durable = std::move(durable)](std::error_code failed) {
                  disk_failed_ = disk_failed_ || failed;
-                 mark_durable(keys);
+                 for (const std::string& each : keys) {
+                   on_written(each);
+                 }
                  if (!failed) {
                    durable();
                  }
--- a/src/records/segment_log.cc
+++ b/src/records/segment_log.cc
@@ -180,8 +180,8 @@
   }
   const auto& [number, newest] = *segments_.rbegin();
   if (const std::error_code failed = newest->file->sync()) {
-    log_error("disk_not_synced", {{"file", file_name(number)},
-                                  {"cause", failed.message()}});
+    log_error("disk_not_synced",
+              {{"file", file_name(number)}, {"cause", failed.message()}});
     return errc::disk_failed;
   }
   return {};
--- a/test/record_client_test.cc
+++ b/test/record_client_test.cc
@@ -1,10 +1,12 @@
 // Client of the record stores, against stores in the same process.
 #include "trayrock/internal/records/record_client.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <optional>
 
 #include "deployment.h"
+#include "slow_files.h"
 #include "test_support.h"
 #include "trayrock/internal/records/record_server.h"
 
@@ -23,13 +25,25 @@
         port(port_in),
         rpc(loop, {}),
         server(loop, rpc, metrics) {
-    CPPUNIT_ASSERT(!server.open_disk(folder));
+    CPPUNIT_ASSERT(
+        !server.open_disk(std::make_unique<slow_files>(folder, syncs)));
     CPPUNIT_ASSERT(rpc.listen(address::parse(local(port)).value()));
     server.start([] {});
   }
 
+  ~store() { syncs.open(); }
+  store(const store&) = delete;
+  store& operator=(const store&) = delete;
+
+  // Write requests that were received, whatever their outcome.
+  int writes_received() const {
+    return static_cast<int>(
+        metrics.value("record_writes_total", {{"outcome", "OUTCOME_OK"}}));
+  }
+
   std::string folder;
   int port;
+  sync_gate syncs;
   metrics_registry metrics;
   rpc_server rpc;
   record_server server;
@@ -69,6 +83,7 @@
   CPPUNIT_TEST(replaced_store_is_retried_at_a_low_rate);
   CPPUNIT_TEST(slow_stores_are_not_called_through_relays);
   CPPUNIT_TEST(records_survive_a_restart_of_the_stores);
+  CPPUNIT_TEST(retry_of_a_write_needs_no_further_sync);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -308,6 +323,31 @@
     CPPUNIT_ASSERT_EQUAL(0, relays_picked);
   }
 
+  // Guards against rejected turns while each sync takes longer than a call: a
+  // retry that waits for the next sync never ends in time.
+  void retry_of_a_write_needs_no_further_sync() {
+    start_group();
+    stores_[2].reset();
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
+    close_gates();
+    std::vector<std::error_code> stored;
+    const auto on_stored = [&](std::error_code failed) {
+      stored.push_back(failed);
+      loop_->stop();
+    };
+    for (int request = 1; request <= 2; ++request) {
+      client_->keep(turn("t2", "t1", "two"), call_timeout, on_stored);
+      wait_for_writes(1 + request);
+    }
+    admit_syncs(1);
+    while (stored.size() < 2) {
+      run();
+    }
+
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), stored[0]);
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), stored[1]);
+  }
+
   void records_survive_a_restart_of_the_stores() {
     start_group();
     CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
@@ -340,6 +380,39 @@
     client_->adopt(group);
   }
 
+  // The syncs of all running stores wait from now on.
+  void close_gates() {
+    for (const auto& each : stores_) {
+      if (each != nullptr) {
+        each->syncs.close();
+      }
+    }
+  }
+
+  void admit_syncs(int syncs) {
+    for (const auto& each : stores_) {
+      if (each != nullptr) {
+        each->syncs.admit(syncs);
+      }
+    }
+  }
+
+  // Runs until each running store has received so many writes.
+  void wait_for_writes(int count) {
+    const auto received = [&] {
+      return std::all_of(stores_.begin(), stores_.end(), [&](const auto& each) {
+        return each == nullptr || each->writes_received() >= count;
+      });
+    };
+    const timer poll = loop_->every(milliseconds(1), [&] {
+      if (received()) {
+        loop_->stop();
+      }
+    });
+    run();
+    TRAYROCK_CHECK(received(), "expected " << count << " writes at each store");
+  }
+
   void run() {
     const timer limit =
         loop_->after(max_test_duration, [this] { loop_->stop(); });
--- /dev/null
+++ b/test/slow_files.h
@@ -0,0 +1,113 @@
+// Files whose syncs wait until the test lets them pass.
+//
+// Example:
+//   sync_gate gate;
+//   record_disk::open(loop, std::make_unique<slow_files>(folder, gate), visit);
+//   gate.close();    // from now on, syncs wait
+//   gate.admit(1);   // one sync passes
+#pragma once
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+
+#include "trayrock/internal/records/disk_files.h"
+
+namespace trayrock::testing {
+
+// Open at first. Must be opened before the disk that uses it is destroyed.
+class sync_gate {
+ public:
+  void open() { set(true, 0); }
+  void close() { set(false, 0); }
+
+  // Lets so many syncs pass a closed gate, waiting ones included.
+  void admit(int syncs) {
+    {
+      const std::scoped_lock lock(guard_);
+      admitted_ += syncs;
+    }
+    changed_.notify_all();
+  }
+
+  void pass() {
+    std::unique_lock lock(guard_);
+    changed_.wait(lock, [this] { return open_ || admitted_ > 0; });
+    admitted_ -= admitted_ > 0 ? 1 : 0;
+  }
+
+ private:
+  void set(bool open, int admitted) {
+    {
+      const std::scoped_lock lock(guard_);
+      open_ = open;
+      admitted_ = admitted;
+    }
+    changed_.notify_all();
+  }
+
+  std::mutex guard_;
+  std::condition_variable changed_;
+  bool open_ = true;
+  int admitted_ = 0;
+};
+
+class slow_file final : public disk_file {
+ public:
+  slow_file(std::unique_ptr<disk_file> file, sync_gate& gate)
+      : file_(std::move(file)), gate_(gate) {}
+
+  std::error_code append(std::string_view bytes) override {
+    return file_->append(bytes);
+  }
+  std::error_code sync() override {
+    gate_.pass();
+    return file_->sync();
+  }
+  result<std::string> read(std::uint64_t offset,
+                           std::size_t length) const override {
+    return file_->read(offset, length);
+  }
+  result<std::string> read_all() const override { return file_->read_all(); }
+
+ private:
+  std::unique_ptr<disk_file> file_;
+  sync_gate& gate_;
+};
+
+class slow_files final : public disk_files {
+ public:
+  slow_files(const std::string& folder, sync_gate& gate)
+      : files_(folder), gate_(gate) {}
+
+  result<std::vector<std::string>> names() const override {
+    return files_.names();
+  }
+  result<std::unique_ptr<disk_file>> create(const std::string& name) override {
+    return slow(files_.create(name));
+  }
+  result<std::unique_ptr<disk_file>> open(
+      const std::string& name) const override {
+    return slow(files_.open(name));
+  }
+  std::error_code remove(const std::string& name) override {
+    return files_.remove(name);
+  }
+
+ private:
+  result<std::unique_ptr<disk_file>> slow(
+      result<std::unique_ptr<disk_file>> file) const {
+    if (!file) {
+      return file.error();
+    }
+    return std::unique_ptr<disk_file>(
+        std::make_unique<slow_file>(std::move(file.value()), gate_));
+  }
+
+  posix_files files_;
+  sync_gate& gate_;
+};
+
+}  // namespace trayrock::testing
