Stores report that they are still writing

Callers got 503 for 200 and 503 for 404 while the disks of the stores were slow: a gateway cannot tell a store whose disk is slow from one that it does not reach, so it gave up the call after 600 ms, used relays after 350 ms and rejected the turn after 1.5 s. An unknown turn was answered only once its reservation, which nobody needs, was on disk.

Evidence: record_client_test with syncs that are held back. Without the reports write_outlasts_its_limit_while_the_disks_are_slow fails with 1507 (limit 200 ms, disks slow for 1.5 s), and missing_turn_is_reported_while_the_disks_are_slow gets no reply. Both pass now.

Ruled out: a longer timeout (it would hold back turns at a gateway that is cut off); retries that poll (as many messages, each with the record).

A report has what the store knows of the chain. It keeps the call open, counts as a sign of life, and extends the operation's limit while a write quorum acknowledges or reports. A chain that a read quorum lacks ends the operation at once. Relays pass reports on.

--- a/include/trayrock/internal/net/rpc.h
+++ b/include/trayrock/internal/net/rpc.h
@@ -27,6 +27,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -149,6 +150,39 @@
                  milliseconds timeout, message_callback on_message,
                  end_callback on_end);
 
+  // A call that may report progress: replies with pending() set go to
+  // `on_progress` and restart the timeout; the last reply goes to `done`.
+  template <typename reply_type>
+  rpc_call ask_with_progress(const std::string& peer, std::string_view method,
+                             const google::protobuf::MessageLite& request,
+                             milliseconds timeout,
+                             std::function<void(const reply_type&)> on_progress,
+                             std::function<void(result<reply_type>)> done) {
+    auto reply = std::make_shared<std::optional<reply_type>>();
+    return start(
+        peer, method, request, timeout,
+        [reply, on_progress = std::move(on_progress)](std::string_view body) {
+          reply_type received;
+          if (!received.ParseFromArray(body.data(),
+                                       static_cast<int>(body.size()))) {
+            reply->reset();
+          } else if (received.pending()) {
+            on_progress(received);
+          } else {
+            *reply = std::move(received);
+          }
+        },
+        [reply, done = std::move(done)](std::error_code ended) {
+          if (ended) {
+            done(ended);
+          } else if (!reply->has_value()) {
+            done(errc::wire_garbled);
+          } else {
+            done(std::move(**reply));
+          }
+        });
+  }
+
   // A call with exactly one reply, parsed.
   template <typename reply_type>
   rpc_call ask(const std::string& peer, std::string_view method,
--- a/include/trayrock/internal/records/pending_writes.h
+++ b/include/trayrock/internal/records/pending_writes.h
@@ -4,11 +4,12 @@
 // stores copy records from each other.
 //
 // Example:
-//   pending.add(key, {request, outcome, reply, loop.now_us()});
+//   pending.add(key, {request, outcome, reply, now_us});
 //   for (const pending_write& each : pending.take(key)) send_reply(each);
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -20,10 +21,11 @@
 namespace trayrock {
 
 struct pending_write {
-  records::WriteRequest request;
+  std::shared_ptr<const records::WriteRequest> request;
   records::Outcome outcome = records::OUTCOME_OK;  // once the record is on disk
   rpc_reply_ptr reply;
   std::uint64_t began_us = 0;
+  std::uint64_t progress = 0;  // id of the call at the progress reporter
 };
 
 class pending_writes {
--- a/include/trayrock/internal/records/record_client.h
+++ b/include/trayrock/internal/records/record_client.h
@@ -1,9 +1,13 @@
 // Writes and reads records at the group's voters.
 //
 // A reservation and the query for a turn's chain share a request, so that a
-// turn costs one round trip before it is sent. Until its time limit, an
-// operation restarts with the new group when the epoch changes, and retries a
-// voter that did not reply. Records are immutable, so retries are harmless.
+// turn costs one round trip before it is sent. An operation restarts with the
+// new group when the epoch changes, and retries a voter that did not reply.
+// Records are immutable, so retries are harmless.
+//
+// An operation fails at its time limit, unless enough voters for a write quorum
+// are still writing the record: their disks are slow, and a retry by the client
+// would only wait for them again.
 //
 // Example:
 //   client.reserve({program, attempt, 30}, previous, limit,
@@ -64,7 +68,8 @@
 
   // Makes the reservation durable (if it names a program) and reads the chain
   // of `previous` (if it is not empty), from several voters if no single one
-  // stores all of it. Errors: errc::history_unavailable.
+  // stores all of it. A chain that is missing ends the operation at once.
+  // Errors: errc::history_unavailable.
   void reserve(const records::Reservation& reservation,
                const std::string& previous, milliseconds limit,
                reserve_callback done);
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -1,8 +1,9 @@
 // Server of a record store: handles writes, pulls and fences from its index and
 // its disk.
 //
-// A write is acknowledged once it is on disk. The outcome depends on the
-// store's state: whether its id matches the request, whether the request's
+// A write is acknowledged once it is on disk; until then, the caller receives
+// progress reports, with the chain that it asked for. The outcome depends on
+// the store's state: whether its id matches the request, whether the request's
 // epoch is current, and whether it stores all that its epoch requires.
 //
 // Example:
@@ -20,6 +21,7 @@
 #include <vector>
 
 #include "trayrock/internal/metrics.h"
+#include "trayrock/internal/net/progress_reporter.h"
 #include "trayrock/internal/net/rpc.h"
 #include "trayrock/internal/records/pending_writes.h"
 #include "trayrock/internal/records/record_disk.h"
@@ -87,6 +89,9 @@
   void on_written(const std::string& key);
   void save_state(std::function<void()> durable);
   void write(const records::WriteRequest& request, const rpc_reply_ptr& reply);
+  void wait_for_disk(const std::string& key, pending_write write);
+  void report_progress(const records::WriteRequest& request,
+                       const rpc_reply_ptr& reply) const;
   void send_write_reply(const records::WriteRequest& request,
                         records::Outcome outcome, const rpc_reply_ptr& reply);
   void add_chain(const records::WriteRequest& request,
@@ -106,6 +111,7 @@
   metrics_registry& metrics_;
   record_index index_;
   pending_writes pending_;
+  progress_reporter progress_;
   records::StoreState state_;
   std::uint64_t log_ = 0;
   bool disk_failed_ = false;
--- a/include/trayrock/internal/records/store_calls.h
+++ b/include/trayrock/internal/records/store_calls.h
@@ -63,11 +63,15 @@
  public:
   using reply_callback = std::function<void(const std::string& store,
                                             result<records::WriteReply>)>;
+  using progress_callback =
+      std::function<void(const std::string& store, const records::WriteReply&)>;
 
-  // `connectivity` must outlive the calls. Destroying the object cancels all
+  // `connectivity` must outlive the calls. `on_progress` receives the reports
+  // of a store that has not replied yet. Destroying the object cancels all
   // calls without a callback.
   static std::shared_ptr<store_calls> make(store_connectivity& connectivity,
-                                           reply_callback on_reply);
+                                           reply_callback on_reply,
+                                           progress_callback on_progress);
 
   // Sends a request to a store; cancels an earlier call to it.
   void send(const records::Store& to, const records::WriteRequest& request);
@@ -82,11 +86,16 @@
   void finish();
 
  private:
-  store_calls(store_connectivity& connectivity, reply_callback on_reply)
-      : connectivity_(connectivity), on_reply_(std::move(on_reply)) {}
+  store_calls(store_connectivity& connectivity, reply_callback on_reply,
+              progress_callback on_progress)
+      : connectivity_(connectivity),
+        on_reply_(std::move(on_reply)),
+        on_progress_(std::move(on_progress)) {}
 
   void schedule_silence_check(const records::Store& to,
                               const records::WriteRequest& request);
+  void on_progress(const std::string& id, const records::WriteReply& report,
+                   bool relayed);
   void on_direct_reply(const records::Store& to,
                        const records::WriteRequest& request,
                        result<records::WriteReply> reply);
@@ -97,6 +106,7 @@
 
   store_connectivity& connectivity_;
   reply_callback on_reply_;
+  progress_callback on_progress_;
   bool finished_ = false;
   // All by the store's id.
   std::map<std::string, rpc_call> direct_;
--- a/src/gateway/peer_relays.cc
+++ b/src/gateway/peer_relays.cc
@@ -23,21 +23,23 @@
 // Less than the caller's timeout for its relay.
 constexpr milliseconds relayed_call_timeout{300};
 
-// Relays a call to a store and the store's reply back. The callback keeps the
-// call's handle alive until then.
+// Relays a call to a store, and its replies back. The callback keeps the call's
+// handle alive until then.
 template <typename reply_type>
 void relay_call(rpc_pool& pool, const std::string& store,
                 std::string_view method,
                 const google::protobuf::MessageLite& request,
                 const rpc_reply_ptr& reply) {
   auto call = std::make_shared<rpc_call>();
-  *call = pool.ask<reply_type>(store, method, request, relayed_call_timeout,
-                               [reply, call](const result<reply_type>& found) {
-                                 if (found) {
-                                   reply->send(found.value());
-                                 }
-                                 reply->finish();
-                               });
+  *call = pool.ask_with_progress<reply_type>(
+      store, method, request, relayed_call_timeout,
+      [reply](const reply_type& report) { reply->send(report); },
+      [reply, call](const result<reply_type>& found) {
+        if (found) {
+          reply->send(found.value());
+        }
+        reply->finish();
+      });
 }
 
 }  // namespace
--- a/src/records/record_client.cc
+++ b/src/records/record_client.cc
@@ -1,9 +1,11 @@
 #include "trayrock/internal/records/record_client.h"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
 #include "trayrock/internal/log.h"
+#include "trayrock/internal/net/progress_reporter.h"
 #include "trayrock/internal/records/chain_reader.h"
 #include "trayrock/internal/records/store_group.h"
 
@@ -18,6 +20,11 @@
 // A chain's text is requested from a second voter when the first has not
 // replied within this time.
 constexpr milliseconds text_timeout{300};
+// Interval at which an operation checks, after its limit, whether the voters
+// are still writing.
+constexpr milliseconds progress_check_period{100};
+// An operation fails after this even if the voters are still writing.
+constexpr milliseconds max_duration{20000};
 
 }  // namespace
 
@@ -32,6 +39,8 @@
   done_callback on_durable;
 
   std::set<std::string> acknowledged;
+  std::map<std::string, std::uint64_t> progress_ms;  // last report, by store
+  std::uint64_t began_ms = 0;
   chain_reader chain;
   bool done = false;
   program_usage usage;
@@ -50,6 +59,7 @@
     calls->cancel_all();
     retries.clear();
     acknowledged.clear();
+    progress_ms.clear();
     chain.reset_replies();
     if (group.voters().empty()) {
       return;  // adopt() restarts the operation once a group is known
@@ -173,6 +183,49 @@
         });
   }
 
+  // The voter is still writing, but it has read the chain.
+  void on_progress(const std::string& id, const records::WriteReply& report) {
+    progress_ms[id] = client.connectivity_.loop.now_ms();
+    add_chain_reply(id, report);
+    finish_if_complete();
+  }
+
+  bool is_writing(const std::string& id) const {
+    const auto last = progress_ms.find(id);
+    return last != progress_ms.end() &&
+           client.connectivity_.loop.now_ms() - last->second <
+               static_cast<std::uint64_t>(max_progress_gap.count());
+  }
+
+  // Whether the operation will complete if no voter that responds fails.
+  bool quorum_responds() const {
+    const auto responding = static_cast<std::size_t>(std::count_if(
+        group.voters().begin(), group.voters().end(),
+        [this](const records::Store& each) {
+          return acknowledged.contains(each.id()) || is_writing(each.id());
+        }));
+    return responding >=
+           write_quorum(static_cast<std::size_t>(group.voters_size()),
+                        group.tolerated());
+  }
+
+  void on_limit() {
+    const milliseconds elapsed(client.connectivity_.loop.now_ms() - began_ms);
+    if (!needs_record() || !quorum_responds() || elapsed >= max_duration) {
+      finish(errc::not_durable);
+      return;
+    }
+    set_limit(progress_check_period);
+  }
+
+  void set_limit(milliseconds delay) {
+    limit = client.connectivity_.loop.after(delay, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->on_limit();
+      }
+    });
+  }
+
   void add_acknowledgement(const std::string& id,
                            const records::WriteReply& reply) {
     acknowledged.insert(id);
@@ -207,9 +260,9 @@
     }
   }
 
-  bool is_chain_resolved() {
+  bool is_chain_missing() {
     if (!chain.pending()) {
-      return true;
+      return false;
     }
     if (!chain.awaits_text()) {
       request_text_from_next();
@@ -217,15 +270,22 @@
     return chain.is_missing(group);
   }
 
-  void finish_if_complete() {
+  bool is_written() const {
     const auto voters = static_cast<std::size_t>(group.voters_size());
-    const bool written =
-        !needs_record() ||
-        acknowledged.size() >= write_quorum(voters, group.tolerated());
-    if (done || !written || !is_chain_resolved()) {
+    return !needs_record() ||
+           acknowledged.size() >= write_quorum(voters, group.tolerated());
+  }
+
+  // A turn whose chain is missing will not run, so that its reservation need
+  // not be durable.
+  void finish_if_complete() {
+    if (done) {
       return;
     }
-    finish({});
+    const bool complete = !chain.pending() && is_written();
+    if (complete || is_chain_missing()) {
+      finish({});
+    }
   }
 
   reserved_turn make_reserved_turn() {
@@ -307,12 +367,14 @@
         if (const auto self = weak.lock()) {
           self->on_reply(store, std::move(reply));
         }
+      },
+      [weak](const std::string& store, const records::WriteReply& report) {
+        if (const auto self = weak.lock()) {
+          self->on_progress(store, report);
+        }
       });
-  made->limit = connectivity_.loop.after(limit, [weak] {
-    if (const auto self = weak.lock()) {
-      self->finish(errc::not_durable);
-    }
-  });
+  made->began_ms = connectivity_.loop.now_ms();
+  made->set_limit(limit);
   made->restart();
 }
 
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -24,6 +24,11 @@
   return boost::uuids::to_string(boost::uuids::random_generator()());
 }
 
+bool is_accepted(records::Outcome outcome) {
+  return outcome == records::OUTCOME_OK ||
+         outcome == records::OUTCOME_CATCHING_UP;
+}
+
 std::uint64_t new_log() {
   std::random_device source;
   return (std::uint64_t{source()} << 32U) | source() | 1U;
@@ -37,6 +42,7 @@
       server_(server),
       metrics_(metrics),
       index_([this](const std::string& key) { return read_record(key); }),
+      progress_(loop),
       log_(new_log()) {}
 
 std::error_code record_server::open_disk(const std::string& folder) {
@@ -117,11 +123,12 @@
 void record_server::on_written(const std::string& key) {
   index_.durable(key);
   for (const pending_write& each : pending_.take(key)) {
+    progress_.remove(each.progress);
     constexpr double us_per_ms = 1000;
     metrics_.observe(
         "disk_write_ms", {},
         static_cast<double>(loop_.now_us() - each.began_us) / us_per_ms);
-    send_write_reply(each.request,
+    send_write_reply(*each.request,
                      disk_failed_ ? records::OUTCOME_DISK_FAILED : each.outcome,
                      each.reply);
   }
@@ -194,9 +201,7 @@
                                                 : judge_write(state_, request);
   metrics_.add("record_writes_total",
                {{"outcome", records::Outcome_Name(outcome)}});
-  const bool accepted =
-      outcome == records::OUTCOME_OK || outcome == records::OUTCOME_CATCHING_UP;
-  if (!accepted || !request.has_record()) {
+  if (!is_accepted(outcome) || !request.has_record()) {
     send_write_reply(request, outcome, reply);
     return;
   }
@@ -207,7 +212,8 @@
     return;
   }
   // A retry waits for the write of the first request, not for a further sync.
-  pending_.add(key, {request, outcome, reply, loop_.now_us()});
+  wait_for_disk(key, {std::make_shared<const records::WriteRequest>(request),
+                      outcome, reply, loop_.now_us()});
   if (added) {
     disk_->write({{key, request.record().SerializeAsString()}},
                  [this, key](std::error_code failed) {
@@ -217,6 +223,29 @@
   }
 }
 
+void record_server::wait_for_disk(const std::string& key, pending_write write) {
+  write.progress = progress_.add(
+      write.reply, [this, request = write.request, reply = write.reply] {
+        report_progress(*request, reply);
+      });
+  pending_.add(key, std::move(write));
+}
+
+void record_server::report_progress(const records::WriteRequest& request,
+                                    const rpc_reply_ptr& reply) const {
+  const records::Outcome outcome = judge_write(state_, request);
+  if (!is_accepted(outcome)) {
+    return;  // the reply after the write tells so
+  }
+  records::WriteReply message;
+  message.set_pending(true);
+  message.set_outcome(outcome);
+  if (!request.chain_of().empty()) {
+    add_chain(request, message);
+  }
+  reply->send(message);
+}
+
 void record_server::send_write_reply(const records::WriteRequest& request,
                                      records::Outcome outcome,
                                      const rpc_reply_ptr& reply) {
--- a/src/records/store_calls.cc
+++ b/src/records/store_calls.cc
@@ -29,9 +29,10 @@
 }
 
 std::shared_ptr<store_calls> store_calls::make(store_connectivity& connectivity,
-                                               reply_callback on_reply) {
-  return std::shared_ptr<store_calls>(
-      new store_calls(connectivity, std::move(on_reply)));
+                                               reply_callback on_reply,
+                                               progress_callback on_progress) {
+  return std::shared_ptr<store_calls>(new store_calls(
+      connectivity, std::move(on_reply), std::move(on_progress)));
 }
 
 void store_calls::send(const records::Store& to,
@@ -43,8 +44,13 @@
     return;
   }
   const std::weak_ptr<store_calls> weak = weak_from_this();
-  direct_[id] = connectivity_.pool.ask<records::WriteReply>(
+  direct_[id] = connectivity_.pool.ask_with_progress<records::WriteReply>(
       to.address(), "Write", request, store_call_timeout,
+      [weak, id](const records::WriteReply& report) {
+        if (const auto self = weak.lock()) {
+          self->on_progress(id, report, false);
+        }
+      },
       [weak, to, request](result<records::WriteReply> reply) {
         if (const auto self = weak.lock()) {
           self->on_direct_reply(to, request, std::move(reply));
@@ -74,6 +80,12 @@
       });
 }
 
+void store_calls::on_progress(const std::string& id,
+                              const records::WriteReply& report, bool relayed) {
+  connectivity_.record_reply(id, relayed);
+  on_progress_(id, report);
+}
+
 void store_calls::on_direct_reply(const records::Store& to,
                                   const records::WriteRequest& request,
                                   result<records::WriteReply> reply) {
@@ -101,8 +113,13 @@
   *relayed.mutable_write() = request;
   connectivity_.metrics.add("relayed_record_calls_total");
   const std::weak_ptr<store_calls> weak = weak_from_this();
-  relayed_[to.id()] = connectivity_.pool.ask<records::WriteReply>(
+  relayed_[to.id()] = connectivity_.pool.ask_with_progress<records::WriteReply>(
       via, "Relay", relayed, relay_timeout,
+      [weak, id = to.id()](const records::WriteReply& report) {
+        if (const auto self = weak.lock()) {
+          self->on_progress(id, report, true);
+        }
+      },
       [weak, id = to.id(), via](result<records::WriteReply> reply) {
         if (const auto self = weak.lock()) {
           self->on_relay_reply(id, via, std::move(reply));
--- a/test/record_client_test.cc
+++ b/test/record_client_test.cc
@@ -84,6 +84,8 @@
   CPPUNIT_TEST(slow_stores_are_not_called_through_relays);
   CPPUNIT_TEST(records_survive_a_restart_of_the_stores);
   CPPUNIT_TEST(retry_of_a_write_needs_no_further_sync);
+  CPPUNIT_TEST(write_outlasts_its_limit_while_the_disks_are_slow);
+  CPPUNIT_TEST(missing_turn_is_reported_while_the_disks_are_slow);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -348,6 +350,36 @@
     CPPUNIT_ASSERT_EQUAL(std::error_code(), stored[1]);
   }
 
+  // Guards against rejected turns while the disks of all stores are slow.
+  void write_outlasts_its_limit_while_the_disks_are_slow() {
+    constexpr milliseconds limit{200};
+    constexpr milliseconds stall{1500};
+    start_group();
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
+    close_gates();
+    const timer stall_end = loop_->after(stall, [this] { open_gates(); });
+    CPPUNIT_ASSERT_EQUAL(std::error_code(),
+                         keep(turn("t2", "t1", "two"), limit));
+  }
+
+  // Guards against 503 in place of 404: a turn that cannot run needs no durable
+  // reservation.
+  void missing_turn_is_reported_while_the_disks_are_slow() {
+    start_group();
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
+    close_gates();
+    std::optional<result<reserved_turn>> reply;
+    client_->reserve(reservation("t3", 10), "t2", call_timeout,
+                     [&](const result<reserved_turn>& made) {
+                       reply = made;
+                       loop_->stop();
+                     });
+    run();
+    CPPUNIT_ASSERT(reply.has_value());
+    CPPUNIT_ASSERT(reply->has_value());
+    CPPUNIT_ASSERT(!reply->value().chain_found);
+  }
+
   void records_survive_a_restart_of_the_stores() {
     start_group();
     CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
@@ -389,6 +421,12 @@
     }
   }
 
+  void open_gates() {
+    for (const auto& each : stores_) {
+      each->syncs.open();
+    }
+  }
+
   void admit_syncs(int syncs) {
     for (const auto& each : stores_) {
       if (each != nullptr) {
