A request waits for slow stores only while it can still be served

Cause: since an operation on records goes on while stores report that they are writing, a request could wait until its deadline and end with 504, although nothing of it had run.

Change: a request that waits for its permit or its reservation is rejected with 503 once the time left is shorter than the longest of the route's recent requests, but not before the 1.5 s that it waited before. The reservation is settled with zero tokens, a late permit is returned.

Not shown by a test of its own: the gateway's tests cannot slow a store's disk.

--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -79,6 +79,19 @@
   }
 }
 
+void request_flow::guard_wait_for_stores(milliseconds patience, errc why) {
+  const milliseconds needed =
+      context_.durations.needed(routing_.route().name, partial_delivery::no);
+  const milliseconds wait =
+      std::max(std::min(patience, time_left()), time_left() - needed);
+  stores_guard_ = context_.loop.after(wait, [weak = weak_from_this(), why] {
+    const auto flow = weak.lock();
+    if (flow != nullptr && !flow->ended_) {
+      flow->reject(why);
+    }
+  });
+}
+
 void request_flow::watch_deadline_and_client() {
   const std::weak_ptr<request_flow> weak = weak_from_this();
   deadline_ = context_.loop.after(
@@ -188,6 +201,7 @@
   ended_ = true;
   deadline_.cancel();
   silence_timer_.cancel();
+  stores_guard_.cancel();
   return_unused_permit();
   report_routing(outcome == "answered");
   report_.endpoint = attempt_.endpoint_id();
--- a/src/gateway/request_flow_history.cc
+++ b/src/gateway/request_flow_history.cc
@@ -15,6 +15,7 @@
 }  // namespace
 
 void request_flow::reserve() {
+  guard_wait_for_stores(history_timeout, errc::history_unavailable);
   const milliseconds limit = std::min(history_timeout, time_left());
   history_.reserve(limit,
                    [self = shared_from_this()](result<reserved_turn> reserved) {
@@ -24,6 +25,7 @@
 
 void request_flow::on_reserved(result<reserved_turn> reserved) {
   report_.reserve_us = elapsed_us();
+  stores_guard_.cancel();
   if (ended_) {
     history_.settle(0);
     return;
--- a/src/gateway/request_flow_permit.cc
+++ b/src/gateway/request_flow_permit.cc
@@ -28,10 +28,12 @@
   request.limit = {owner.requests_per_second, owner.burst,
                    routing_.configuration()->version};
   request.use = use_of_permit();
+  guard_wait_for_stores(permit_timeout, errc::workspace_limit_unknown);
   context_.permits.acquire(
       std::move(request), std::min(permit_timeout, time_left()),
       [self = shared_from_this()](const permit_result& reply) {
         self->report_.permit_us = self->elapsed_us();
+        self->stores_guard_.cancel();
         std::visit([&](const auto& each) { self->on_permit(each); }, reply);
       });
 }
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -70,6 +70,10 @@
   // Continues once the request has its permit, if it needs one.
   void reserve_or_send();
 
+  // Rejects a request that still waits for record stores with slow disks when
+  // the time left is too short to run it, but not before `patience` is over.
+  void guard_wait_for_stores(milliseconds patience, errc why);
+
   // ---- History and budget (request_flow_history.cc) -----------------------
 
   void reserve();
@@ -155,6 +159,7 @@
   bool ended_ = false;
   timer deadline_;
   timer silence_timer_;
+  timer stores_guard_;
   std::uint64_t began_us_;
   request_report report_;
 };
