A slow store keeps a request for a permit, and dropped calls return theirs

A permit beyond the unsynced ones waits for the disk; the gateway gave up after 150 ms and asked the next store, and the permit that was issued all the same counted for the rest of the window without a request.

Ruled out: asking several stores at once; the permits that come too many look used to the other gateways until the window ends.

Change: the store reports that it is writing a permit, and takes it back when the caller drops the call before the reply. The client still leaves a slow store after 150 ms for one that may be faster, and stays if all are slow. Relays drop the store's call with the caller's.

--- a/include/trayrock/internal/decide/permit_sources.h
+++ b/include/trayrock/internal/decide/permit_sources.h
@@ -37,6 +37,7 @@
 
 struct try_store {
   std::string store;
+  bool in_backoff = false;  // no other store is left to try
 };
 // No share is left at the stores that replied.
 struct limit_reached {
@@ -64,7 +65,7 @@
                   const std::string& store, std::chrono::milliseconds next,
                   std::uint64_t now_ms);
 
-  // The store did not reply.
+  // The store did not reply in time.
   void on_failure(const std::string& store, std::uint64_t now_ms);
   void on_reply(const std::string& store);
 
--- a/include/trayrock/internal/records/permit_client.h
+++ b/include/trayrock/internal/records/permit_client.h
@@ -3,7 +3,8 @@
 //
 // decide/permit_sources.h selects the store. A store that is unreachable is
 // called through a relay, and so are all stores once two direct calls of a
-// request have failed.
+// request have failed. Dropping a call returns its permit, if the store has not
+// sent it yet.
 //
 // Example:
 //   permit_client permits(loop, pool, records, metrics, "north");
@@ -38,7 +39,7 @@
   std::string store;
   std::uint64_t slot = 0;
 };
-// No store replied in time.
+// No store replied in time, or is still writing a permit.
 struct permit_unknown {};
 using permit_result = std::variant<permit, limit_reached, permit_unknown>;
 
--- a/include/trayrock/internal/records/permit_server.h
+++ b/include/trayrock/internal/records/permit_server.h
@@ -4,7 +4,8 @@
 // A permit is sent at once while its workspace has few unsynced permits; beyond
 // that, the reply waits for the disk, which bounds what a power loss can make
 // the store forget. Each workspace has at most one write in progress, which
-// covers all permits granted until it starts.
+// covers all permits granted until it starts. A permit whose caller is gone
+// before the reply is sent counts as returned.
 //
 // Example:
 //   permit_server permits(loop, metrics, terms, store);
@@ -25,6 +26,7 @@
 #include "trayrock/internal/decide/permit_limiter.h"
 #include "trayrock/internal/metrics.h"
 #include "trayrock/internal/net/loop.h"
+#include "trayrock/internal/net/progress_reporter.h"
 #include "trayrock/internal/net/rpc.h"
 
 namespace trayrock {
@@ -59,6 +61,8 @@
   struct waiting_reply {
     records::PermitReply message;
     rpc_reply_ptr reply;
+    std::uint64_t progress = 0;  // id of the call at the progress reporter
+    bool withdrawn = false;      // the caller is gone, the permit returned
   };
   // Permits of one workspace that are not on disk yet.
   struct pending_permits {
@@ -72,6 +76,10 @@
                      const rpc_reply_ptr& reply);
   void decide(const records::PermitRequest& request,
               records::PermitReply& message);
+  void wait_for_disk(const std::string& workspace,
+                     const records::PermitReply& message,
+                     const rpc_reply_ptr& reply);
+  void withdraw(const std::string& workspace, std::uint64_t progress);
   void write(const std::string& workspace);
   void on_written(const std::string& workspace, std::error_code failed);
   void drop_unused();
@@ -81,6 +89,7 @@
   permit_limiter limiter_;
   permit_store store_;
   std::map<std::string, pending_permits> pending_;
+  progress_reporter progress_;
   bool disk_failed_ = false;
   timer cleanup_timer_;
 };
--- a/src/decide/permit_sources.cc
+++ b/src/decide/permit_sources.cc
@@ -9,8 +9,8 @@
 
 using std::chrono::milliseconds;
 
-// A store that did not reply is tried last for this long; a restart takes about
-// a second.
+// A store that did not reply in time is tried last for this long; a restart
+// takes about a second.
 constexpr std::uint64_t backoff_ms = 1000;
 // How often expired refusals are removed.
 constexpr std::uint64_t expiry_period_ms = 5000;
@@ -61,7 +61,7 @@
     }
   }
   if (!unresponsive.empty()) {
-    return try_store{unresponsive};
+    return try_store{unresponsive, true};
   }
   if (earliest_ms != 0) {
     return limit_reached{milliseconds(earliest_ms - now_ms)};
--- a/src/gateway/peer_relays.cc
+++ b/src/gateway/peer_relays.cc
@@ -40,6 +40,7 @@
         }
         reply->finish();
       });
+  reply->on_gone([call] { call->cancel(); });
 }
 
 }  // namespace
--- a/src/net/progress_reporter.cc
+++ b/src/net/progress_reporter.cc
@@ -13,7 +13,7 @@
 constexpr std::uint64_t min_check_delay_ms = 20;
 // Bounds the messages while very many calls are pending. Calls beyond it time
 // out and are retried.
-constexpr std::size_t max_reports_per_check = 40;
+constexpr std::size_t max_reports_per_check = 10;
 
 }  // namespace
 
--- a/src/records/permit_client.cc
+++ b/src/records/permit_client.cc
@@ -4,13 +4,21 @@
 #include <set>
 
 #include "trayrock/internal/log.h"
+#include "trayrock/internal/net/progress_reporter.h"
 #include "trayrock/internal/records/store_group.h"
 
 namespace trayrock {
 namespace {
 
+// A store that has not replied within this time is left for another one, unless
+// it is writing the permit and all others are slow as well.
 constexpr milliseconds store_timeout{150};
 constexpr milliseconds relay_timeout{350};
+// Interval at which a request checks, after its limit, whether the store is
+// still writing.
+constexpr milliseconds progress_check_period{100};
+// A request fails after this even if the store is still writing.
+constexpr milliseconds max_duration{20000};
 // Direct calls that fail before a request goes through relays.
 constexpr int max_unanswered_calls = 2;
 // Delay before the next round when no store gave a usable reply.
@@ -40,7 +48,10 @@
   std::set<std::string> tried;  // in this round
   bool relayed = false;         // this round goes through relays
   int unanswered = 0;           // direct calls
+  std::uint64_t began_ms = 0;
+  std::uint64_t progress_ms = 0;  // last report on the call; 0: none
   rpc_call call;
+  timer patience;
   timer next_round;
   timer limit;
 
@@ -77,12 +88,64 @@
   }
 
   void call_store(const records::Store& to) {
-    call = client.pool_.ask<records::PermitReply>(
-        to.address(), "Permit", client.request_for(request, to), store_timeout,
+    progress_ms = 0;
+    call = client.pool_.ask_with_progress<records::PermitReply>(
+        to.address(), "Permit", client.request_for(request, to),
+        max_progress_gap,
+        [self = shared_from_this()](const auto&) { self->on_progress(); },
         [self = shared_from_this(),
          store = to.id()](const result<records::PermitReply>& reply) {
+          self->patience.cancel();
           self->on_direct_reply(store, reply);
         });
+    patience = client.loop_.after(
+        store_timeout,
+        [self = shared_from_this(), store = to.id()] { self->on_slow(store); });
+  }
+
+  void on_progress() { progress_ms = client.loop_.now_ms(); }
+
+  bool store_is_writing() const {
+    return call.running() && progress_ms != 0 &&
+           client.loop_.now_ms() - progress_ms <
+               static_cast<std::uint64_t>(max_progress_gap.count());
+  }
+
+  // A store that is writing keeps the request if all others are slow: another
+  // call would only wait for another slow disk.
+  void on_slow(const std::string& store) {
+    if (!store_is_writing()) {
+      call.cancel();
+      on_direct_reply(store, errc::rpc_timeout);
+      return;
+    }
+    const std::uint64_t now = client.loop_.now_ms();
+    client.sources_.on_failure(store, now);
+    const permit_source next =
+        client.sources_.next(request.workspace, request.use, tried, now);
+    const auto* other = std::get_if<try_store>(&next);
+    if (other != nullptr && !other->in_backoff) {
+      call.cancel();
+      act(*other);
+    }
+  }
+
+  void on_limit() {
+    const milliseconds elapsed(client.loop_.now_ms() - began_ms);
+    if (store_is_writing() && elapsed < max_duration) {
+      set_limit(progress_check_period);
+      return;
+    }
+    call.cancel();
+    finish(permit_unknown{});
+  }
+
+  void set_limit(milliseconds delay) {
+    limit = client.loop_.after(delay, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->on_limit();
+      }
+    });
   }
 
   // Two failed calls more likely mean that this gateway is partitioned from all
@@ -108,8 +171,10 @@
     records::RelayRequest relayed_request;
     relayed_request.set_address(to.address());
     *relayed_request.mutable_permit() = client.request_for(request, to);
-    call = client.pool_.ask<records::PermitReply>(
+    progress_ms = 0;
+    call = client.pool_.ask_with_progress<records::PermitReply>(
         via, "Relay", relayed_request, relay_timeout,
+        [self = shared_from_this()](const auto&) { self->on_progress(); },
         [self = shared_from_this(), via,
          store = to.id()](const result<records::PermitReply>& reply) {
           if (!reply) {
@@ -153,6 +218,7 @@
     if (!done) {
       return;
     }
+    patience.cancel();
     next_round.cancel();
     limit.cancel();
     const char* outcome = std::holds_alternative<permit>(reply) ? "given"
@@ -211,13 +277,8 @@
                             acquire_callback done) {
   const auto made =
       std::make_shared<operation>(*this, std::move(request), std::move(done));
-  const std::weak_ptr<operation> weak = made;
-  made->limit = loop_.after(limit, [weak] {
-    if (const auto self = weak.lock()) {
-      self->call.cancel();
-      self->finish(permit_unknown{});
-    }
-  });
+  made->began_ms = loop_.now_ms();
+  made->set_limit(limit);
   made->step();
 }
 
--- a/src/records/permit_server.cc
+++ b/src/records/permit_server.cc
@@ -29,7 +29,8 @@
     : loop_(loop),
       metrics_(metrics),
       limiter_(terms),
-      store_(std::move(store)) {}
+      store_(std::move(store)),
+      progress_(loop) {}
 
 void permit_server::restore(const records::GivenPermits& read) {
   limiter_.restore(read.workspace(),
@@ -75,7 +76,7 @@
   pending_permits& pending = pending_[request.workspace()];
   ++pending.unsynced;
   if (pending.unsynced > limiter_.max_unsynced(request.workspace())) {
-    pending.waiting.push_back({message, reply});
+    wait_for_disk(request.workspace(), message, reply);
   } else {
     reply->send(message);
     reply->finish();
@@ -83,6 +84,30 @@
   write(request.workspace());
 }
 
+void permit_server::wait_for_disk(const std::string& workspace,
+                                  const records::PermitReply& message,
+                                  const rpc_reply_ptr& reply) {
+  const std::uint64_t progress = progress_.add(reply, [reply] {
+    records::PermitReply report;
+    report.set_pending(true);
+    reply->send(report);
+  });
+  pending_[workspace].waiting.push_back({message, reply, progress});
+  reply->on_gone(
+      [this, workspace, progress] { withdraw(workspace, progress); });
+}
+
+void permit_server::withdraw(const std::string& workspace,
+                             std::uint64_t progress) {
+  progress_.remove(progress);
+  for (waiting_reply& each : pending_[workspace].waiting) {
+    if (each.progress == progress && !each.withdrawn) {
+      each.withdrawn = true;
+      limiter_.give_back(workspace, each.message.slot());
+    }
+  }
+}
+
 void permit_server::decide(const records::PermitRequest& request,
                            records::PermitReply& message) {
   const records::StoreState& state = store_.state();
@@ -152,6 +177,7 @@
   const auto ready =
       pending.waiting.end() - static_cast<std::ptrdiff_t>(still_waiting);
   for (auto each = pending.waiting.begin(); each != ready; ++each) {
+    progress_.remove(each->progress);
     if (disk_failed_) {
       each->message.set_given(false);
       each->message.set_outcome(records::OUTCOME_DISK_FAILED);
--- a/test/permit_client_test.cc
+++ b/test/permit_client_test.cc
@@ -1,11 +1,12 @@
-// Permits for a gateway that cannot reach the record stores directly: guards
-// against requests that time out at every store before a relay is used.
+// Permits for a gateway that cannot reach the record stores directly, or whose
+// stores have slow disks: guards against requests that time out at every store.
 #include "trayrock/internal/records/permit_client.h"
 
 #include <optional>
 
 #include "deployment.h"
 #include "test_support.h"
+#include "trayrock/internal/records/permit_server.h"
 
 namespace trayrock::testing {
 namespace {
@@ -15,10 +16,61 @@
 
 std::string local(int port) { return "127.0.0.1:" + std::to_string(port); }
 
+// A store that issues permits; its writes can be held back.
+class permit_issuer {
+ public:
+  permit_issuer(event_loop& loop, const records::Group& group,
+                const std::string& id)
+      : loop_(loop),
+        rpc_(loop, {}),
+        server_(loop, metrics_, {milliseconds(60000), 0, 0},
+                {[this]() -> const records::StoreState& { return state_; },
+                 [this](const records::GivenPermits&,
+                        std::function<void(std::error_code)> durable) {
+                   writes_.push_back(std::move(durable));
+                   finish_writes();
+                 },
+                 [](const std::vector<std::string>&) {}}) {
+    state_.set_id(id);
+    *state_.mutable_group() = group;
+    server_.serve(rpc_);
+  }
+
+  bool listen(const std::string& at) {
+    return rpc_.listen(address::parse(at).value()).has_value();
+  }
+
+  void hold_writes() { held_ = true; }
+  void release_writes() {
+    held_ = false;
+    finish_writes();
+  }
+
+ private:
+  void finish_writes() {
+    if (held_) {
+      return;
+    }
+    for (auto& each : std::exchange(writes_, {})) {
+      loop_.post([durable = std::move(each)] { durable({}); });
+    }
+  }
+
+  event_loop& loop_;
+  metrics_registry metrics_;
+  records::StoreState state_;
+  rpc_server rpc_;
+  permit_server server_;
+  bool held_ = false;
+  std::vector<std::function<void(std::error_code)>> writes_;
+};
+
 class permit_client_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(permit_client_test);
   CPPUNIT_TEST(request_uses_a_relay_after_two_unanswered_calls);
   CPPUNIT_TEST(newer_group_in_a_reply_is_adopted);
+  CPPUNIT_TEST(request_waits_while_the_disks_of_all_stores_are_slow);
+  CPPUNIT_TEST(permits_of_dropped_calls_are_returned);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -93,7 +145,81 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, records.group().epoch());
   }
 
+  // Guards against rejected requests while no store is unreachable.
+  void request_waits_while_the_disks_of_all_stores_are_slow() {
+    start_issuers();
+    permit_client permits(loop_, pool_, records_, metrics_, "dc-0");
+    hold_writes();
+    const timer end_of_stall = loop_.after(stall, [this] { release_writes(); });
+    int given = 0;
+    for (int i = 0; i < permits_in_window; ++i) {
+      given += std::holds_alternative<permit>(acquire_limited(permits)) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(permits_in_window, given);
+  }
+
+  // Guards against a limit that is used up by permits that no request got: the
+  // client leaves a slow store for another one.
+  void permits_of_dropped_calls_are_returned() {
+    start_issuers();
+    permit_client permits(loop_, pool_, records_, metrics_, "dc-0");
+    hold_writes();
+    // The replies to the first permit of each store don't wait for its disk.
+    for (int i = 0; i < issuer_count; ++i) {
+      CPPUNIT_ASSERT(std::holds_alternative<permit>(acquire_limited(permits)));
+    }
+    // Tries one store after another.
+    const timer end_of_stall = loop_.after(stall, [this] { release_writes(); });
+    CPPUNIT_ASSERT(std::holds_alternative<permit>(acquire_limited(permits)));
+    int given = issuer_count + 1;
+    while (std::holds_alternative<permit>(acquire_limited(permits))) {
+      ++given;
+    }
+    CPPUNIT_ASSERT_EQUAL(permits_in_window, given);
+  }
+
  private:
+  static constexpr int issuer_count = 3;
+  // 0.2 a second in the issuers' window of a minute.
+  static constexpr int permits_in_window = 12;
+  static constexpr milliseconds stall{1000};
+
+  void start_issuers() {
+    const std::vector<int> ports = free_ports(issuer_count);
+    records::Group group;
+    group.set_epoch(1);
+    group.set_tolerated(1);
+    for (int i = 0; i < issuer_count; ++i) {
+      records::Store& each = *group.add_voters();
+      each.set_id("store-" + std::to_string(i));
+      each.set_address(local(ports[i]));
+      each.set_data_centre("dc-" + std::to_string(i));
+    }
+    for (const records::Store& each : group.voters()) {
+      issuers_.push_back(
+          std::make_unique<permit_issuer>(loop_, group, each.id()));
+      CPPUNIT_ASSERT(issuers_.back()->listen(each.address()));
+    }
+    records_.adopt(group);
+  }
+
+  void hold_writes() {
+    for (const auto& each : issuers_) {
+      each->hold_writes();
+    }
+  }
+
+  void release_writes() {
+    for (const auto& each : issuers_) {
+      each->release_writes();
+    }
+  }
+
+  // With a time limit that is shorter than the stall of the disks.
+  permit_result acquire_limited(permit_client& permits) {
+    return acquire(loop_, permits, {0.2, 0, 1}, milliseconds(500));
+  }
+
   static records::Group group_at(const std::string& where,
                                  std::uint64_t epoch) {
     records::Group made;
@@ -108,20 +234,28 @@
     return made;
   }
 
-  static permit_result acquire(event_loop& loop, permit_client& permits) {
+  static permit_result acquire(event_loop& loop, permit_client& permits,
+                               const request_limit& of = {10, 10, 1},
+                               milliseconds limit = milliseconds(1500)) {
     std::optional<permit_result> received;
-    permits.acquire({"growers", {10, 10, 1}, permit_use::regular},
-                    milliseconds(1500), [&](const permit_result& reply) {
+    permits.acquire({"growers", of, permit_use::regular}, limit,
+                    [&](const permit_result& reply) {
                       received = reply;
                       loop.stop();
                     });
-    const timer limit = loop.after(max_test_duration, [&] { loop.stop(); });
+    const timer end = loop.after(max_test_duration, [&] { loop.stop(); });
     if (!received) {
       loop.run();
     }
     TRAYROCK_CHECK(received.has_value(), "expected a reply, received none");
     return *received;
   }
+
+  event_loop loop_;
+  rpc_pool pool_{loop_, {}};
+  metrics_registry metrics_;
+  record_client records_{loop_, pool_, "dc-0", metrics_};
+  std::vector<std::unique_ptr<permit_issuer>> issuers_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(permit_client_test);
