A fence is confirmed only once its group is on disk

Cause, found while looking for other replies that a slow disk can separate from their sync: a voter that already knew the group in memory, from a watch or from a first fence that the caller gave up, confirmed a fence at once. After a loss of power it would have had the former group, and acknowledged writes of the former epoch that the new group had not read.

Evidence: record_client_test fence_is_confirmed_once_its_group_is_on_disk fails on the former code (confirmed while all syncs were held back) and passes now. Not seen with a caller.

Change: the confirmation waits for the states that are being saved; retries wait for the same sync.

--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -49,7 +49,8 @@
   record_index& index() { return index_; }
   std::uint64_t log() const { return log_; }
 
-  // Adopts a group unless it is older; calls back once it is on disk.
+  // Adopts a group unless it is older; calls back once it is on disk, and never
+  // if it is older.
   void adopt(const records::Group& group, std::function<void()> durable);
 
   // Sets whether the store has all that the group's epoch requires.
@@ -102,6 +103,8 @@
   void add_named_records(const records::PullRequest& request,
                          records::PullReply& message) const;
   void fence(const records::FenceRequest& request, const rpc_reply_ptr& reply);
+  void when_state_durable(std::function<void()> then);
+  void on_state_saved(std::error_code failed);
   void expire();
   void update_metrics();
 
@@ -113,6 +116,8 @@
   pending_writes pending_;
   progress_reporter progress_;
   records::StoreState state_;
+  int state_saves_ = 0;  // that are not on disk yet
+  std::vector<std::function<void()>> state_waiters_;
   std::uint64_t log_ = 0;
   bool disk_failed_ = false;
   records::Record reading_;       // reused while the disk is loaded
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -3,6 +3,7 @@
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
 #include <random>
+#include <utility>
 
 #include "trayrock/internal/log.h"
 #include "trayrock/internal/records/store_group.h"
@@ -157,18 +158,35 @@
 void record_server::save_state(std::function<void()> durable) {
   metrics_.set("store_counts", {}, state_.counts() ? 1 : 0);
   metrics_.set("store_epoch", {}, static_cast<double>(state_.group().epoch()));
+  ++state_saves_;
   disk_->write({{std::string(state_key), state_.SerializeAsString()}},
                [this, durable = std::move(durable)](std::error_code failed) {
-                 if (failed) {
-                   disk_failed_ = true;
-                   return;
-                 }
-                 if (durable) {
+                 on_state_saved(failed);
+                 if (!failed && durable) {
                    durable();
                  }
                });
 }
 
+void record_server::on_state_saved(std::error_code failed) {
+  --state_saves_;
+  disk_failed_ = disk_failed_ || failed;
+  if (state_saves_ > 0 || disk_failed_) {
+    return;
+  }
+  for (const auto& each : std::exchange(state_waiters_, {})) {
+    each();
+  }
+}
+
+void record_server::when_state_durable(std::function<void()> then) {
+  if (state_saves_ > 0 || disk_failed_) {
+    state_waiters_.push_back(std::move(then));
+  } else {
+    then();
+  }
+}
+
 void record_server::adopt(const records::Group& group,
                           std::function<void()> durable) {
   if (group.epoch() < state_.group().epoch()) {
@@ -389,10 +407,11 @@
     reply->finish();
   };
   if (request.group().epoch() > state_.group().epoch()) {
-    adopt(request.group(), send_reply);
-    return;
+    adopt(request.group(), nullptr);
   }
-  send_reply();
+  // The group may have been adopted before, by another request or a watch, and
+  // not be on disk yet. After a loss of power, the fence must still hold.
+  when_state_durable(send_reply);
 }
 
 void record_server::expire() {
--- a/test/record_client_test.cc
+++ b/test/record_client_test.cc
@@ -84,6 +84,7 @@
   CPPUNIT_TEST(slow_stores_are_not_called_through_relays);
   CPPUNIT_TEST(records_survive_a_restart_of_the_stores);
   CPPUNIT_TEST(retry_of_a_write_needs_no_further_sync);
+  CPPUNIT_TEST(fence_is_confirmed_once_its_group_is_on_disk);
   CPPUNIT_TEST(write_outlasts_its_limit_while_the_disks_are_slow);
   CPPUNIT_TEST(missing_turn_is_reported_while_the_disks_are_slow);
   CPPUNIT_TEST_SUITE_END();
@@ -350,6 +351,34 @@
     CPPUNIT_ASSERT_EQUAL(std::error_code(), stored[1]);
   }
 
+  // Guards against a voter that forgets a confirmed fence in a loss of power,
+  // and acknowledges a write that the new group does not know.
+  void fence_is_confirmed_once_its_group_is_on_disk() {
+    constexpr milliseconds stall{300};
+    start_group();
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
+    records::FenceRequest fence;
+    *fence.mutable_group() = client_->group();
+    fence.mutable_group()->set_epoch(2);
+    close_gates();
+    stores_[0]->server.adopt(fence.group(), nullptr);
+    bool on_disk = false;
+    const timer stall_end = loop_->after(stall, [&] {
+      on_disk = true;
+      open_gates();
+    });
+    std::optional<bool> confirmed_on_disk;
+    const rpc_call call = pool_->ask<records::FenceReply>(
+        local(ports_[0]), "Fence", fence, call_timeout,
+        [&](const result<records::FenceReply>& reply) {
+          confirmed_on_disk = reply && on_disk;
+          loop_->stop();
+        });
+    run();
+    CPPUNIT_ASSERT(confirmed_on_disk.has_value());
+    CPPUNIT_ASSERT(*confirmed_on_disk);
+  }
+
   // Guards against rejected turns while the disks of all stores are slow.
   void write_outlasts_its_limit_while_the_disks_are_slow() {
     constexpr milliseconds limit{200};
