A dropped call for a permit is cancelled by its id

Change: each call for a permit has an id. A gateway that drops a call sends CancelPermit with the id; the store takes the permit back if it was given, and once only. This also covers a store that stood still and answers a call that is over.

Test: permit_client_test cancelled_permit_is_issued_again (new interface; there is no former code to run it on).

--- a/include/trayrock/internal/records/permit_client.h
+++ b/include/trayrock/internal/records/permit_client.h
@@ -3,8 +3,8 @@
 //
 // decide/permit_sources.h selects the store. A store that is unreachable is
 // called through a relay, and so are all stores once two direct calls of a
-// request have failed. Dropping a call returns its permit, if the store has not
-// sent it yet.
+// request have failed. A call that is dropped is cancelled at its store, so
+// that its permit, if it was given, does not count.
 //
 // Example:
 //   permit_client permits(loop, pool, records, metrics, "north");
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <variant>
 #include <vector>
@@ -70,12 +71,17 @@
   void adopt_group();
   records::PermitRequest request_for(const permit_request& request,
                                      const records::Store& store);
+  // Returns the permit of a dropped call to the store at this address.
+  void cancel_permit(const std::string& store,
+                     const records::CancelPermitRequest& message);
 
   event_loop& loop_;
   rpc_pool& pool_;
   record_client& records_;
   metrics_registry& metrics_;
   permit_sources sources_;
+  std::mt19937_64 random_;
+  std::map<std::uint64_t, rpc_call> cancellations_;  // by call, without a reply
   relay_source relays_;
   std::uint64_t epoch_ = 0;  // of the group in `sources_`
   // Slots of permits to return, by store and workspace.
--- a/include/trayrock/internal/records/permit_server.h
+++ b/include/trayrock/internal/records/permit_server.h
@@ -5,7 +5,8 @@
 // that, the reply waits for the disk, which bounds what a power loss can make
 // the store forget. Each workspace has at most one write in progress, which
 // covers all permits granted until it starts. A permit whose caller is gone
-// before the reply is sent counts as returned.
+// before the reply is sent counts as returned, and so does one whose caller
+// cancels the call.
 //
 // Example:
 //   permit_server permits(loop, metrics, terms, store);
@@ -16,6 +17,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -62,7 +64,12 @@
     records::PermitReply message;
     rpc_reply_ptr reply;
     std::uint64_t progress = 0;  // id of the call at the progress reporter
-    bool withdrawn = false;      // the caller is gone, the permit returned
+  };
+  // A permit that its caller may still cancel.
+  struct recent_permit {
+    std::uint64_t call = 0;
+    std::string workspace;
+    std::uint64_t slot = 0;
   };
   // Permits of one workspace that are not on disk yet.
   struct pending_permits {
@@ -76,10 +83,11 @@
                      const rpc_reply_ptr& reply);
   void decide(const records::PermitRequest& request,
               records::PermitReply& message);
-  void wait_for_disk(const std::string& workspace,
+  void remember(const records::PermitRequest& request, std::uint64_t slot);
+  void take_back(std::uint64_t call);
+  void wait_for_disk(const records::PermitRequest& request,
                      const records::PermitReply& message,
                      const rpc_reply_ptr& reply);
-  void withdraw(const std::string& workspace, std::uint64_t progress);
   void write(const std::string& workspace);
   void on_written(const std::string& workspace, std::error_code failed);
   void drop_unused();
@@ -89,6 +97,7 @@
   permit_limiter limiter_;
   permit_store store_;
   std::map<std::string, pending_permits> pending_;
+  std::deque<recent_permit> recent_;  // oldest first
   progress_reporter progress_;
   bool disk_failed_ = false;
   timer cleanup_timer_;
--- a/src/records/permit_client.cc
+++ b/src/records/permit_client.cc
@@ -23,6 +23,7 @@
 constexpr int max_unanswered_calls = 2;
 // Delay before the next round when no store gave a usable reply.
 constexpr milliseconds round_delay{100};
+constexpr milliseconds cancellation_timeout{2000};
 // Slots to return that are kept per store and workspace.
 constexpr std::size_t max_unused_slots = 256;
 
@@ -51,6 +52,8 @@
   std::uint64_t began_ms = 0;
   std::uint64_t progress_ms = 0;  // last report on the call; 0: none
   rpc_call call;
+  records::CancelPermitRequest cancellation;  // of a direct call
+  std::string called_address;
   timer patience;
   timer next_round;
   timer limit;
@@ -89,13 +92,20 @@
 
   void call_store(const records::Store& to) {
     progress_ms = 0;
+    records::PermitRequest message = client.request_for(request, to);
+    message.set_call(client.random_());
+    cancellation.set_store(to.id());
+    cancellation.set_call(message.call());
+    called_address = to.address();
     call = client.pool_.ask_with_progress<records::PermitReply>(
-        to.address(), "Permit", client.request_for(request, to),
-        max_progress_gap,
+        to.address(), "Permit", message, max_progress_gap,
         [self = shared_from_this()](const auto&) { self->on_progress(); },
         [self = shared_from_this(),
          store = to.id()](const result<records::PermitReply>& reply) {
           self->patience.cancel();
+          if (!reply) {
+            self->drop_call();
+          }
           self->on_direct_reply(store, reply);
         });
     patience = client.loop_.after(
@@ -103,6 +113,15 @@
         [self = shared_from_this(), store = to.id()] { self->on_slow(store); });
   }
 
+  // Ends a direct call without a reply. The store may have given the permit.
+  void drop_call() {
+    call.cancel();
+    if (cancellation.call() != 0) {
+      client.cancel_permit(called_address, cancellation);
+      cancellation.Clear();
+    }
+  }
+
   void on_progress() { progress_ms = client.loop_.now_ms(); }
 
   bool store_is_writing() const {
@@ -115,7 +134,7 @@
   // call would only wait for another slow disk.
   void on_slow(const std::string& store) {
     if (!store_is_writing()) {
-      call.cancel();
+      drop_call();
       on_direct_reply(store, errc::rpc_timeout);
       return;
     }
@@ -125,7 +144,7 @@
         client.sources_.next(request.workspace, request.use, tried, now);
     const auto* other = std::get_if<try_store>(&next);
     if (other != nullptr && !other->in_backoff) {
-      call.cancel();
+      drop_call();
       act(*other);
     }
   }
@@ -136,7 +155,7 @@
       set_limit(progress_check_period);
       return;
     }
-    call.cancel();
+    drop_call();
     finish(permit_unknown{});
   }
 
@@ -172,6 +191,7 @@
     relayed_request.set_address(to.address());
     *relayed_request.mutable_permit() = client.request_for(request, to);
     progress_ms = 0;
+    cancellation.Clear();
     call = client.pool_.ask_with_progress<records::PermitReply>(
         via, "Relay", relayed_request, relay_timeout,
         [self = shared_from_this()](const auto&) { self->on_progress(); },
@@ -239,7 +259,8 @@
       pool_(pool),
       records_(records),
       metrics_(metrics),
-      sources_(std::move(data_centre), random_seed()) {}
+      sources_(std::move(data_centre), random_seed()),
+      random_(random_seed()) {}
 
 void permit_client::adopt_group() {
   const records::Group& group = records_.group();
@@ -282,6 +303,17 @@
   made->step();
 }
 
+void permit_client::cancel_permit(const std::string& store,
+                                  const records::CancelPermitRequest& message) {
+  const std::uint64_t call = message.call();
+  cancellations_[call] = pool_.ask<records::CancelPermitReply>(
+      store, "CancelPermit", message, cancellation_timeout,
+      [this, call](const result<records::CancelPermitReply>&) {
+        // A store that is not reached counts the permit as used.
+        cancellations_.erase(call);
+      });
+}
+
 void permit_client::give_back(const permit& unused) {
   std::vector<std::uint64_t>& slots =
       unused_slots_[{unused.store, unused.workspace}];
--- a/src/records/permit_server.cc
+++ b/src/records/permit_server.cc
@@ -1,5 +1,7 @@
 #include "trayrock/internal/records/permit_server.h"
 
+#include <algorithm>
+
 #include "trayrock/internal/log.h"
 #include "trayrock/internal/records/store_group.h"
 
@@ -7,6 +9,8 @@
 namespace {
 
 constexpr milliseconds cleanup_period{5000};
+// Callers cancel within a second.
+constexpr std::size_t max_recent_permits = 2048;
 
 std::vector<std::string> ids_of_voters(const records::Group& group) {
   std::vector<std::string> made;
@@ -45,6 +49,15 @@
       [this](records::PermitRequest& request, const rpc_reply_ptr& reply) {
         handle_permit(request, reply);
       });
+  server.handle_typed<records::CancelPermitRequest>(
+      "CancelPermit", [this](records::CancelPermitRequest& request,
+                             const rpc_reply_ptr& reply) {
+        if (request.store() == store_.state().id()) {
+          take_back(request.call());
+        }
+        reply->send(records::CancelPermitReply());
+        reply->finish();
+      });
   cleanup_timer_ = loop_.every(cleanup_period, [this] { drop_unused(); });
 }
 
@@ -76,7 +89,7 @@
   pending_permits& pending = pending_[request.workspace()];
   ++pending.unsynced;
   if (pending.unsynced > limiter_.max_unsynced(request.workspace())) {
-    wait_for_disk(request.workspace(), message, reply);
+    wait_for_disk(request, message, reply);
   } else {
     reply->send(message);
     reply->finish();
@@ -84,7 +97,7 @@
   write(request.workspace());
 }
 
-void permit_server::wait_for_disk(const std::string& workspace,
+void permit_server::wait_for_disk(const records::PermitRequest& request,
                                   const records::PermitReply& message,
                                   const rpc_reply_ptr& reply) {
   const std::uint64_t progress = progress_.add(reply, [reply] {
@@ -92,20 +105,30 @@
     report.set_pending(true);
     reply->send(report);
   });
-  pending_[workspace].waiting.push_back({message, reply, progress});
-  reply->on_gone(
-      [this, workspace, progress] { withdraw(workspace, progress); });
+  pending_[request.workspace()].waiting.push_back({message, reply, progress});
+  reply->on_gone([this, call = request.call()] { take_back(call); });
 }
 
-void permit_server::withdraw(const std::string& workspace,
-                             std::uint64_t progress) {
-  progress_.remove(progress);
-  for (waiting_reply& each : pending_[workspace].waiting) {
-    if (each.progress == progress && !each.withdrawn) {
-      each.withdrawn = true;
-      limiter_.give_back(workspace, each.message.slot());
-    }
+void permit_server::remember(const records::PermitRequest& request,
+                             std::uint64_t slot) {
+  if (request.call() == 0) {
+    return;
+  }
+  recent_.push_back({request.call(), request.workspace(), slot});
+  if (recent_.size() > max_recent_permits) {
+    recent_.pop_front();
+  }
+}
+
+void permit_server::take_back(std::uint64_t call) {
+  const auto found = std::find_if(
+      recent_.begin(), recent_.end(),
+      [call](const recent_permit& each) { return each.call == call; });
+  if (found == recent_.end()) {
+    return;  // not given, or taken back before
   }
+  limiter_.give_back(found->workspace, found->slot);
+  recent_.erase(found);
 }
 
 void permit_server::decide(const records::PermitRequest& request,
@@ -136,6 +159,7 @@
   if (const auto* given = std::get_if<permit_given>(&verdict)) {
     message.set_given(true);
     message.set_slot(given->slot);
+    remember(request, given->slot);
   } else {
     const auto next = std::get<permit_refused>(verdict).next;
     message.set_next_ms(static_cast<std::uint32_t>(next.count()));
--- a/test/permit_client_test.cc
+++ b/test/permit_client_test.cc
@@ -71,6 +71,7 @@
   CPPUNIT_TEST(newer_group_in_a_reply_is_adopted);
   CPPUNIT_TEST(request_waits_while_the_disks_of_all_stores_are_slow);
   CPPUNIT_TEST(permits_of_dropped_calls_are_returned);
+  CPPUNIT_TEST(cancelled_permit_is_issued_again);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -178,7 +179,64 @@
     CPPUNIT_ASSERT_EQUAL(permits_in_window, given);
   }
 
+  // Guards against a limit that is used up by permits whose replies crossed the
+  // end of their calls.
+  void cancelled_permit_is_issued_again() {
+    constexpr std::uint64_t share = permits_in_window / issuer_count;
+    start_issuers();
+    for (std::uint64_t call = 1; call <= share; ++call) {
+      CPPUNIT_ASSERT(
+          ask<records::PermitReply>("Permit", permit_call(call)).given());
+    }
+    const bool beyond_share =
+        ask<records::PermitReply>("Permit", permit_call(share + 1)).given();
+    records::CancelPermitRequest cancellation;
+    cancellation.set_store("store-0");
+    cancellation.set_call(share);
+    ask<records::CancelPermitReply>("CancelPermit", cancellation);
+    // A second cancellation must not return another permit.
+    ask<records::CancelPermitReply>("CancelPermit", cancellation);
+    const bool after_cancellation =
+        ask<records::PermitReply>("Permit", permit_call(share + 2)).given();
+    const bool after_second =
+        ask<records::PermitReply>("Permit", permit_call(share + 3)).given();
+
+    CPPUNIT_ASSERT(!beyond_share);
+    CPPUNIT_ASSERT(after_cancellation);
+    CPPUNIT_ASSERT(!after_second);
+  }
+
  private:
+  // A request to an issuer.
+  static records::PermitRequest permit_call(std::uint64_t call, int store = 0) {
+    records::PermitRequest made;
+    made.set_store("store-" + std::to_string(store));
+    made.set_epoch(1);
+    made.set_workspace("growers");
+    made.set_configuration(1);
+    made.set_per_second(0.2);
+    made.set_call(call);
+    return made;
+  }
+
+  // Calls an issuer.
+  template <typename reply_type>
+  reply_type ask(const std::string& method,
+                 const google::protobuf::MessageLite& request, int store = 0) {
+    std::optional<reply_type> received;
+    const rpc_call call = pool_.ask<reply_type>(
+        records_.group().voters(store).address(), method, request,
+        max_test_duration, [&](const result<reply_type>& reply) {
+          if (reply) {
+            received = reply.value();
+          }
+          loop_.stop();
+        });
+    loop_.run();
+    TRAYROCK_CHECK(received.has_value(), "expected a reply to " << method);
+    return *received;
+  }
+
   static constexpr int issuer_count = 3;
   // 0.2 a second in the issuers' window of a minute.
   static constexpr int permits_in_window = 12;
