A limit is reached only if no slow store is left

A request left the slow stores 1 and 2 after 150 ms each, was refused by store-3, and the refusal of one store was taken for the limit.

Change: a request remembers the stores that it left while they were writing a permit, and returns to them before it takes a refusal as final.

Test: limit_is_not_reached_while_a_slow_store_has_permits fails without the change (429) and passes with it.

--- a/src/records/permit_client.cc
+++ b/src/records/permit_client.cc
@@ -2,6 +2,7 @@
 
 #include <random>
 #include <set>
+#include <utility>
 
 #include "trayrock/internal/log.h"
 #include "trayrock/internal/net/progress_reporter.h"
@@ -47,6 +48,7 @@
   permit_request request;
   acquire_callback done;
   std::set<std::string> tried;  // in this round
+  std::set<std::string> slow;   // of these, left while they were writing
   bool relayed = false;         // this round goes through relays
   int unanswered = 0;           // direct calls
   std::uint64_t began_ms = 0;
@@ -78,12 +80,27 @@
     }
   }
 
-  void act(const limit_reached& reached) { finish(reached); }
+  // A slow store may have a permit although all others refuse.
+  void act(const limit_reached& reached) {
+    if (slow.empty()) {
+      finish(reached);
+    } else {
+      return_to_slow_stores();
+    }
+  }
+
+  void return_to_slow_stores() {
+    for (const std::string& each : std::exchange(slow, {})) {
+      tried.erase(each);
+    }
+    step();
+  }
 
   // Every store was tried. The next round goes through relays, if there are
   // any; rounds alternate.
   void act(const no_store_available&) {
     tried.clear();
+    slow.clear();
     relayed = !relayed && client.relays_.pick != nullptr;
     next_round =
         client.loop_.after(relayed ? milliseconds(0) : round_delay,
@@ -144,6 +161,7 @@
         client.sources_.next(request.workspace, request.use, tried, now);
     const auto* other = std::get_if<try_store>(&next);
     if (other != nullptr && !other->in_backoff) {
+      slow.insert(store);
       drop_call();
       act(*other);
     }
--- a/test/permit_client_test.cc
+++ b/test/permit_client_test.cc
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(request_waits_while_the_disks_of_all_stores_are_slow);
   CPPUNIT_TEST(permits_of_dropped_calls_are_returned);
   CPPUNIT_TEST(cancelled_permit_is_issued_again);
+  CPPUNIT_TEST(limit_is_not_reached_while_a_slow_store_has_permits);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -179,6 +180,27 @@
     CPPUNIT_ASSERT_EQUAL(permits_in_window, given);
   }
 
+  // Guards against 429 for a request that a slow store would still permit.
+  void limit_is_not_reached_while_a_slow_store_has_permits() {
+    start_issuers();
+    permit_client permits(loop_, pool_, records_, metrics_, "dc-0");
+    constexpr std::uint64_t share = permits_in_window / issuer_count;
+    for (int store = 1; store < issuer_count; ++store) {
+      for (std::uint64_t call = 1; call <= share; ++call) {
+        const std::uint64_t id = static_cast<std::uint64_t>(store) * 100 + call;
+        ask<records::PermitReply>("Permit", permit_call(id, store), store);
+      }
+    }
+    hold_writes();
+    // The reply to the first permit doesn't wait for the disk.
+    CPPUNIT_ASSERT(std::holds_alternative<permit>(acquire_limited(permits)));
+    const timer end_of_stall = loop_.after(stall, [this] { release_writes(); });
+
+    const permit_result reply = acquire_limited(permits);
+
+    CPPUNIT_ASSERT(std::holds_alternative<permit>(reply));
+  }
+
   // Guards against a limit that is used up by permits whose replies crossed the
   // end of their calls.
   void cancelled_permit_is_issued_again() {
