--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -92,7 +92,7 @@
   void write(const records::WriteRequest& request, const rpc_reply_ptr& reply);
   void wait_for_disk(const std::string& key, pending_write write);
   void report_progress(const records::WriteRequest& request,
-                       const rpc_reply_ptr& reply) const;
+                       const rpc_reply_ptr& reply);
   void send_write_reply(const records::WriteRequest& request,
                         records::Outcome outcome, const rpc_reply_ptr& reply);
   void add_chain(const records::WriteRequest& request,
--- a/src/records/permit_server.cc
+++ b/src/records/permit_server.cc
@@ -100,7 +100,8 @@
 void permit_server::wait_for_disk(const records::PermitRequest& request,
                                   const records::PermitReply& message,
                                   const rpc_reply_ptr& reply) {
-  const std::uint64_t progress = progress_.add(reply, [reply] {
+  const std::uint64_t progress = progress_.add(reply, [this, reply] {
+    metrics_.add("progress_reports_total", {{"call", "permit"}});
     records::PermitReply report;
     report.set_pending(true);
     reply->send(report);
@@ -128,6 +129,7 @@
     return;  // not given, or taken back before
   }
   limiter_.give_back(found->workspace, found->slot);
+  metrics_.add("permits_taken_back_total");
   recent_.erase(found);
 }
 
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -250,7 +250,7 @@
 }
 
 void record_server::report_progress(const records::WriteRequest& request,
-                                    const rpc_reply_ptr& reply) const {
+                                    const rpc_reply_ptr& reply) {
   const records::Outcome outcome = judge_write(state_, request);
   if (!is_accepted(outcome)) {
     return;  // the reply after the write tells so
@@ -261,6 +261,7 @@
   if (!request.chain_of().empty()) {
     add_chain(request, message);
   }
+  metrics_.add("progress_reports_total", {{"call", "write"}});
   reply->send(message);
 }
 
