--- a/src/records/permit_client.cc
+++ b/src/records/permit_client.cc
@@ -120,7 +120,7 @@
         [self = shared_from_this(),
          store = to.id()](const result<records::PermitReply>& reply) {
           self->patience.cancel();
-          if (!reply) {
+          if (!reply && reply.error() != errc::connect_failed) {
             self->drop_call();
           }
           self->on_direct_reply(store, reply);
