Wording of platform: watchers, the object store, entries and registries

Readers met figurative names (heard, suspect, probed, told, held, take) and comments that told how values were tuned. No order, number or text in quotes changed; log events, metrics and wire names stay.

--- a/test/collection_watcher_test.cc
+++ b/test/collection_watcher_test.cc
@@ -1,5 +1,4 @@
-// The watching of a collection of the platform, which here is a server of the
-// test's own in the same process.
+// Watching a collection, against a platform in the same process.
 #include "platform/collection_watcher.h"
 
 #include <map>
@@ -11,10 +10,10 @@
 namespace trayrock::testing {
 namespace {
 
-// Leaves the first calls without an answer and answers all later ones.
-class hesitant_platform {
+// Does not respond to the first calls, and responds to all later ones.
+class platform_silent_at_first {
  public:
-  hesitant_platform(event_loop& loop, int silent)
+  platform_silent_at_first(event_loop& loop, int silent)
       : silent_(silent),
         server_(loop, [this](const auto& request, const auto& out) {
           serve(request, out);
@@ -39,8 +38,8 @@
   std::vector<http1_exchange_ptr> silenced_;
 };
 
-// Lists everything at once, and leaves watches without an answer while it is
-// silent; else it answers them at once, or once it is silent no more.
+// Responds to list requests. While silent, does not respond to watches;
+// otherwise responds to them at once.
 class silenceable_platform {
  public:
   explicit silenceable_platform(event_loop& loop)
@@ -51,10 +50,10 @@
   const address& where() const { return server_.where(); }
   void set_silent(bool silent) { silent_ = silent; }
 
-  // How long the last watch was to wait, in ms.
+  // The wait of the last watch, in ms.
   int last_wait_ms() const { return last_wait_ms_; }
 
-  // Watches of a kind that have come.
+  // Watches of a kind that were received.
   int watches(const std::string& kind) const {
     const auto found = watches_.find(kind);
     return found == watches_.end() ? 0 : found->second;
@@ -91,33 +90,31 @@
 
 class collection_watcher_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(collection_watcher_test);
-  CPPUNIT_TEST(listing_is_asked_again_before_the_first_one_is_lost);
-  CPPUNIT_TEST(listing_that_is_answered_is_asked_once);
-  CPPUNIT_TEST(one_watcher_asks_a_silent_platform_for_all);
-  CPPUNIT_TEST(held_watcher_asks_nothing_until_it_is_released);
-  CPPUNIT_TEST(watch_behind_a_change_waits_only_a_moment);
-  CPPUNIT_TEST(probe_is_asked_again_before_the_first_one_is_lost);
+  CPPUNIT_TEST(list_request_is_hedged);
+  CPPUNIT_TEST(list_request_with_a_response_is_not_hedged);
+  CPPUNIT_TEST(one_watcher_probes_a_silent_platform);
+  CPPUNIT_TEST(paused_watcher_sends_nothing_until_resumed);
+  CPPUNIT_TEST(watch_after_a_change_is_short);
+  CPPUNIT_TEST(probe_is_hedged);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  // What starts while the platform is silent, and asks again only when its call
-  // has timed out, is without a configuration for 1.3 s longer.
-  void listing_is_asked_again_before_the_first_one_is_lost() {
+  // Guards against a process that starts in an outage and has no configuration
+  // until its first call has timed out.
+  void list_request_is_hedged() {
     const seen made = watch_with(2);
     CPPUNIT_ASSERT_EQUAL(1, made.snapshots);
     CPPUNIT_ASSERT(!made.after_loss);
   }
 
-  void listing_that_is_answered_is_asked_once() {
+  void list_request_with_a_response_is_not_hedged() {
     const seen made = watch_with(0);
     CPPUNIT_ASSERT_EQUAL(1, made.snapshots);
     CPPUNIT_ASSERT_EQUAL(1, made.calls);
   }
 
-  // While a platform is out, each kind that was watched cost as many calls as
-  // one does now: of 30 gateways and stores 1,854 on a day with two outages,
-  // and 1,293 since.
-  void one_watcher_asks_a_silent_platform_for_all() {
+  // Guards against calls by every watcher of a process during an outage.
+  void one_watcher_probes_a_silent_platform() {
     event_loop loop;
     metrics_registry metrics;
     silenceable_platform platform(loop);
@@ -153,7 +150,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, changed.size());
   }
 
-  void held_watcher_asks_nothing_until_it_is_released() {
+  void paused_watcher_sends_nothing_until_resumed() {
     event_loop loop;
     metrics_registry metrics;
     silenceable_platform platform(loop);
@@ -179,7 +176,7 @@
 
   // In a row of changes each watch is a new call. One that is lost would
   // otherwise be missed after ten seconds.
-  void watch_behind_a_change_waits_only_a_moment() {
+  void watch_after_a_change_is_short() {
     event_loop loop;
     metrics_registry metrics;
     silenceable_platform platform(loop);
@@ -201,7 +198,7 @@
 
   // What has lost the platform, and asks again only when its call has timed
   // out, knows for 1.3 s less that the platform is back.
-  void probe_is_asked_again_before_the_first_one_is_lost() {
+  void probe_is_hedged() {
     event_loop loop;
     metrics_registry metrics;
     silenceable_platform platform(loop);
@@ -240,7 +237,7 @@
   static seen watch_with(int silent_calls) {
     event_loop loop;
     metrics_registry metrics;
-    hesitant_platform platform(loop, silent_calls);
+    platform_silent_at_first platform(loop, silent_calls);
     platform::object_store store(loop, platform.where(), metrics);
     platform::collection_watcher watcher(
         loop, store, "things", {milliseconds(5000), milliseconds(10)});
--- a/test/object_entries_test.cc
+++ b/test/object_entries_test.cc
@@ -1,9 +1,5 @@
-// Entries of the platform that other writers have spoilt: each is told with its
-// number, and all others of the same listing or answer of a watch hold.
-//
-// What callers saw: one byte that was no UTF-8, in one entry, and a gateway
-// heard of no endpoint, no leaving and no configuration any more, since the
-// same answer was asked for again and again and never taken.
+// Invalid entries of other writers: guards against a gateway that receives no
+// updates at all because of one invalid entry in a response.
 #include <optional>
 
 #include "local_server.h"
@@ -16,7 +12,7 @@
 
 using platform::stored_object;
 
-constexpr const char* good_spec =
+constexpr const char* valid_spec =
     R"({"service":"s","address":"10.0.0.1:80","zone":"x","version":"v1",)"
     R"("capacity":4,"phase":"ready","coldLeftMs":0,"callSeq":3})";
 
@@ -25,9 +21,9 @@
          spec + R"(,"status":null})";
 }
 
-// The good spec with one piece of it put another way.
-std::string spoilt(const std::string& piece, const std::string& by) {
-  std::string made = good_spec;
+// The valid spec with one piece replaced.
+std::string valid_spec_with(const std::string& piece, const std::string& by) {
+  std::string made = valid_spec;
   made.replace(made.find(piece), piece.size(), by);
   return made;
 }
@@ -37,49 +33,65 @@
          std::string(static_cast<std::size_t>(levels), ']');
 }
 
-struct bad_entry {
+struct invalid_entry {
   std::string what;
   std::string spec;
   errc error;
 };
 
-std::vector<bad_entry> bad_entries() {
+std::vector<invalid_entry> invalid_entries() {
   constexpr int many_levels = 5000;
   constexpr std::size_t huge = std::size_t{2} << 20;
   return {
       {"no object", "7", errc::entry_wrong_type},
       {"nothing", "null", errc::entry_wrong_type},
-      {"no service", spoilt(R"("service":"s",)", ""), errc::entry_lacks_field},
-      {"no phase", spoilt(R"("phase":"ready",)", ""), errc::entry_lacks_field},
-      {"no capacity", spoilt(R"("capacity":4,)", ""), errc::entry_lacks_field},
-      {"service is a number", spoilt(R"("s")", "3"), errc::entry_wrong_type},
-      {"address is a list", spoilt(R"("10.0.0.1:80")", "[]"),
+      {"no service", valid_spec_with(R"("service":"s",)", ""),
+       errc::entry_lacks_field},
+      {"no phase", valid_spec_with(R"("phase":"ready",)", ""),
+       errc::entry_lacks_field},
+      {"no capacity", valid_spec_with(R"("capacity":4,)", ""),
+       errc::entry_lacks_field},
+      {"service is a number", valid_spec_with(R"("s")", "3"),
        errc::entry_wrong_type},
-      {"address without port", spoilt("10.0.0.1:80", "10.0.0.1"),
+      {"address is a list", valid_spec_with(R"("10.0.0.1:80")", "[]"),
+       errc::entry_wrong_type},
+      {"address without port", valid_spec_with("10.0.0.1:80", "10.0.0.1"),
+       errc::entry_out_of_range},
+      {"address is a name", valid_spec_with("10.0.0.1:80", "host:80"),
+       errc::entry_out_of_range},
+      {"empty service", valid_spec_with(R"("s")", R"("")"),
+       errc::entry_out_of_range},
+      {"unknown phase", valid_spec_with("ready", "asleep"),
+       errc::entry_unknown_phase},
+      {"phase is a flag", valid_spec_with(R"("ready")", "true"),
+       errc::entry_wrong_type},
+      {"negative capacity", valid_spec_with(":4", ":-4"),
        errc::entry_out_of_range},
-      {"address is a name", spoilt("10.0.0.1:80", "host:80"),
+      {"no capacity at all", valid_spec_with(":4", ":0"),
        errc::entry_out_of_range},
-      {"empty service", spoilt(R"("s")", R"("")"), errc::entry_out_of_range},
-      {"unknown phase", spoilt("ready", "asleep"), errc::entry_unknown_phase},
-      {"phase is a flag", spoilt(R"("ready")", "true"), errc::entry_wrong_type},
-      {"negative capacity", spoilt(":4", ":-4"), errc::entry_out_of_range},
-      {"no capacity at all", spoilt(":4", ":0"), errc::entry_out_of_range},
-      {"huge capacity", spoilt(":4", ":1e300"), errc::entry_out_of_range},
-      {"capacity with a fraction", spoilt(":4", ":1.5"),
+      {"huge capacity", valid_spec_with(":4", ":1e300"),
+       errc::entry_out_of_range},
+      {"capacity with a fraction", valid_spec_with(":4", ":1.5"),
+       errc::entry_wrong_type},
+      {"capacity as text", valid_spec_with(":4", R"(:"4")"),
        errc::entry_wrong_type},
-      {"capacity as text", spoilt(":4", R"(:"4")"), errc::entry_wrong_type},
-      {"negative count", spoilt(":3", ":-1"), errc::entry_out_of_range},
-      {"key twice", spoilt(R"("phase")", R"("capacity":9,"phase")"),
+      {"negative count", valid_spec_with(":3", ":-1"),
+       errc::entry_out_of_range},
+      {"key twice", valid_spec_with(R"("phase")", R"("capacity":9,"phase")"),
        errc::entry_repeats_key},
-      {"no UTF-8", spoilt("ready", "rea\xff\xfe"), errc::entry_unreadable},
-      {"half a character", spoilt("ready", "read\xc3"), errc::entry_unreadable},
-      {"control character", spoilt("ready", std::string("re\x01y")),
+      {"no UTF-8", valid_spec_with("ready", "rea\xff\xfe"),
+       errc::entry_unreadable},
+      {"half a character", valid_spec_with("ready", "read\xc3"),
+       errc::entry_unreadable},
+      {"control character", valid_spec_with("ready", std::string("re\x01y")),
        errc::entry_unreadable},
       {"no JSON", "{service}", errc::entry_unreadable},
       {"brackets that do not match", R"({"service":["s"}])",
        errc::entry_unreadable},
-      {"deep", spoilt(":4", ":" + nested(many_levels)), errc::entry_too_deep},
-      {"huge text", spoilt(R"("s")", "\"" + std::string(huge, 's') + "\""),
+      {"deep", valid_spec_with(":4", ":" + nested(many_levels)),
+       errc::entry_too_deep},
+      {"huge text",
+       valid_spec_with(R"("s")", "\"" + std::string(huge, 's') + "\""),
        errc::entry_too_large},
   };
 }
@@ -144,7 +156,7 @@
 
  public:
   void entry_as_it_should_be_is_used() {
-    const auto seen = listing_of(entry("a", good_spec));
+    const auto seen = listing_of(entry("a", valid_spec));
     const auto read = platform::decode_endpoint(seen.value().objects.front());
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80"), read.value().address);
     CPPUNIT_ASSERT_EQUAL(4U, read.value().capacity);
@@ -152,10 +164,10 @@
   }
 
   void bad_entry_of_a_listing_leaves_the_others() {
-    for (const bad_entry& each : bad_entries()) {
+    for (const invalid_entry& each : invalid_entries()) {
       const auto seen =
-          listing_of(entry("a", good_spec) + "," + entry("bad", each.spec) +
-                     "," + entry("b", good_spec));
+          listing_of(entry("a", valid_spec) + "," + entry("bad", each.spec) +
+                     "," + entry("b", valid_spec));
       TRAYROCK_CHECK(seen.has_value(), each.what << ": no listing");
       TRAYROCK_CHECK(usable(seen.value().objects) == "ab",
                      each.what << ": usable " << usable(seen.value().objects));
@@ -164,9 +176,9 @@
   }
 
   void bad_entry_of_a_watch_leaves_the_others() {
-    for (const bad_entry& each : bad_entries()) {
+    for (const invalid_entry& each : invalid_entries()) {
       const auto seen = changes_of(event(entry("bad", each.spec)) + "," +
-                                   event(entry("b", good_spec)));
+                                   event(entry("b", valid_spec)));
       TRAYROCK_CHECK(seen.has_value(), each.what << ": no answer");
       CPPUNIT_ASSERT_EQUAL(std::size_t{2}, seen.value().changes.size());
       check_error(each, seen.value().changes.front().object);
@@ -182,11 +194,11 @@
           "{\"metadata\":{\"name\":\"\xff\"}}",
           R"({"metadata":{"name":"x","revision":-1}})"}) {
       const auto seen =
-          listing_of(std::string(nameless) + "," + entry("b", good_spec));
+          listing_of(std::string(nameless) + "," + entry("b", valid_spec));
       TRAYROCK_CHECK(seen && usable(seen.value().objects) == "b",
                      nameless << ": not passed over");
       const auto changes =
-          changes_of(event(nameless) + "," + event(entry("b", good_spec)));
+          changes_of(event(nameless) + "," + event(entry("b", valid_spec)));
       TRAYROCK_CHECK(changes && changes.value().changes.size() == 1,
                      nameless << ": not passed over in a watch");
     }
@@ -216,7 +228,8 @@
   }
 
  private:
-  static void check_error(const bad_entry& wanted, const stored_object& seen) {
+  static void check_error(const invalid_entry& wanted,
+                          const stored_object& seen) {
     CPPUNIT_ASSERT_EQUAL(std::string("bad"), seen.name);
     const auto read = platform::decode_endpoint(seen);
     TRAYROCK_CHECK(!read && read.error() == std::error_code(wanted.error),
--- a/test/record_expiry_test.cc
+++ b/test/record_expiry_test.cc
@@ -91,8 +91,8 @@
     round.begin();
     const std::uint64_t first = round.add();
     const std::uint64_t second = round.add();
-    CPPUNIT_ASSERT(round.ended(second, true) == call_round::verdict::settles);
-    CPPUNIT_ASSERT(round.ended(first, true) == call_round::verdict::stale);
+    CPPUNIT_ASSERT(round.on_end(second, true) == call_round::verdict::settles);
+    CPPUNIT_ASSERT(round.on_end(first, true) == call_round::verdict::stale);
   }
 
   void round_fails_with_its_last_call() {
@@ -100,8 +100,8 @@
     round.begin();
     const std::uint64_t first = round.add();
     const std::uint64_t second = round.add();
-    CPPUNIT_ASSERT(round.ended(first, false) == call_round::verdict::pending);
-    CPPUNIT_ASSERT(round.ended(second, false) == call_round::verdict::settles);
+    CPPUNIT_ASSERT(round.on_end(first, false) == call_round::verdict::pending);
+    CPPUNIT_ASSERT(round.on_end(second, false) == call_round::verdict::settles);
   }
 
   void calls_of_an_older_round_do_not_count() {
@@ -110,8 +110,8 @@
     const std::uint64_t old = round.add();
     round.begin();
     const std::uint64_t current = round.add();
-    CPPUNIT_ASSERT(round.ended(old, true) == call_round::verdict::stale);
-    CPPUNIT_ASSERT(round.ended(current, true) == call_round::verdict::settles);
+    CPPUNIT_ASSERT(round.on_end(old, true) == call_round::verdict::stale);
+    CPPUNIT_ASSERT(round.on_end(current, true) == call_round::verdict::settles);
   }
 };
 
