--- a/include/trayrock/internal/records/permit_client.h
+++ b/include/trayrock/internal/records/permit_client.h
@@ -40,7 +40,7 @@
   std::string store;
   std::uint64_t slot = 0;
 };
-// No store replied in time, or is still writing a permit.
+// No store granted or refused a permit in time.
 struct permit_unknown {};
 using permit_result = std::variant<permit, limit_reached, permit_unknown>;
 
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -79,11 +79,11 @@
   }
 }
 
-void request_flow::guard_wait_for_stores(milliseconds patience, errc why) {
+void request_flow::guard_wait_for_stores(milliseconds min_wait, errc why) {
   const milliseconds needed =
       context_.durations.needed(routing_.route().name, partial_delivery::no);
   const milliseconds wait =
-      std::max(std::min(patience, time_left()), time_left() - needed);
+      std::max(std::min(min_wait, time_left()), time_left() - needed);
   stores_guard_ = context_.loop.after(wait, [weak = weak_from_this(), why] {
     const auto flow = weak.lock();
     if (flow != nullptr && !flow->ended_) {
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -70,9 +70,9 @@
   // Continues once the request has its permit, if it needs one.
   void reserve_or_send();
 
-  // Rejects a request that still waits for record stores with slow disks when
-  // the time left is too short to run it, but not before `patience` is over.
-  void guard_wait_for_stores(milliseconds patience, errc why);
+  // Rejects a request that still waits for record stores once the time left is
+  // too short to run it, but not before `min_wait`.
+  void guard_wait_for_stores(milliseconds min_wait, errc why);
 
   // ---- History and budget (request_flow_history.cc) -----------------------
 
--- a/src/records/permit_client.cc
+++ b/src/records/permit_client.cc
@@ -24,6 +24,7 @@
 constexpr int max_unanswered_calls = 2;
 // Delay before the next round when no store gave a usable reply.
 constexpr milliseconds round_delay{100};
+// Cancellations are not retried.
 constexpr milliseconds cancellation_timeout{2000};
 // Slots to return that are kept per store and workspace.
 constexpr std::size_t max_unused_slots = 256;
@@ -56,7 +57,7 @@
   rpc_call call;
   records::CancelPermitRequest cancellation;  // of a direct call
   std::string called_address;
-  timer patience;
+  timer slow_timer;
   timer next_round;
   timer limit;
 
@@ -119,13 +120,13 @@
         [self = shared_from_this()](const auto&) { self->on_progress(); },
         [self = shared_from_this(),
          store = to.id()](const result<records::PermitReply>& reply) {
-          self->patience.cancel();
+          self->slow_timer.cancel();
           if (!reply && reply.error() != errc::connect_failed) {
             self->drop_call();
           }
           self->on_direct_reply(store, reply);
         });
-    patience = client.loop_.after(
+    slow_timer = client.loop_.after(
         store_timeout,
         [self = shared_from_this(), store = to.id()] { self->on_slow(store); });
   }
@@ -256,7 +257,7 @@
     if (!done) {
       return;
     }
-    patience.cancel();
+    slow_timer.cancel();
     next_round.cancel();
     limit.cancel();
     const char* outcome = std::holds_alternative<permit>(reply) ? "given"
