The late store of a first group is a test, and known red

Cause: a store that joins cannot know what the others gave in the window, and gives nothing for its length. Not mended: the voters would have to tell the joining store that what they gave lies within the new shares, which is a change of the fence. Ruled out: announcing a store before its id is on disk (after a loss of power on several boxes the group would hold ids of nobody); a longer wait for the group (a larger constant).

--- a/test/permit_path_test.cc
+++ b/test/permit_path_test.cc
@@ -42,6 +42,7 @@
 class permit_path_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(permit_path_test);
   CPPUNIT_TEST(limit_is_shared_by_all_gateways);
+  CPPUNIT_TEST(limit_is_complete_when_a_store_joins_a_first_group_of_two);
   CPPUNIT_TEST(rejection_has_retry_after_and_nothing_ran);
   CPPUNIT_TEST(workspace_over_its_limit_does_not_affect_others);
   CPPUNIT_TEST(request_that_did_not_run_is_not_counted);
@@ -65,6 +66,32 @@
     CPPUNIT_ASSERT_EQUAL(12, served);
   }
 
+  // Guards against requests that are rejected within their limit because a
+  // store with a slow disk was late for the first group.
+  void limit_is_complete_when_a_store_joins_a_first_group_of_two() {
+    service_options options = with_limit(0.2, 0, long_window_s);
+    options.stores = 2;
+    service_deployment system(options);
+    system.start_all();
+    wait_until_served(system);
+    system.add_store("store-3");
+    system.start("store-3");
+    wait_until("the group has three voters", [&] {
+      const json group = system.group();
+      return group.is_object() && group["voters"].size() == 3;
+    });
+    wait_until("store-3 counts",
+               [&] { return system.metric("store-3", "store_counts") == 1; });
+
+    int served = 1;
+    for (int i = 0; i < 20; ++i) {
+      served +=
+          send_request(system, "gateway-1", "u" + std::to_string(i)).status ==
+          200;
+    }
+    CPPUNIT_ASSERT_EQUAL(12, served);
+  }
+
   void rejection_has_retry_after_and_nothing_ran() {
     service_deployment system(with_limit(1, 0, 1));
     system.start_all();
