--- a/include/trayrock/internal/cluster/cluster.h
+++ b/include/trayrock/internal/cluster/cluster.h
@@ -1,10 +1,10 @@
-// What a process shares with all others: members, configuration, shard map.
+// State that all processes share: members, configuration, shard map.
 //
-// Every spread period a process exchanges its own entry and a few others'
-// with one random peer, and with those that it watches. Versions travel with
-// every message; who is behind fetches the difference from whom it heard it,
-// and passes the news on at once. Two nodes a place watch the platform for
-// everybody; a process that starts during an outage gets all from peers.
+// Every spread period, a process exchanges its own entry and a few others with
+// a random peer, and with the processes that it watches. Messages carry
+// versions; an outdated process fetches the difference from the sender and
+// forwards it. Two nodes of each data centre watch the platform; a process that
+// starts in an outage gets the state from peers.
 //
 // Example:
 //   cluster shared(loop, settings, server, pool, platform, metrics, kind);
--- a/include/trayrock/internal/log.h
+++ b/include/trayrock/internal/log.h
@@ -1,10 +1,9 @@
 // Logging by log4cplus: one JSON object a line, to standard output.
 //
-// A line has time, level, process and event, and then what the event is about;
-// request, program and endpoint come under these names. Writing never waits:
-// lines that a slow reader leaves no room for are dropped, and a line with
-// only the event "log_lines_dropped" and a count tells how many. Rotation is
-// the platform's.
+// A line has time, level, process and event, and then the event's fields;
+// requests, programs and endpoints have fields of these names. Writing never
+// blocks: if the reader is slow, lines are dropped, and counted by the event
+// "log_lines_dropped". The platform rotates the log.
 //
 // Example:
 //   log_info("call_refused", {{"program", id}, {"call", "3"}});
--- a/include/trayrock/internal/net/http1_client.h
+++ b/include/trayrock/internal/net/http1_client.h
@@ -1,10 +1,11 @@
-// HTTP/1.1 towards endpoints, for a proxy: what evhttp's client hides is kept.
+// HTTP/1.1 client of the endpoints, with the details that a proxy needs and
+// evhttp's client hides.
 //
-// A pool keeps connections by peer and serves one request at a time on each.
-// It tells apart what matters to a request that may run only once: whether
-// the connection was ever made, whether an answer without a length ended by a
-// close or a reset, and answers that belong to an earlier request. Nothing is
-// resent. A connection on which anything unexpected was seen is not reused.
+// A pool keeps connections by peer, with one request at a time on each. For
+// requests that may run only once, it distinguishes whether the connection was
+// established, whether a response without a length ended by a close or a reset,
+// and responses to an earlier request. Nothing is resent. A connection is not
+// reused after anything unexpected.
 //
 // Example:
 //   http1_pool pool(loop);
@@ -32,14 +33,14 @@
 
 enum class http1_end {
   complete,
-  never_sent,  // the connection was not made: the peer can not have run it
-  broken,      // sent, and the answer did not come whole
+  never_sent,  // no connection was established: the peer can't have run it
+  broken,      // sent, and the response is incomplete
 };
 
-// What the owner of a request is told. on_end comes exactly once unless the
-// call is cancelled, and nothing comes after it.
+// Callbacks of a request. on_end is called exactly once, and last, unless the
+// call is cancelled.
 struct http1_observer {
-  // False: the answer belongs to an earlier request, and is skipped.
+  // Returns false for a response to an earlier request, which is then skipped.
   std::function<bool(const http1_answer_head&)> on_head;
   std::function<void(std::string_view)> on_body;
   std::function<void(http1_end)> on_end;
--- a/include/trayrock/internal/node/cache_holds.h
+++ b/include/trayrock/internal/node/cache_holds.h
@@ -1,9 +1,9 @@
-// Holds on the engines' caches: one for each program, always given back.
+// Holds on the engines' caches, one for each program; each is released.
 //
-// An order to an engine goes out one at a time for each program, so that a
-// hold and its release cannot cross. A hold ends with its program, and by age
-// as the last resort. A node that starts reads the engine's holds first and
-// lets those that nobody renews age out.
+// An engine gets one command at a time for each program, so that a hold and its
+// release can't be reordered. A hold ends with its program, or else by age. A
+// node that starts reads the engine's holds first; those that are not renewed
+// expire by age.
 #pragma once
 
 #include <functional>
--- a/include/trayrock/internal/node/owner.h
+++ b/include/trayrock/internal/node/owner.h
@@ -1,9 +1,10 @@
-// The owner of shards: programs' order, history, budget, and their calls.
+// Owner of shards: keeps the order, history and budget of programs, and runs
+// their calls.
 //
-// A call that is under way here outlives its caller's connection: whoever
-// asks again with the same key joins it and gets the stream from the start.
-// When a shard goes to another node, its calls are let go, not ended: the
-// runner's node carries on and the next owner attaches.
+// A running call outlives its caller's connection: a retry with the same key
+// joins it and gets the stream from the start. When a shard moves to another
+// node, its calls are detached and not ended: they continue at the runner's
+// node, and the next owner attaches.
 #pragma once
 
 #include <cstdint>
--- a/include/trayrock/internal/node/runner_gate.h
+++ b/include/trayrock/internal/node/runner_gate.h
@@ -1,9 +1,9 @@
-// The runner's node: the only way to the runners on its box.
+// The runner's node: all calls to the runners on its box pass through it.
 //
 // Keeps each runner's queue, the at-most-once table, and the holds on an
-// engine's cache. An accepted call goes on when its owner's connection
-// breaks; the owner, or its successor, attaches to it by its key and gets
-// the stream from the start.
+// engine's cache. An accepted call continues when its owner's connection
+// breaks; the owner, or its successor, attaches by the call's key and gets the
+// stream from the start.
 #pragma once
 
 #include <functional>
--- a/include/trayrock/internal/settings/strict_json.h
+++ b/include/trayrock/internal/settings/strict_json.h
@@ -55,7 +55,7 @@
   std::uint64_t high;
 };
 
-// Reads one JSON object; close() reports the keys that nobody asked for.
+// Reads one JSON object; close() reports unknown keys.
 class strict_object {
  public:
   strict_object(const nlohmann::json& value, std::string path,
--- a/src/net/http1_client_connection.h
+++ b/src/net/http1_client_connection.h
@@ -52,7 +52,7 @@
 
 namespace internal {
 
-// A request on its way, and who hears of its answer.
+// A pending request and its callbacks.
 struct running_call {
   std::string bytes;  // head and body, as sent
   bool head_request = false;
--- a/src/net/http1_server_connection.cc
+++ b/src/net/http1_server_connection.cc
@@ -9,10 +9,10 @@
 namespace trayrock::internal {
 namespace {
 
-// Bytes that a client may send ahead of the answers that it waits for.
+// Bytes that a client may send while a response is pending.
 constexpr std::size_t read_ahead_bytes = 65536;
-// How long a closing connection goes on reading, so that the last answer is
-// not lost in a reset.
+// How long a closing connection still reads, so that a reset doesn't discard
+// the last response.
 constexpr milliseconds linger_limit{1000};
 
 constexpr int status_bad_request = 400;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -105,7 +105,7 @@
   state& operator=(const state&) = delete;
   ~state() { drop(); }
 
-  // Closes the connection under a running request; calls nobody back.
+  // Closes the connection of a running request without a callback.
   void drop() {
     if (request != nullptr) {
       evhttp_cancel_request(std::exchange(request, nullptr));
--- a/src/net/rpc_client.cc
+++ b/src/net/rpc_client.cc
@@ -14,8 +14,8 @@
 using internal::message_cutter;
 using internal::stream_output;
 
-// A connection with open calls that hears nothing for this long, in spite of
-// pings, is taken as lost (half-open, or a frozen peer).
+// A connection with open calls is pinged. It is lost (half-open, or the peer is
+// frozen) if no data comes during some pings.
 constexpr milliseconds ping_period{1000};
 constexpr int pings_before_lost = 4;
 
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -253,7 +253,7 @@
                                     const rpc_reply_ptr& reply) {
   const records::Outcome outcome = judge_write(state_, request);
   if (!is_accepted(outcome)) {
-    return;  // the reply after the write tells so
+    return;  // the final reply has the outcome
   }
   records::WriteReply message;
   message.set_pending(true);
--- a/test/bad_input_test.cc
+++ b/test/bad_input_test.cc
@@ -1,4 +1,4 @@
-// Bad input: each gets a clear numbered error, and harms nobody else.
+// Bad input gets a numbered error and does not affect other requests.
 #include "deployment.h"
 #include "test_support.h"
 
--- a/test/fault_soak_test.cc
+++ b/test/fault_soak_test.cc
@@ -76,7 +76,7 @@
   return seen;
 }
 
-// What one client's program has been told so far.
+// The responses that one client's program has received.
 struct program {
   std::string name;
   std::string last_turn;  // the newest turn that ended whole
--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -1,5 +1,5 @@
-// The HTTP client over evhttp: it tells "never sent" from "may have been
-// seen", and resends nothing.
+// HTTP client over evhttp: distinguishes requests that were never sent from
+// those that may have been received, and resends nothing.
 #include "trayrock/internal/net/http_client.h"
 
 #include <arpa/inet.h>
--- a/test/log_test.cc
+++ b/test/log_test.cc
@@ -25,7 +25,7 @@
     dup2(pipe[1], STDOUT_FILENO);
     start_logging("test", "info");
     log_info("odd", {{"text", "quote \" back \\ line \n end"}});
-    // More than a pipe and the logger's own space hold; nobody reads.
+    // Exceeds the pipe's and the logger's buffers; there is no reader.
     const std::string filler(1000, 'x');
     constexpr int lines = 2000;
     for (int i = 0; i < lines; ++i) {
--- a/test/stopping_test.cc
+++ b/test/stopping_test.cc
@@ -82,7 +82,7 @@
     CPPUNIT_ASSERT_EQUAL(200, system.call("entry-1", id, 1, "a", "x").status);
     const std::string owner = system.owner_of(id);
     system.signal(owner, SIGTERM);
-    // It cannot hand over, but goes on serving what it owns.
+    // It can't hand over its shards, but still serves them.
     const http_answer during = system.call("entry-1", id, 2, "b", "y");
     system.fault({{"outage", false}});
     CPPUNIT_ASSERT_EQUAL(0, system.wait_end(owner, 120));
--- a/test/takeover_test.cc
+++ b/test/takeover_test.cc
@@ -1,4 +1,4 @@
-// An owner that dies, freezes or is cut off; its successor goes on.
+// Takeover of an owner that was killed, frozen or partitioned.
 #include <csignal>
 #include <thread>
 
