--- /dev/null
+++ b/test/gateway_stopping_test.cc
@@ -0,0 +1,134 @@
+// End-to-end tests of a gateway that is stopped while it has requests.
+#include <csignal>
+#include <mutex>
+#include <thread>
+
+#include "service_deployment.h"
+#include "test_support.h"
+
+namespace trayrock::testing {
+namespace {
+
+class gateway_stopping_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(gateway_stopping_test);
+  CPPUNIT_TEST(stopping_gateway_finishes_its_streams);
+  CPPUNIT_TEST(stopping_gateway_refuses_connections_near_its_end);
+  CPPUNIT_TEST(stopping_gateway_serves_as_long_as_it_has_time);
+  CPPUNIT_TEST(stopping_gateway_responds_to_unfinished_requests);
+  CPPUNIT_TEST(stopping_gateway_sends_every_response);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void stopping_gateway_finishes_its_streams() {
+    service_options options;
+    options.runner_events = 40;
+    options.runner_pause_ms = 50;
+    service_deployment system(options);
+    system.start_all();
+    http_answer response;
+    std::jthread client(
+        [&] { response = system.turn("gateway-1", "t1", "", "one"); });
+    wait_until("the turn runs", [&] { return system.runs("t1") == 1; });
+    system.signal("gateway-1", SIGTERM);
+    client.join();
+    const int code = system.wait_end("gateway-1");
+
+    CPPUNIT_ASSERT_EQUAL(200, response.status);
+    TRAYROCK_CHECK(response.body.find("t1-40") != std::string::npos,
+                   "expected the last event, seen " << response.body);
+    CPPUNIT_ASSERT_EQUAL(0, code);
+  }
+
+  // Guards against requests from the balancer that can't be finished in time.
+  void stopping_gateway_refuses_connections_near_its_end() {
+    service_options options;
+    options.runner_events = 115;
+    options.runner_pause_ms = 60;
+    service_deployment system(options);
+    system.start_all();
+    std::jthread client([&] { system.turn("gateway-1", "t1", "", "one"); });
+    wait_until("the turn runs", [&] { return system.runs("t1") == 1; });
+    system.signal("gateway-1", SIGTERM);
+    int last = 0;
+    wait_until("new connections are refused", [&] {
+      const std::string attempt = "u" + std::to_string(++last);
+      return system.request("gateway-1", "/unsafe/a", attempt).status == 0 &&
+             system.running("gateway-1");
+    });
+    client.join();
+    system.wait_end("gateway-1");
+  }
+
+  // Guards against an outage when all gateways are stopped one after another
+  // and each refuses connections too early.
+  void stopping_gateway_serves_as_long_as_it_has_time() {
+    service_options options;
+    options.stop_limit_s = 30;
+    service_deployment system(options);
+    system.start_all();
+    system.signal("gateway-1", SIGTERM);
+    constexpr std::chrono::seconds balancer_has_noticed{4};
+    std::this_thread::sleep_for(balancer_has_noticed);
+    const http_answer call = system.request("gateway-1", "/unsafe/a", "u1");
+
+    CPPUNIT_ASSERT_EQUAL(200, call.status);
+    system.kill("gateway-1");
+  }
+
+  // Requests that are open at the end get a response, not a closed connection.
+  void stopping_gateway_responds_to_unfinished_requests() {
+    service_options options;
+    options.stop_limit_s = 4;
+    service_deployment system(options);
+    system.start_all();
+    for (const char* runner : {"runner-1", "runner-2"}) {
+      system.runner_fault(runner, {{"hang", 1}});
+    }
+    system.signal("gateway-1", SIGTERM);
+    system.wait_draining("gateway-1");
+    const http_answer call = system.request("gateway-1", "/unsafe/a", "u1");
+
+    CPPUNIT_ASSERT_EQUAL(504, call.status);
+    system.wait_end("gateway-1");
+  }
+
+  // Guards against a process that ends before a written response is sent.
+  void stopping_gateway_sends_every_response() {
+    service_options options;
+    options.stop_limit_s = 2;
+    service_deployment system(options);
+    system.start_all();
+    std::mutex guard;
+    std::vector<std::string> unanswered;
+    {
+      std::vector<std::jthread> callers;
+      constexpr int calling = 12;
+      callers.reserve(calling);
+      for (int caller = 0; caller < calling; ++caller) {
+        callers.emplace_back([&, caller](const std::stop_token& over) {
+          for (int i = 0; !over.stop_requested(); ++i) {
+            const std::string attempt =
+                "u" + std::to_string(caller) + "-" + std::to_string(i);
+            if (system.request("gateway-1", "/safe/a", attempt).status == 0) {
+              const std::scoped_lock lock(guard);
+              unanswered.push_back(attempt);
+            }
+          }
+        });
+      }
+      system.signal("gateway-1", SIGTERM);
+      system.wait_end("gateway-1");
+    }
+    int ran = 0;
+    for (const std::string& attempt : unanswered) {
+      ran += system.runs(attempt);
+    }
+    TRAYROCK_CHECK(ran == 0, ran << " of " << unanswered.size()
+                                 << " requests without an answer ran");
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_stopping_test);
+
+}  // namespace
+}  // namespace trayrock::testing
