A finished answer waits for the stores until its client's deadline

Cause: a turn that was not durable 2.5 s after the end of its stream was given up and the connection closed, whatever time the client had left. Ruled out: the endpoints (they had ended their streams), the client's deadline, the route's timeout.

Change: the limit is the time that the client has left. Giving up earlier helps nobody: the client can't know that the turn failed, and has to run it again.

Before: the new test fails, the response ends without its last chunk. Answers of the tests' client now tell whether they are complete.

Why the stores did not acknowledge for 2.5 s is a fault of its own.

--- a/src/gateway/request_flow_history.cc
+++ b/src/gateway/request_flow_history.cc
@@ -9,8 +9,6 @@
 // Timeout for the reservation and the history: several round trips to the
 // stores.
 constexpr milliseconds history_timeout{1500};
-// Timeout for the turn to become durable before the response is finished.
-constexpr milliseconds store_timeout{2500};
 
 }  // namespace
 
@@ -52,7 +50,7 @@
       response_.events().complete_events() * routing_.tokens_per_event();
   turn.endpoint = attempt_.identity().text();
   const std::uint64_t began = elapsed_us();
-  history_.store(std::move(turn), store_timeout,
+  history_.store(std::move(turn), time_left(),
                  [self = shared_from_this(), began](std::error_code failed) {
                    self->report_.keep_us = self->elapsed_us() - began;
                    self->on_turn_stored(failed);
--- a/test/deployment.cc
+++ b/test/deployment.cc
@@ -91,8 +91,13 @@
     answer.headers[name] = value;
   }
   if (answer.headers["transfer-encoding"] == "chunked") {
+    answer.complete = answer.body.ends_with("0\r\n\r\n");
     answer.body = unchunk(answer.body);
+    return answer;
   }
+  const auto length = answer.headers.find("content-length");
+  answer.complete = length != answer.headers.end() &&
+                    length->second == std::to_string(answer.body.size());
   return answer;
 }
 
--- a/test/deployment.h
+++ b/test/deployment.h
@@ -21,6 +21,7 @@
   int status = 0;  // 0: no answer
   std::string body;
   std::map<std::string, std::string> headers;
+  bool complete = false;  // false: the connection ended in the middle of it
 
   json parsed() const { return json::parse(body, nullptr, false); }
   // The "code" of the error body, or 0.
--- a/test/gateway_path_test.cc
+++ b/test/gateway_path_test.cc
@@ -1,6 +1,8 @@
 // End-to-end tests of gateways and record stores with a fake platform and fake
 // endpoints.
+#include <csignal>
 #include <future>
+#include <thread>
 
 #include "service_deployment.h"
 #include "test_support.h"
@@ -31,6 +33,7 @@
   CPPUNIT_TEST(clients_cannot_set_internal_headers);
   CPPUNIT_TEST(unknown_route_is_404_and_a_new_one_is_served);
   CPPUNIT_TEST(draining_endpoint_gets_no_new_requests);
+  CPPUNIT_TEST(finished_stream_waits_for_slow_stores_until_its_deadline);
   CPPUNIT_TEST(gateway_serves_during_a_platform_outage);
   CPPUNIT_TEST(idle_connections_are_dropped_after_one_goes_silent);
   CPPUNIT_TEST(endpoint_that_hangs_with_a_stream_is_reported_to_other_gateways);
@@ -243,6 +246,31 @@
     });
   }
 
+  // Guards against an answer that is cut although its client still waits.
+  void finished_stream_waits_for_slow_stores_until_its_deadline() {
+    constexpr std::chrono::milliseconds stores_frozen{4000};
+    service_options options;
+    options.runner_events = 10;
+    options.runner_pause_ms = 50;
+    service_deployment system(options);
+    system.start_all();
+    http_answer response;
+    {
+      std::jthread client(
+          [&] { response = system.turn("gateway-1", "t1", "", "one"); });
+      wait_until("the turn runs", [&] { return system.runs("t1") == 1; });
+      system.signal("store-2", SIGSTOP);
+      system.signal("store-3", SIGSTOP);
+      std::this_thread::sleep_for(stores_frozen);
+      system.signal("store-2", SIGCONT);
+      system.signal("store-3", SIGCONT);
+    }
+
+    CPPUNIT_ASSERT_EQUAL(200, response.status);
+    TRAYROCK_CHECK(response.complete,
+                   "expected a complete stream, seen " << response.body);
+  }
+
   void gateway_serves_during_a_platform_outage() {
     service_deployment system;
     system.start_all();
