A stopping gateway sends late streams whole

What callers saw: a stream that a stopping gateway began because it should have ended in time, and that did not, was cut when the process ended.

Cause: a stream is begun if 1.8 times the longest recent one fits into the time that is left. That is an estimate; what has begun can't be replaced by an error any more. A turn that waited for the stores is begun with still less, the longest one without the margin.

Change: where the end of the process comes before the client's deadline and the route's timeout, the response is deferred: it is sent as a whole once it is complete, with its turn on disk, and an error (504, or 502 if the turn may be on disk) takes its place if time runs out. No answer is cut by a stop any more, whatever the estimate says. The estimate stays: it decides whether running the request is worth a try. Events that were deferred and not sent are not charged to the program.

Weighed: a larger margin (no bound holds for a slow endpoint); refusing everything that could outlast the process (its data centre may have no other gateway).

Before: stopping_gateway_cuts_no_stream_that_it_began_late failed (200 in place of 504, cut in the middle). After: all 7 cases of gateway_stopping_test pass.

--- a/include/trayrock/internal/gateway/client_response.h
+++ b/include/trayrock/internal/gateway/client_response.h
@@ -1,7 +1,9 @@
 // The response to one client, and the events sent in it so far.
 //
 // Streams are passed on as received; resumable ones by complete events only.
-// The head is that of the first endpoint, also after a resumption.
+// The head is that of the first endpoint, also after a resumption. A deferred
+// response is sent as a whole once it is complete, so that an error can take
+// its place until then.
 //
 // Example:
 //   client_response response(exchange);
@@ -27,8 +29,16 @@
       : out_(std::move(exchange)) {}
 
   http1_exchange& exchange() { return *out_; }
+
+  // Whether the client has received a part of the response.
   bool has_begun() const { return out_->begun(); }
 
+  // As above, or whether a part of the response is deferred.
+  bool has_content() const { return has_begun() || deferred_head_.has_value(); }
+
+  // From now on, nothing is sent before finish().
+  void defer_until_complete() { deferred_ = true; }
+
   // From now on, only complete events are passed on.
   void make_resumable() { resumable_ = true; }
 
@@ -52,14 +62,27 @@
   void finish();
   void abort() { out_->abort(); }
 
-  // What was sent to the client, incomplete events included.
+  // What was sent to the client or deferred, incomplete events included.
   const event_stream& events() const { return events_; }
 
+  // The number of events of which the client may have received a part.
+  std::uint64_t events_sent() const {
+    return has_begun() ? events_.started_events() : 0;
+  }
+
  private:
+  struct head {
+    int status = 0;
+    header_list headers;
+  };
+
   void write(std::string_view bytes);
 
   http1_exchange_ptr out_;
   bool resumable_ = false;
+  bool deferred_ = false;
+  std::optional<head> deferred_head_;
+  std::string deferred_body_;
   complete_event_buffer complete_events_;
   event_stream events_;
 };
--- a/include/trayrock/internal/gateway/request_routing.h
+++ b/include/trayrock/internal/gateway/request_routing.h
@@ -75,6 +75,10 @@
   // From the arrival of the request.
   milliseconds time_limit() const { return time_limit_; }
 
+  // Whether the process stops before the client's deadline and the route's
+  // timeout.
+  bool is_limited_by_shutdown() const { return limited_by_shutdown_; }
+
   // Whether the service's endpoints are model engines.
   bool targets_engine() const;
 
@@ -87,6 +91,7 @@
   std::string_view service_;
   const trayrock::workspace* owner_ = nullptr;
   milliseconds time_limit_{0};
+  bool limited_by_shutdown_ = false;
 };
 
 }  // namespace trayrock
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -48,6 +48,11 @@
   if (is_resumable()) {
     response_.make_resumable();
   }
+  if (routing_.is_limited_by_shutdown()) {
+    // A stream that the process cannot finish ends with an error this way, and
+    // not in the middle.
+    response_.defer_until_complete();
+  }
   watch_deadline_and_client();
   needs_record_ = history_.begin(routing_.route(), routing_.workspace_name());
   const bool needs_stores = needs_record_ || needs_permit();
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -260,7 +260,7 @@
   made.resumable = is_resumable();
   made.sends = static_cast<std::uint32_t>(report_.sends);
   made.max_sends = routing_.route().max_endpoints;
-  made.response_started = response_.has_begun();
+  made.response_started = response_.has_content();
   made.has_last_event = response_.last_event_id().has_value();
   return made;
 }
@@ -305,7 +305,7 @@
     on_stream_complete();
     return;
   }
-  if (response_.has_begun()) {  // the resumed stream failed
+  if (response_.has_content()) {  // the resumed stream failed
     fail(errc::runner_failed);
     return;
   }
--- a/src/gateway/request_flow_history.cc
+++ b/src/gateway/request_flow_history.cc
@@ -38,8 +38,7 @@
 }
 
 void request_flow::settle_begun_events() {
-  history_.settle(response_.events().started_events() *
-                  routing_.tokens_per_event());
+  history_.settle(response_.events_sent() * routing_.tokens_per_event());
 }
 
 void request_flow::store_turn() {
@@ -61,6 +60,10 @@
   if (ended_) {
     return;
   }
+  if (failed && !response_.has_begun()) {
+    reject(errc::outcome_unknown);
+    return;
+  }
   if (failed) {
     end("not_durable", attempt_.status());
     response_.abort();
--- a/src/gateway/request_routing.cc
+++ b/src/gateway/request_routing.cc
@@ -61,6 +61,7 @@
   if (durations.needed(route_->name, midway) > time_to_shutdown) {
     return errc::stopping;
   }
+  limited_by_shutdown_ = time_to_shutdown < time_limit_;
   time_limit_ = std::min(time_limit_, time_to_shutdown);
   return std::nullopt;
 }
--- a/test/gateway_stopping_test.cc
+++ b/test/gateway_stopping_test.cc
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(stopping_gateway_serves_as_long_as_it_has_time);
   CPPUNIT_TEST(stopping_gateway_responds_to_unfinished_requests);
   CPPUNIT_TEST(stopping_gateway_sends_every_response);
+  CPPUNIT_TEST(stopping_gateway_cuts_no_stream_that_it_began_late);
+  CPPUNIT_TEST(stopping_gateway_sends_late_streams_whole);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -126,6 +128,44 @@
     TRAYROCK_CHECK(ran == 0, ran << " of " << unanswered.size()
                                  << " requests without an answer ran");
   }
+
+  // Guards against a stream that is begun because it should end in time, does
+  // not, and is cut when the process ends.
+  void stopping_gateway_cuts_no_stream_that_it_began_late() {
+    service_options options;
+    options.stop_limit_s = 5;
+    service_deployment system(options);
+    system.start_all();
+    for (const char* runner : {"runner-1", "runner-2"}) {
+      system.runner_fault(runner, {{"hang_midway", 1}});
+    }
+    system.signal("gateway-1", SIGTERM);
+    system.wait_draining("gateway-1");
+    const http_answer response = system.turn("gateway-1", "t1", "", "one");
+
+    CPPUNIT_ASSERT_EQUAL(1, system.runs("t1"));
+    CPPUNIT_ASSERT_EQUAL(504, response.status);
+    CPPUNIT_ASSERT(response.complete);
+    system.wait_end("gateway-1");
+  }
+
+  void stopping_gateway_sends_late_streams_whole() {
+    service_options options;
+    options.stop_limit_s = 5;
+    service_deployment system(options);
+    system.start_all();
+    system.signal("gateway-1", SIGTERM);
+    system.wait_draining("gateway-1");
+    const http_answer first = system.turn("gateway-1", "t1", "", "one ");
+    const http_answer second = system.turn("gateway-2", "t2", "t1", "two");
+
+    CPPUNIT_ASSERT_EQUAL(200, first.status);
+    CPPUNIT_ASSERT_EQUAL(200, second.status);
+    const std::string body = system.body_of("t2");
+    TRAYROCK_CHECK(body.starts_with("one t1-1\nt1-2\nt1-3\n"),
+                   "expected the first turn, seen " << body);
+    system.wait_end("gateway-1");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_stopping_test);
