A stopping gateway answers requests that were begun before its signal

What callers saw: a request whose deadline lies beyond the end of the process got no answer, its connection was closed when the process ended. Found by looking for the cause of the cut streams elsewhere; deployments whose longest deadline is shorter than the time to stop don't meet it.

Cause: only requests that arrive while the gateway stops have their time limited by the stop.

Those whose response has not begun get the error of their deadline (504, or one that says that nothing has run); a stream that has begun has until the end.

Before: the new test fails (no answer in place of 504).

--- a/include/trayrock/internal/gateway/gateway_lifecycle.h
+++ b/include/trayrock/internal/gateway/gateway_lifecycle.h
@@ -6,7 +6,8 @@
 // would be killed.
 //
 // Example:
-//   gateway_lifecycle lifecycle(loop, clients, stop_limit, by_balancer{});
+//   gateway_lifecycle lifecycle(loop, clients, stop_limit, by_balancer{},
+//                               observers);
 //   lifecycle.begin();          // connections wait
 //   lifecycle.begin_serving();  // once requests can be served
 //   lifecycle.begin_drain();    // on SIGTERM
@@ -18,6 +19,7 @@
 #include <functional>
 
 #include "trayrock/internal/decide/retry_after.h"
+#include "trayrock/internal/gateway/shutdown_observers.h"
 #include "trayrock/internal/net/http1_server.h"
 #include "trayrock/internal/net/loop.h"
 #include "trayrock/internal/process.h"
@@ -26,14 +28,16 @@
 
 class gateway_lifecycle {
  public:
-  // `clients` outlives the object. The process ends within `stop_limit` of
-  // begin_drain().
+  // `clients` and `observers` outlive the object. The process ends within
+  // `stop_limit` of begin_drain(), and notifies the observers shortly before.
   gateway_lifecycle(event_loop& loop, http1_server& clients,
-                    milliseconds stop_limit, retry_after_policy retry_after)
+                    milliseconds stop_limit, retry_after_policy retry_after,
+                    shutdown_observers& observers)
       : loop_(loop),
         clients_(clients),
         stop_limit_(stop_limit),
-        retry_after_(retry_after) {}
+        retry_after_(retry_after),
+        observers_(observers) {}
   gateway_lifecycle(const gateway_lifecycle&) = delete;
   gateway_lifecycle& operator=(const gateway_lifecycle&) = delete;
 
@@ -69,10 +73,12 @@
   http1_server& clients_;
   milliseconds stop_limit_;
   retry_after_policy retry_after_;
+  shutdown_observers& observers_;
   std::function<bool()> ready_;
   timer start_timer_;
   timer accept_timer_;
   timer drain_check_timer_;
+  timer observers_timer_;
   timer end_timer_;
   bool serving_ = false;  // connections are accepted
   bool draining_ = false;
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -23,6 +23,7 @@
 #include "trayrock/internal/gateway/configuration.h"
 #include "trayrock/internal/gateway/endpoint_directory.h"
 #include "trayrock/internal/gateway/gateway_policy.h"
+#include "trayrock/internal/gateway/shutdown_observers.h"
 #include "trayrock/internal/metrics.h"
 #include "trayrock/internal/net/http1_client.h"
 #include "trayrock/internal/net/http1_server.h"
@@ -44,6 +45,7 @@
   std::map<std::string, slow_endpoint_detector, std::less<>>&
       slow_detectors;  // by service
   recent_programs& programs;
+  shutdown_observers& on_shutdown;  // notified once open requests must end
   std::string data_centre;
   gateway_policy policy;
   std::function<configuration_ptr()> configuration;  // nullptr: none yet
--- a/src/gateway/gateway_lifecycle.cc
+++ b/src/gateway/gateway_lifecycle.cc
@@ -68,6 +68,8 @@
   const milliseconds accepting = left - accept_margin;
   accept_timer_ = loop_.after(std::max(accepting, milliseconds(0)),
                               [this] { stop_accepting_connections(); });
+  observers_timer_ =
+      loop_.after(time_to_shutdown(), [this] { observers_.notify(); });
   end_timer_ = loop_.after(left, [this] { stop_unfinished(); });
 }
 
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -55,6 +55,7 @@
             durations_,
             slow_detectors_,
             programs_,
+            on_shutdown_,
             settings.service.data_centre,
             policy_,
             [this] { return view_.configuration(); },
@@ -73,7 +74,7 @@
               serve_request(context_, std::move(request), std::move(out));
             }),
         lifecycle_(loop_, client_server_, settings.service.stop_limit,
-                   policy_.retry_after),
+                   policy_.retry_after, on_shutdown_),
         readiness_server_(
             loop_, [] { return http1_limits{}; },
             [this](const http1_request&, const http1_exchange_ptr& out) {
@@ -199,6 +200,7 @@
   duration_estimator durations_;
   std::map<std::string, slow_endpoint_detector, std::less<>> slow_detectors_;
   recent_programs programs_;
+  shutdown_observers on_shutdown_;
   platform_view view_;
   gateway_context context_;
   http1_server client_server_;
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -106,6 +106,11 @@
           flow->on_deadline();
         }
       });
+  shutdown_ = context_.on_shutdown.add([weak] {
+    if (const auto flow = weak.lock()) {
+      flow->on_shutdown();
+    }
+  });
   response_.exchange().on_gone(
       [self = shared_from_this()] { self->on_client_disconnected(); });
 }
@@ -135,6 +140,12 @@
   fail(sent ? errc::runner_timeout : errc::deadline_passed);
 }
 
+void request_flow::on_shutdown() {
+  if (!response_.has_begun()) {
+    on_deadline();
+  }
+}
+
 void request_flow::give_up(errc why) {
   fail(may_have_run_ ? errc::runner_failed : why);
 }
@@ -205,6 +216,7 @@
 void request_flow::end(std::string_view outcome, int status) {
   ended_ = true;
   deadline_.cancel();
+  shutdown_ = {};
   silence_timer_.cancel();
   stores_guard_.cancel();
   return_unused_permit();
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -35,6 +35,10 @@
   void on_client_disconnected();
   void on_deadline();
 
+  // The process stops before the deadline. A stream that has begun may still
+  // complete while the process exits.
+  void on_shutdown();
+
   // Fails the request when no endpoint is left to try. The error says that
   // nothing has run only if no endpoint may have run it.
   void give_up(errc why);
@@ -158,6 +162,7 @@
   milliseconds limit_retry_after_{0};
   bool ended_ = false;
   timer deadline_;
+  shutdown_observers::subscription shutdown_;
   timer silence_timer_;
   timer stores_guard_;
   std::uint64_t began_us_;
--- a/test/gateway_stopping_test.cc
+++ b/test/gateway_stopping_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(stopping_gateway_refuses_connections_near_its_end);
   CPPUNIT_TEST(stopping_gateway_serves_as_long_as_it_has_time);
   CPPUNIT_TEST(stopping_gateway_responds_to_unfinished_requests);
+  CPPUNIT_TEST(stopping_gateway_responds_to_requests_begun_before_its_signal);
   CPPUNIT_TEST(stopping_gateway_sends_every_response);
   CPPUNIT_TEST(stopping_gateway_cuts_no_stream_that_it_began_late);
   CPPUNIT_TEST(stopping_gateway_sends_late_streams_whole);
@@ -94,6 +95,28 @@
     system.wait_end("gateway-1");
   }
 
+  // Guards against a connection that is closed without a response because the
+  // request's deadline is later than the end of the process.
+  void stopping_gateway_responds_to_requests_begun_before_its_signal() {
+    service_options options;
+    options.stop_limit_s = 2;
+    service_deployment system(options);
+    system.start_all();
+    for (const char* runner : {"runner-1", "runner-2"}) {
+      system.runner_fault(runner, {{"hang", 1}});
+    }
+    http_answer response;
+    {
+      std::jthread client(
+          [&] { response = system.request("gateway-1", "/unsafe/a", "u1"); });
+      wait_until("the call runs", [&] { return system.runs("u1") == 1; });
+      system.signal("gateway-1", SIGTERM);
+    }
+
+    CPPUNIT_ASSERT_EQUAL(504, response.status);
+    system.wait_end("gateway-1");
+  }
+
   // Guards against a process that ends before a written response is sent.
   void stopping_gateway_sends_every_response() {
     service_options options;
