Comments: put back reasons and numbers behind rules and constants

Comments only. Put back, in today's names:

- endpoint_health: what the decay and the threshold make of an endpoint that fails a third, or 6%, of ten requests a second; 2.2 failures as the most that one gateway's reports add up to; probation is as long as the longest backoff; a full queue drains within tens of milliseconds
- relay_selector: why a failed peer is avoided for seconds
- watch_roles: why a gateway watches the platform itself only for a time
- slow_endpoint_detector: how many responses the average reflects; the mean deviation behind the outlier's bound
- retry_after: six attempts, which the delay has to outlast
- duration_estimator: why a stream's time has a minimum; which percentile the longest of 64 samples is
- configuration_proof: what shorter waits cost
- record_expiry: a gateway whose watch is pending has no other sign of an outage
- permit_limiter: the bound on workspaces compared with what is configured
- watch_follower: the parts of the time that polls and pauses take
- watch_reply: the writes a second behind the largest step of the revision

--- a/include/trayrock/internal/decide/duration_estimator.h
+++ b/include/trayrock/internal/decide/duration_estimator.h
@@ -51,6 +51,7 @@
                                    partial_delivery delivery) const;
 
  private:
+  // The longest of 64 samples is about the 98th percentile.
   static constexpr std::size_t max_samples = 64;
   static constexpr std::size_t min_samples = 16;
 
--- a/include/trayrock/internal/decide/record_expiry.h
+++ b/include/trayrock/internal/decide/record_expiry.h
@@ -3,7 +3,8 @@
 //
 // Endpoints keep their records by heartbeats. After a platform outage, the
 // records of all endpoints that could not reach it are removed at once and
-// return within about two seconds. So when nearly all records are removed at
+// return within about two seconds. A gateway whose watch was pending throughout
+// the outage has no other sign of it. So when nearly all records are removed at
 // once, the endpoints remain in use for that time; those that really stopped
 // fail requests and get a backoff.
 //
--- a/include/trayrock/internal/gateway/watch_reply.h
+++ b/include/trayrock/internal/gateway/watch_reply.h
@@ -18,7 +18,7 @@
 namespace trayrock {
 
 // The largest accepted step of the platform's revision: more than the platform
-// can write in five minutes.
+// can write in five minutes, at 3,200 writes a second at most.
 constexpr std::uint64_t max_revisions_ahead = 1000000;
 
 // `known` is the revision of the known endpoints. Errors: errc::wire_garbled,
--- a/src/decide/configuration_proof.cc
+++ b/src/decide/configuration_proof.cc
@@ -12,7 +12,7 @@
 constexpr milliseconds scheduling_margin{150};
 // A watch waits for a fifth of the limit, so that proofs are at most two fifths
 // of it old, and one tenth more at gateways that poll a watcher. The rest is
-// left for calls that get no response.
+// left for calls that get no response. Shorter waits cost more calls.
 constexpr int watch_wait_divisor = 5;
 // Other gateways are polled once the proof is older than half of the limit.
 constexpr int refresh_divisor = 2;
--- a/src/decide/duration_estimator.cc
+++ b/src/decide/duration_estimator.cc
@@ -6,8 +6,9 @@
 
 namespace {
 
-// A stream needs this multiple of the longest recent duration, and at least the
-// minimum, since an interrupted stream is lost.
+// A stream needs this multiple of the longest recent duration, since an
+// interrupted stream is lost. The minimum is needed where all recent samples
+// were short: a much longer stream may follow them.
 constexpr double stream_margin = 1.8;
 constexpr std::chrono::milliseconds min_for_stream{2600};
 
--- a/src/decide/endpoint_health.cc
+++ b/src/decide/endpoint_health.cc
@@ -6,23 +6,25 @@
 namespace trayrock {
 namespace {
 
-// Evidence decays to 1/e in this time.
+// Evidence decays to 1/e in this time. At ten requests a second, an endpoint
+// that fails a third of them reaches the threshold; one that fails 6% stays
+// below one failure.
 constexpr double evidence_decay_ms = 1000;
 constexpr double evidence_threshold = 2.9;
 constexpr std::uint32_t consecutive_failure_threshold = 2;
-// A gateway's reports count once in this time, so that they alone never reach
-// the threshold.
+// A gateway's reports count once in this time, so that they alone add up to at
+// most 2.2 failures, which is below the threshold.
 constexpr std::uint64_t report_period_ms = 600;
 // Doubled if the endpoint fails again within `relapse_window_ms`.
 constexpr std::uint64_t initial_backoff_ms = 400;
 constexpr std::uint64_t max_backoff_ms = 4000;
 constexpr std::uint32_t max_doublings = 4;
 constexpr std::uint64_t relapse_window_ms = 5000;
-// Probation ends after this time even if the endpoint got no request that is
-// allowed during probation.
+// Probation ends after this time, which is that of the longest backoff, even if
+// the endpoint got no request that is allowed during probation.
 constexpr std::uint64_t max_probation_ms = 4000;
-// An endpoint that refuses has a full queue, which drains quickly, or is broken
-// and continues to refuse.
+// An endpoint that refuses has a full queue, which drains within tens of
+// milliseconds, or is broken and continues to refuse.
 constexpr std::uint64_t initial_refusal_backoff_ms = 60;
 constexpr std::uint32_t max_refusal_doublings = 4;
 // Carried over a backoff, so that a relapse is detected sooner.
--- a/src/decide/permit_limiter.cc
+++ b/src/decide/permit_limiter.cc
@@ -22,7 +22,8 @@
 // requests, a power failure on five stores loses less than half of what is not
 // issued.
 constexpr double unsynced_share = 0.01;
-// Bounds the memory; permits of further workspaces are refused.
+// Bounds the memory; permits of further workspaces are refused. Far above the
+// number that operators configure.
 constexpr std::size_t max_workspaces = 65536;
 
 }  // namespace
--- a/src/decide/relay_selector.cc
+++ b/src/decide/relay_selector.cc
@@ -7,7 +7,8 @@
 namespace trayrock {
 namespace {
 
-// Doubled with each consecutive failure.
+// Doubled with each consecutive failure. A network partition lasts for seconds,
+// and each call by way of a peer that fails costs its whole timeout.
 constexpr std::uint64_t initial_backoff_ms = 1500;
 constexpr std::uint64_t max_backoff_ms = 6000;
 constexpr std::uint32_t max_doublings = 2;
--- a/src/decide/retry_after.cc
+++ b/src/decide/retry_after.cc
@@ -15,9 +15,9 @@
 // A balancer without another gateway sends connections at shorter intervals
 // than this.
 constexpr milliseconds max_connection_interval{1000};
-// With this delay, the retries of a client outlast the start of a successor or
-// a short outage of the platform. Clients wait at most a third of the time that
-// they have left.
+// Clients give up after six attempts. With this delay, these outlast the start
+// of a successor or a short outage of the platform. Clients wait at most a
+// third of the time that they have left.
 constexpr milliseconds recovery_delay{1500};
 
 milliseconds delay_by(const always_immediate&, const drain_view&) {
--- a/src/decide/slow_endpoint_detector.cc
+++ b/src/decide/slow_endpoint_detector.cc
@@ -6,10 +6,12 @@
 namespace trayrock {
 namespace {
 
-// Weight of a new sample in the exponential moving averages.
+// Weight of a new sample in the exponential moving averages, which thus reflect
+// about the last 20 responses.
 constexpr double weight = 0.05;
 // A response is an outlier this many mean deviations above the mean: about one
-// in 1,000 if response times are distributed exponentially.
+// in 1,000 if response times are distributed exponentially, where the mean
+// deviation is 0.74 of the mean.
 constexpr double outlier_deviations = 8;
 // With fewer responses, the timeout is a multiple of the minimum.
 constexpr std::uint64_t min_responses = 20;
--- a/src/decide/watch_roles.cc
+++ b/src/decide/watch_roles.cc
@@ -18,7 +18,8 @@
 constexpr std::uint64_t max_backoff_ms = 8000;
 constexpr std::uint32_t max_doublings = 3;
 // After this many consecutive failures of any peers the gateway watches the
-// platform itself for a time.
+// platform itself for a time: a platform that rejects the calls of some boxes
+// does so for several seconds.
 constexpr std::uint32_t failures_before_platform = 3;
 constexpr std::uint64_t platform_period_ms = 3000;
 // How long a gateway that has just started waits for data from its peers.
--- a/src/gateway/watch_follower.cc
+++ b/src/gateway/watch_follower.cc
@@ -8,8 +8,8 @@
 namespace {
 
 // Shares of the time in which gateways must stop using a draining endpoint.
-// They leave room for polls of two unresponsive watchers and for the pause
-// between two watches of the next one.
+// Polls of two unresponsive watchers in succession take 0.45 of it, and the
+// pause between two watches of the next one takes about a third.
 constexpr double wait_share = 0.15;
 constexpr double timeout_share = 0.075;
 // How often a watching gateway checks its role.
