A relay forwards reports only to callers that tell them from replies

While gateways are upgraded one after the other, one of an earlier version that calls a store through a newer gateway could count a write as acknowledged that is on no disk, and tell its client that the turn is whole. A loss of power then loses it.

Cause: stores report a pending write with the outcome OK and `pending` set. A relay passed the report on, and ended the call in order when the store could not be reached any more. Earlier versions do not know `pending` and take the last message of a call for its reply. Called directly they are safe: a call to a store ends in order only behind its final reply.

Change: callers that know reports say so in the request (`accepts_pending`); a relay forwards none to others, as relays of earlier versions did. Older relays ignore the field.

--- a/src/gateway/peer_relays.cc
+++ b/src/gateway/peer_relays.cc
@@ -26,14 +26,18 @@
 // Relays a call to a store, and its replies back. The callback keeps the call's
 // handle alive until then.
 template <typename reply_type>
-void relay_call(rpc_pool& pool, const std::string& store,
+void relay_call(rpc_pool& pool, const records::RelayRequest& relayed,
                 std::string_view method,
                 const google::protobuf::MessageLite& request,
                 const rpc_reply_ptr& reply) {
   auto call = std::make_shared<rpc_call>();
   *call = pool.ask_with_progress<reply_type>(
-      store, method, request, relayed_call_timeout,
-      [reply](const reply_type& report) { reply->send(report); },
+      relayed.address(), method, request, relayed_call_timeout,
+      [reply, forwards = relayed.accepts_pending()](const reply_type& report) {
+        if (forwards) {
+          reply->send(report);
+        }
+      },
       [reply, call](const result<reply_type>& found) {
         if (found) {
           reply->send(found.value());
@@ -189,10 +193,10 @@
           return;
         }
         if (for_permit) {
-          relay_call<records::PermitReply>(pool, request.address(), "Permit",
+          relay_call<records::PermitReply>(pool, request, "Permit",
                                            request.permit(), reply);
         } else {
-          relay_call<records::WriteReply>(pool, request.address(), "Write",
+          relay_call<records::WriteReply>(pool, request, "Write",
                                           request.write(), reply);
         }
       });
--- a/src/records/permit_client.cc
+++ b/src/records/permit_client.cc
@@ -208,6 +208,7 @@
     }
     records::RelayRequest relayed_request;
     relayed_request.set_address(to.address());
+    relayed_request.set_accepts_pending(true);
     *relayed_request.mutable_permit() = client.request_for(request, to);
     progress_ms = 0;
     cancellation.Clear();
--- a/src/records/store_calls.cc
+++ b/src/records/store_calls.cc
@@ -110,6 +110,7 @@
   }
   records::RelayRequest relayed;
   relayed.set_address(to.address());
+  relayed.set_accepts_pending(true);
   *relayed.mutable_write() = request;
   connectivity_.metrics.add("relayed_record_calls_total");
   const std::weak_ptr<store_calls> weak = weak_from_this();
--- a/test/slow_disk_test.cc
+++ b/test/slow_disk_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "record_store_fixture.h"
+#include "trayrock/internal/gateway/peer_relays.h"
 
 namespace trayrock::testing {
 namespace {
@@ -13,6 +14,7 @@
   CPPUNIT_TEST(fence_is_confirmed_once_its_group_is_on_disk);
   CPPUNIT_TEST(write_outlasts_its_limit_while_the_disks_are_slow);
   CPPUNIT_TEST(missing_turn_is_reported_while_the_disks_are_slow);
+  CPPUNIT_TEST(relay_sends_no_reports_to_a_gateway_of_an_earlier_version);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -92,7 +94,45 @@
     CPPUNIT_ASSERT(!reply.value().chain_found);
   }
 
+  // Guards against a report that counts as an acknowledgement: earlier versions
+  // take the last message of a call as its reply.
+  void relay_sends_no_reports_to_a_gateway_of_an_earlier_version() {
+    start_group();
+    rpc_server relay(*loop_, {});
+    serve_relays(relay, *pool_, *client_);
+    CPPUNIT_ASSERT(relay.listen(address::parse(local(ports_[4])).value()));
+    records::RelayRequest request;
+    request.set_address(local(ports_[0]));
+    request.mutable_write()->set_store(stores_[0]->server.state().id());
+    request.mutable_write()->set_epoch(1);
+    *request.mutable_write()->mutable_record() = turn("t1", "", "one");
+    stores_[0]->syncs.close();
+    const timer poll = loop_->every(milliseconds(1), [this] {
+      if (stores_[0] != nullptr && reports_sent(*stores_[0]) > 0) {
+        stores_[0].reset();
+      }
+    });
+    std::optional<std::error_code> failed;
+    const rpc_call call = pool_->ask<records::WriteReply>(
+        local(ports_[4]), "Relay", request, call_timeout,
+        [&](const result<records::WriteReply>& reply) {
+          failed = reply ? std::error_code() : reply.error();
+          loop_->stop();
+        });
+    run();
+
+    CPPUNIT_ASSERT(failed.has_value());
+    TRAYROCK_CHECK(bool(*failed),
+                   "expected an error, seen a reply although the "
+                   "record is not on disk");
+  }
+
  private:
+  static int reports_sent(const store& from) {
+    return static_cast<int>(
+        from.metrics.value("progress_reports_total", {{"call", "write"}}));
+  }
+
   // The syncs of all running stores wait from now on.
   void close_gates() {
     for (const auto& each : stores_) {
