A store counts no record that its disk lacks

A voter that is catching up may count, and acknowledge turns, while its disk lacks records that its group has acknowledged. A loss of power then loses them.

Cause: "in the index" was taken for "on disk". A record is in the index as soon as its write begins. If all pulled records were in the index, store_pulled called back at once, and if no listed key was missing, store_reader recorded the progress at once, although the write of some was pending: pulled a moment ago in a call that was repeated, pulled from another voter, or written directly by a gateway. After a failed write, the record was marked as durable besides, so that a further pull of it was taken for stored.

Change: progress is recorded once everything that the reply covers is on disk, and never if the disk failed. The disk ends writes in their order, so an empty write waits for the pending ones; a batch without records is no longer synced. A reply whose records are all durable is still stored at once. A record whose write failed stays pending, so nothing takes it for durable; a store whose disk failed adds no pulled records any more.

Ruled out as further places: records read at a start (the newest file is synced before they are used, older ones were synced before it), a retried write (it waits for the first one's sync).

--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -56,10 +56,16 @@
   // Sets whether the store has all that the group's epoch requires.
   void set_counts(bool counts);
 
-  // Adds records of another store; calls back once they are on disk.
+  // Adds records of another store; calls back once they are on disk, and never
+  // if the disk failed.
   void store_pulled(const records::PullReply& pulled,
                     std::function<void()> durable);
 
+  // Calls back once those records and listed keys of a reply that this store
+  // has are on disk, and never if the disk failed.
+  void when_durable(const records::PullReply& pulled,
+                    std::function<void()> then);
+
   // The boxes that are to be retired, sent to stores that do not watch the
   // platform.
   void set_retiring(std::set<std::string> boxes) {
@@ -102,6 +108,7 @@
                          records::PullReply& message) const;
   void add_named_records(const records::PullRequest& request,
                          records::PullReply& message) const;
+  bool has_pending(const records::PullReply& pulled) const;
   void fence(const records::FenceRequest& request, const rpc_reply_ptr& reply);
   void when_state_durable(std::function<void()> then);
   void on_state_saved(std::error_code failed);
--- a/include/trayrock/internal/records/store_reader.h
+++ b/include/trayrock/internal/records/store_reader.h
@@ -78,6 +78,7 @@
   void fetch_missing(const std::string& id, const records::PullReply& listed);
   void on_missing_stored(const std::string& id,
                          const records::PullReply& listed, bool all);
+  void record_listed(const std::string& id, const records::PullReply& listed);
   void record_progress(const std::string& id, const records::PullReply& reply);
   void fence(const store_peer& voter);
 
--- a/src/records/record_disk.cc
+++ b/src/records/record_disk.cc
@@ -81,14 +81,17 @@
     }
   }
 
-  // Writes and syncs one batch; sets `failure` if it is not durable.
+  // Writes and syncs one batch; sets `failure` if it is not durable. Without
+  // records, there is nothing to sync: earlier batches are durable or failed.
   void commit(std::vector<pending_write>& batch) {
+    bool has_records = false;
     for (pending_write& each : batch) {
       if (!failure && !each.records.empty()) {
+        has_records = true;
         append(each);
       }
     }
-    if (failure) {
+    if (failure || !has_records) {
       return;
     }
     const std::uint64_t began = loop.now_us();
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -1,5 +1,6 @@
 #include "trayrock/internal/records/record_server.h"
 
+#include <algorithm>
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
 #include <random>
@@ -122,7 +123,9 @@
 }
 
 void record_server::on_written(const std::string& key) {
-  index_.durable(key);
+  if (!disk_failed_) {
+    index_.durable(key);
+  }
   for (const pending_write& each : pending_.take(key)) {
     progress_.remove(each.progress);
     constexpr double us_per_ms = 1000;
@@ -374,6 +377,9 @@
 
 void record_server::store_pulled(const records::PullReply& pulled,
                                  std::function<void()> durable) {
+  if (disk_failed_) {
+    return;
+  }
   std::vector<disk_record> changes;
   std::vector<std::string> keys;
   const std::uint64_t now = loop_.now_ms();
@@ -385,9 +391,11 @@
     }
   }
   if (changes.empty()) {
-    durable();
+    when_durable(pulled, std::move(durable));
     return;
   }
+  // Also covers the records that are being written already: the disk ends
+  // writes in their order.
   disk_->write(std::move(changes),
                [this, keys = std::move(keys),
                 durable = std::move(durable)](std::error_code failed) {
@@ -401,6 +409,33 @@
                });
 }
 
+void record_server::when_durable(const records::PullReply& pulled,
+                                 std::function<void()> then) {
+  if (disk_failed_) {
+    return;
+  }
+  if (!has_pending(pulled)) {
+    then();
+    return;
+  }
+  disk_->write({}, [this, then = std::move(then)](std::error_code failed) {
+    disk_failed_ = disk_failed_ || failed;
+    if (!failed) {
+      then();
+    }
+  });
+}
+
+bool record_server::has_pending(const records::PullReply& pulled) const {
+  return std::any_of(
+             pulled.keys().begin(), pulled.keys().end(),
+             [this](const auto& each) { return index_.is_pending(each); }) ||
+         std::any_of(pulled.records().begin(), pulled.records().end(),
+                     [this](const auto& each) {
+                       return index_.is_pending(record_key(each.record()));
+                     });
+}
+
 void record_server::fence(const records::FenceRequest& request,
                           const rpc_reply_ptr& reply) {
   const auto send_reply = [this, reply, epoch = request.group().epoch()] {
--- a/src/records/store_reader.cc
+++ b/src/records/store_reader.cc
@@ -15,6 +15,15 @@
 // Records that are requested by key in one call.
 constexpr int max_named_records = 500;
 
+// The position that a reply reached, without its records.
+records::PullReply reached_by(const records::PullReply& reply) {
+  records::PullReply made;
+  made.set_log(reply.log());
+  made.set_position(reply.position());
+  made.set_more(reply.more());
+  return made;
+}
+
 }  // namespace
 
 bool store_reader::joining() const {
@@ -166,7 +175,7 @@
                                  const records::PullReply& listed) {
   const named_records missing = find_missing(listed);
   if (missing.request.keys_size() == 0) {
-    record_progress(id, listed);
+    record_listed(id, listed);
     return;
   }
   const store_peer* const from = peers_.find(id);
@@ -191,20 +200,25 @@
                                      bool all) {
   const store_peer* const from = peers_.find(id);
   if (all) {
-    record_progress(id, listed);
+    record_listed(id, listed);
   } else if (from != nullptr) {
     pull(*from);
   }
 }
 
+// A listed record may be in the index while its write is still pending.
+void store_reader::record_listed(const std::string& id,
+                                 const records::PullReply& listed) {
+  server_.when_durable(listed, [this, id, reached = reached_by(listed)] {
+    record_progress(id, reached);
+  });
+}
+
 void store_reader::store_pulled(const std::string& id,
                                 const records::PullReply& reply) {
-  records::PullReply reached;
-  reached.set_log(reply.log());
-  reached.set_position(reply.position());
-  reached.set_more(reply.more());
-  server_.store_pulled(reply,
-                       [this, id, reached] { record_progress(id, reached); });
+  server_.store_pulled(reply, [this, id, reached = reached_by(reply)] {
+    record_progress(id, reached);
+  });
 }
 
 // All records up to the position are on this store's disk.
--- a/test/record_store_fixture.h
+++ b/test/record_store_fixture.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <filesystem>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -128,6 +129,16 @@
     loop_->run();
   }
 
+  // Runs until the condition holds, or the test has taken too long.
+  void run_until(const std::function<bool()>& condition) {
+    const timer poll = loop_->every(milliseconds(1), [&] {
+      if (condition()) {
+        loop_->stop();
+      }
+    });
+    run();
+  }
+
   std::error_code keep(const records::Record& record,
                        milliseconds limit = call_timeout) {
     std::optional<std::error_code> stored;
--- a/test/slow_disk_test.cc
+++ b/test/slow_disk_test.cc
@@ -15,6 +15,10 @@
   CPPUNIT_TEST(write_outlasts_its_limit_while_the_disks_are_slow);
   CPPUNIT_TEST(missing_turn_is_reported_while_the_disks_are_slow);
   CPPUNIT_TEST(relay_sends_no_reports_to_a_gateway_of_an_earlier_version);
+  CPPUNIT_TEST(record_pulled_again_is_stored_once_it_is_on_disk);
+  CPPUNIT_TEST(pulled_record_that_is_being_written_is_stored_once_on_disk);
+  CPPUNIT_TEST(pulled_records_that_are_on_disk_need_no_further_sync);
+  CPPUNIT_TEST(pulled_record_is_never_stored_if_the_disk_failed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -127,12 +131,84 @@
                    "record is not on disk");
   }
 
+  // Guards against a store that counts as a voter ahead of its disk: a pull is
+  // repeated while the records of the first one are being written.
+  void record_pulled_again_is_stored_once_it_is_on_disk() {
+    start_group();
+    wait_for_earlier_writes();
+    close_gates();
+    int stored = 0;
+    for (int pull = 1; pull <= 2; ++pull) {
+      stores_[0]->server.store_pulled(pulled_turn(), [&] { ++stored; });
+    }
+    CPPUNIT_ASSERT_EQUAL(0, stored);
+
+    admit_syncs(1);
+    run_until([&] { return stored == 2; });
+    CPPUNIT_ASSERT_EQUAL(2, stored);
+  }
+
+  // Guards against a store that counts as a voter ahead of its disk: a gateway
+  // writes the record directly while the store catches up.
+  void pulled_record_that_is_being_written_is_stored_once_on_disk() {
+    start_group();
+    wait_for_earlier_writes();
+    close_gates();
+    client_->keep(turn("t1", "", "one"), call_timeout, [](std::error_code) {});
+    wait_for_writes(1);
+    int stored = 0;
+    stores_[0]->server.store_pulled(pulled_turn(), [&] { ++stored; });
+    CPPUNIT_ASSERT_EQUAL(0, stored);
+
+    admit_syncs(1);
+    run_until([&] { return stored == 1; });
+    CPPUNIT_ASSERT_EQUAL(1, stored);
+  }
+
+  void pulled_records_that_are_on_disk_need_no_further_sync() {
+    start_group();
+    int stored = 0;
+    stores_[0]->server.store_pulled(pulled_turn(), [&] { ++stored; });
+    run_until([&] { return stored == 1; });
+    close_gates();
+    stores_[0]->server.store_pulled(pulled_turn(), [&] { ++stored; });
+    CPPUNIT_ASSERT_EQUAL(2, stored);
+  }
+
+  // Guards against a store that counts as a voter without its disk.
+  void pulled_record_is_never_stored_if_the_disk_failed() {
+    start_group();
+    stores_[0]->syncs.fail();
+    int stored = 0;
+    for (int pull = 1; pull <= 2; ++pull) {
+      stores_[0]->server.store_pulled(pulled_turn(), [&] { ++stored; });
+      wait_for_earlier_writes();
+      CPPUNIT_ASSERT_EQUAL(0, stored);
+    }
+  }
+
  private:
   static int reports_sent(const store& from) {
     return static_cast<int>(
         from.metrics.value("progress_reports_total", {{"call", "write"}}));
   }
 
+  static records::PullReply pulled_turn() {
+    records::PullReply made;
+    *made.add_records()->mutable_record() = turn("t1", "", "one");
+    return made;
+  }
+
+  // Runs until the first store's disk has written all that it was given before,
+  // or failed to.
+  void wait_for_earlier_writes() {
+    bool written = false;
+    stores_[0]->server.write_permits({},
+                                     [&](std::error_code) { written = true; });
+    run_until([&] { return written; });
+    CPPUNIT_ASSERT(written);
+  }
+
   // The syncs of all running stores wait from now on.
   void close_gates() {
     for (const auto& each : stores_) {
@@ -165,12 +241,7 @@
         return each == nullptr || each->writes_received() >= count;
       });
     };
-    const timer poll = loop_->every(milliseconds(1), [&] {
-      if (received()) {
-        loop_->stop();
-      }
-    });
-    run();
+    run_until(received);
     TRAYROCK_CHECK(received(), "expected " << count << " writes at each store");
   }
 };
--- a/test/slow_files.h
+++ b/test/slow_files.h
@@ -1,10 +1,11 @@
-// Files whose syncs wait until the test lets them pass.
+// Files whose syncs wait until the test lets them pass, or fail.
 //
 // Example:
 //   sync_gate gate;
 //   record_disk::open(loop, std::make_unique<slow_files>(folder, gate), visit);
 //   gate.close();    // from now on, syncs wait
 //   gate.admit(1);   // one sync passes
+//   gate.fail();     // from now on, syncs fail
 #pragma once
 
 #include <condition_variable>
@@ -32,10 +33,21 @@
     changed_.notify_all();
   }
 
-  void pass() {
+  // All further syncs fail, waiting ones included.
+  void fail() {
+    {
+      const std::scoped_lock lock(guard_);
+      failing_ = true;
+    }
+    changed_.notify_all();
+  }
+
+  // Waits; returns false if the sync is to fail.
+  bool pass() {
     std::unique_lock lock(guard_);
-    changed_.wait(lock, [this] { return open_ || admitted_ > 0; });
+    changed_.wait(lock, [this] { return open_ || failing_ || admitted_ > 0; });
     admitted_ -= admitted_ > 0 ? 1 : 0;
+    return !failing_;
   }
 
  private:
@@ -51,6 +63,7 @@
   std::mutex guard_;
   std::condition_variable changed_;
   bool open_ = true;
+  bool failing_ = false;
   int admitted_ = 0;
 };
 
@@ -63,8 +76,8 @@
     return file_->append(bytes);
   }
   std::error_code sync() override {
-    gate_.pass();
-    return file_->sync();
+    return gate_.pass() ? file_->sync()
+                        : std::make_error_code(std::errc::io_error);
   }
   result<std::string> read(std::uint64_t offset,
                            std::size_t length) const override {
--- /dev/null
+++ b/test/store_reader_test.cc
@@ -0,0 +1,122 @@
+// What a store that becomes a voter has read from the others, while its disk is
+// slow.
+#include "trayrock/internal/records/store_reader.h"
+
+#include <algorithm>
+
+#include "record_store_fixture.h"
+#include "trayrock/internal/records/store_group.h"
+
+namespace trayrock::testing {
+namespace {
+
+class store_reader_test : public record_store_fixture {
+  CPPUNIT_TEST_SUITE(store_reader_test);
+  CPPUNIT_TEST(voter_counts_once_its_listed_records_are_on_disk);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void tearDown() override {
+    reader_.reset();
+    record_store_fixture::tearDown();
+  }
+
+  // Guards against a voter that counts ahead of its disk: a gateway wrote the
+  // listed record directly, and its sync is pending.
+  void voter_counts_once_its_listed_records_are_on_disk() {
+    start_group();
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
+    add_joining_store();
+    joining().syncs.close();
+    write_directly(turn("t1", "", "one"));
+    const timer ticks = loop_->every(milliseconds(5), [this] { tick(); });
+    constexpr int replies_each = 3;
+    run_until([&] { return replies_since_fence() >= replies_each; });
+    TRAYROCK_CHECK(replies_since_fence() >= replies_each,
+                   "expected " << replies_each << " replies of each voter");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, read_since_fence());
+
+    joining().syncs.open();
+    run_until([&] { return has_joined(); });
+    CPPUNIT_ASSERT(has_joined());
+  }
+
+ private:
+  // Adds a store that replaces the third voter in epoch 2, and does not count
+  // yet. Only this store has the new group.
+  void add_joining_store() {
+    stores_.push_back(std::make_unique<store>(*loop_, folder_ + "/joining",
+                                              ports_[stores_.size()]));
+    records::Store self;
+    self.set_id(joining().server.state().id());
+    self.set_address(local(joining().port));
+    self.set_data_centre("dc-2");
+    const records::Group group =
+        with_voter(client_->group(), self, client_->group().voters(2).id());
+    bool on_disk = false;
+    joining().server.adopt(group, [&] { on_disk = true; });
+    run_until([&] { return on_disk; });
+    CPPUNIT_ASSERT(on_disk);
+    reader_ = std::make_unique<store_reader>(*loop_, joining().server, *pool_);
+    reader_->follow_group();
+  }
+
+  store& joining() { return *stores_.back(); }
+
+  // A round of the store's membership driver.
+  void tick() {
+    reader_->follow_group();
+    reader_->pull_due();
+    reader_->fence_previous_voters();
+    for (const auto& [id, each] : reader_->peers().all()) {
+      if (each.fenced && each.last_reply_ms != last_reply_ms_[id]) {
+        last_reply_ms_[id] = each.last_reply_ms;
+        ++replies_[id];
+      }
+    }
+  }
+
+  // Replies of each voter that were seen since it was fenced, at least.
+  int replies_since_fence() {
+    int least = replies_.empty() ? 0 : replies_.begin()->second;
+    for (const auto& [id, each] : reader_->peers().all()) {
+      least = std::min(least, replies_[id]);
+    }
+    return least;
+  }
+
+  // Sends the joining store a record as a gateway does, without waiting.
+  void write_directly(const records::Record& record) {
+    records::WriteRequest request;
+    request.set_store(joining().server.state().id());
+    request.set_epoch(joining().server.state().group().epoch());
+    *request.mutable_record() = record;
+    writing_ = pool_->ask<records::WriteReply>(
+        local(joining().port), "Write", request, call_timeout,
+        [](const result<records::WriteReply>&) {});
+    run_until([&] { return is_pending(record); });
+    CPPUNIT_ASSERT(is_pending(record));
+  }
+
+  bool is_pending(const records::Record& record) {
+    return joining().server.index().is_pending(record_key(record));
+  }
+
+  std::size_t read_since_fence() {
+    return reader_->peers().read_since_fence(joining().server.state());
+  }
+
+  bool has_joined() {
+    return reader_->peers().has_joined(joining().server.state());
+  }
+
+  std::unique_ptr<store_reader> reader_;
+  rpc_call writing_;
+  std::map<std::string, std::uint64_t> last_reply_ms_;  // by the store's id
+  std::map<std::string, int> replies_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_reader_test);
+
+}  // namespace
+}  // namespace trayrock::testing
