What was read before the fence makes no voter

A new voter may count without records that were acknowledged after it read a voter and before it fenced that one. Later losses then lose turns, or a read denies them.

Cause: that a pull had begun after the fence was kept with the peer and overwritten by the next pull. The reply to a fence starts a pull at once. If the disk is slow, the records of the pull before it get on disk only then, and were credited as read since the fence. The same holds for a pull of an older epoch once the peer is fenced for the new one. The late progress of an earlier pull could also set the position back, and "read to the end" to what it had seen.

Change: each pull carries its number and the epoch that its peer was fenced for when it began (pull_start), handed back with its records. Only a pull that began after the fence of the current epoch is credited, and a pull older than the last one that was stored is ignored. A pull is not dropped because a later one has begun, so a slow disk still makes progress.

--- a/include/trayrock/internal/decide/store_peers.h
+++ b/include/trayrock/internal/decide/store_peers.h
@@ -12,9 +12,9 @@
 // Example:
 //   store_peers peers;
 //   peers.follow(state, now);
-//   peers.on_pull_started("store-2");
+//   const pull_start pull = peers.on_pull_started("store-2");
 //   if (peers.on_pull_reply("store-2", reply, now)) {
-//     peers.on_records_stored("store-2", true);
+//     peers.on_records_stored("store-2", pull, true);
 //   }
 //   if (peers.has_joined(state)) count_as_voter();
 #pragma once
@@ -28,6 +28,13 @@
 
 namespace trayrock {
 
+// What was true when a pull began. Its records may reach the disk when the peer
+// has been fenced or a later pull has begun.
+struct pull_start {
+  std::uint64_t number = 0;        // in the order of the pulls
+  std::uint64_t fenced_epoch = 0;  // that the peer was fenced for; 0: none
+};
+
 struct store_peer {
   records::Store store;
   bool learner = false;  // polled for liveness only
@@ -38,7 +45,7 @@
   bool read_to_end = false;  // the last pull reached the end of its records
   bool fenced = false;       // for the current epoch
 
-  bool fenced_at_pull_start = false;
+  std::uint64_t stored_pull = 0;  // number of the last one that is on disk
   bool read_since_fence = false;
 };
 
@@ -48,15 +55,17 @@
   // the previous epoch, and its learners.
   void follow(const records::StoreState& own, std::uint64_t now_ms);
 
-  void on_pull_started(const std::string& id);
+  pull_start on_pull_started(const std::string& id);
 
   // Returns false if the store is no longer a peer, or if another store replied
   // at its address.
   bool on_pull_reply(const std::string& id, const records::PullReply& reply,
                      std::uint64_t now_ms);
 
-  // The records of the last pull are on this store's disk.
-  void on_records_stored(const std::string& id, bool to_end);
+  // The records of a pull are on this store's disk. Returns false if the store
+  // is no longer a peer, or if the records of a later pull are on disk already.
+  bool on_records_stored(const std::string& id, const pull_start& pull,
+                         bool to_end);
 
   // Handles the reply to a fence for `epoch`. True if the peer is fenced now.
   bool on_fence_reply(const std::string& id, const records::FenceReply& reply,
@@ -80,6 +89,7 @@
 
   std::map<std::string, store_peer> peers_;  // by id
   std::uint64_t epoch_ = 0;
+  std::uint64_t pulls_ = 0;
 };
 
 }  // namespace trayrock
--- a/include/trayrock/internal/records/store_reader.h
+++ b/include/trayrock/internal/records/store_reader.h
@@ -72,14 +72,18 @@
   records::PullKind pull_kind(const store_peer& from);
   void pull(const store_peer& from);
   void on_pull_reply(const std::string& id, records::PullKind kind,
-                     result<records::PullReply> reply);
-  void store_pulled(const std::string& id, const records::PullReply& reply);
+                     const pull_start& start, result<records::PullReply> reply);
+  void store_pulled(const std::string& id, const pull_start& start,
+                    const records::PullReply& reply);
   named_records find_missing(const records::PullReply& listed) const;
-  void fetch_missing(const std::string& id, const records::PullReply& listed);
-  void on_missing_stored(const std::string& id,
+  void fetch_missing(const std::string& id, const pull_start& start,
+                     const records::PullReply& listed);
+  void on_missing_stored(const std::string& id, const pull_start& start,
                          const records::PullReply& listed, bool all);
-  void record_listed(const std::string& id, const records::PullReply& listed);
-  void record_progress(const std::string& id, const records::PullReply& reply);
+  void record_listed(const std::string& id, const pull_start& start,
+                     const records::PullReply& listed);
+  void record_progress(const std::string& id, const pull_start& start,
+                       const records::PullReply& reply);
   void fence(const store_peer& voter);
 
   event_loop& loop_;
--- a/src/decide/store_peers.cc
+++ b/src/decide/store_peers.cc
@@ -53,11 +53,10 @@
   peer.learner = !is_voting;
 }
 
-void store_peers::on_pull_started(const std::string& id) {
+pull_start store_peers::on_pull_started(const std::string& id) {
   const auto found = peers_.find(id);
-  if (found != peers_.end()) {
-    found->second.fenced_at_pull_start = found->second.fenced;
-  }
+  const bool fenced = found != peers_.end() && found->second.fenced;
+  return {++pulls_, fenced ? epoch_ : 0};
 }
 
 bool store_peers::on_pull_reply(const std::string& id,
@@ -76,16 +75,19 @@
   return same;
 }
 
-void store_peers::on_records_stored(const std::string& id, bool to_end) {
+bool store_peers::on_records_stored(const std::string& id,
+                                    const pull_start& pull, bool to_end) {
   const auto found = peers_.find(id);
-  if (found == peers_.end()) {
-    return;
+  if (found == peers_.end() || pull.number <= found->second.stored_pull) {
+    return false;
   }
   store_peer& peer = found->second;
+  peer.stored_pull = pull.number;
   peer.read_to_end = to_end;
-  if (to_end && peer.fenced && peer.fenced_at_pull_start) {
+  if (to_end && peer.fenced && pull.fenced_epoch == epoch_) {
     peer.read_since_fence = true;
   }
+  return true;
 }
 
 bool store_peers::on_fence_reply(const std::string& id,
@@ -98,7 +100,6 @@
   store_peer& voter = found->second;
   voter.fenced =
       reply.store() == id && reply.counts() && reply.epoch() >= epoch;
-  voter.fenced_at_pull_start = false;
   return voter.fenced;
 }
 
--- a/src/records/store_reader.cc
+++ b/src/records/store_reader.cc
@@ -124,15 +124,16 @@
   request.set_log(progress.log);
   request.set_after(progress.position);
   request.set_kind(kind);
-  peers_.on_pull_started(id);
+  const pull_start start = peers_.on_pull_started(id);
   progress.pulling = pool_.ask<records::PullReply>(
       from.store.address(), "Pull", request, call_timeout,
-      [this, id, kind](result<records::PullReply> reply) {
-        on_pull_reply(id, kind, std::move(reply));
+      [this, id, kind, start](result<records::PullReply> reply) {
+        on_pull_reply(id, kind, start, std::move(reply));
       });
 }
 
 void store_reader::on_pull_reply(const std::string& id, records::PullKind kind,
+                                 const pull_start& start,
                                  result<records::PullReply> received) {
   if (!received) {
     return;
@@ -147,9 +148,9 @@
     server_.adopt(reply.group(), nullptr);
   }
   if (kind == records::PULL_KEYS) {
-    fetch_missing(id, reply);
+    fetch_missing(id, start, reply);
   } else if (kind == records::PULL_RECORDS) {
-    store_pulled(id, reply);
+    store_pulled(id, start, reply);
   }
 }
 
@@ -171,11 +172,11 @@
   return missing;
 }
 
-void store_reader::fetch_missing(const std::string& id,
+void store_reader::fetch_missing(const std::string& id, const pull_start& start,
                                  const records::PullReply& listed) {
   const named_records missing = find_missing(listed);
   if (missing.request.keys_size() == 0) {
-    record_listed(id, listed);
+    record_listed(id, start, listed);
     return;
   }
   const store_peer* const from = peers_.find(id);
@@ -184,55 +185,55 @@
   }
   progress_[id].pulling = pool_.ask<records::PullReply>(
       from->store.address(), "Pull", missing.request, call_timeout,
-      [this, id, listed = records::PullReply(listed),
+      [this, id, start, listed = records::PullReply(listed),
        all = missing.all](const result<records::PullReply>& reply) {
         if (!reply || reply.value().store() != id) {
           return;
         }
-        server_.store_pulled(reply.value(), [this, id, listed, all] {
-          on_missing_stored(id, listed, all);
+        server_.store_pulled(reply.value(), [this, id, start, listed, all] {
+          on_missing_stored(id, start, listed, all);
         });
       });
 }
 
 void store_reader::on_missing_stored(const std::string& id,
+                                     const pull_start& start,
                                      const records::PullReply& listed,
                                      bool all) {
   const store_peer* const from = peers_.find(id);
   if (all) {
-    record_listed(id, listed);
+    record_listed(id, start, listed);
   } else if (from != nullptr) {
     pull(*from);
   }
 }
 
 // A listed record may be in the index while its write is still pending.
-void store_reader::record_listed(const std::string& id,
+void store_reader::record_listed(const std::string& id, const pull_start& start,
                                  const records::PullReply& listed) {
-  server_.when_durable(listed, [this, id, reached = reached_by(listed)] {
-    record_progress(id, reached);
+  server_.when_durable(listed, [this, id, start, reached = reached_by(listed)] {
+    record_progress(id, start, reached);
   });
 }
 
-void store_reader::store_pulled(const std::string& id,
+void store_reader::store_pulled(const std::string& id, const pull_start& start,
                                 const records::PullReply& reply) {
-  server_.store_pulled(reply, [this, id, reached = reached_by(reply)] {
-    record_progress(id, reached);
+  server_.store_pulled(reply, [this, id, start, reached = reached_by(reply)] {
+    record_progress(id, start, reached);
   });
 }
 
 // All records up to the position are on this store's disk.
 void store_reader::record_progress(const std::string& id,
+                                   const pull_start& start,
                                    const records::PullReply& reply) {
-  const store_peer* const from = peers_.find(id);
-  if (from == nullptr) {
+  if (!peers_.on_records_stored(id, start, !reply.more())) {
     return;
   }
   progress_[id].log = reply.log();
   progress_[id].position = reply.position();
-  peers_.on_records_stored(id, !reply.more());
   if (reply.more()) {
-    pull(*from);
+    pull(*peers_.find(id));
   }
 }
 
--- a/test/slow_files.h
+++ b/test/slow_files.h
@@ -42,10 +42,18 @@
     changed_.notify_all();
   }
 
+  // Whether a sync waits now.
+  bool holds_sync() {
+    const std::scoped_lock lock(guard_);
+    return waiting_ > 0;
+  }
+
   // Waits; returns false if the sync is to fail.
   bool pass() {
     std::unique_lock lock(guard_);
+    ++waiting_;
     changed_.wait(lock, [this] { return open_ || failing_ || admitted_ > 0; });
+    --waiting_;
     admitted_ -= admitted_ > 0 ? 1 : 0;
     return !failing_;
   }
@@ -65,6 +73,7 @@
   bool open_ = true;
   bool failing_ = false;
   int admitted_ = 0;
+  int waiting_ = 0;
 };
 
 class slow_file final : public disk_file {
--- a/test/store_group_simulation.cc
+++ b/test/store_group_simulation.cc
@@ -235,7 +235,7 @@
     return;
   }
   const store& other = *at->current;
-  self.peers.on_pull_started(from.id());
+  const pull_start start = self.peers.on_pull_started(from.id());
   records::PullReply reply;
   reply.set_store(other.state.id());
   reply.set_counts(other.state.counts());
@@ -252,7 +252,7 @@
                      (is_voter(group, self.state.id()) && !self.state.counts());
   if (reads) {
     self.stored.insert(other.stored.begin(), other.stored.end());
-    self.peers.on_records_stored(from.id(), true);
+    self.peers.on_records_stored(from.id(), start, true);
   }
 }
 
--- a/test/store_membership_test.cc
+++ b/test/store_membership_test.cc
@@ -49,6 +49,9 @@
   CPPUNIT_TEST(lost_learners_are_removed_from_the_group);
   CPPUNIT_TEST(retiring_voter_waits_longer_while_a_successor_learns);
   CPPUNIT_TEST(reads_in_an_older_epoch_do_not_count);
+  CPPUNIT_TEST(pull_that_began_before_the_fence_does_not_count);
+  CPPUNIT_TEST(pull_that_began_in_an_older_epoch_does_not_count);
+  CPPUNIT_TEST(earlier_pull_that_is_stored_later_is_ignored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -186,28 +189,83 @@
 
   // The group may change between two rounds of a store.
   void reads_in_an_older_epoch_do_not_count() {
-    records::StoreState own;
-    own.set_id("d");
-    records::Group group =
-        with_voter(spare_view().group, store_of("d", "4"), "a");
-    adopt_group(own, group);
+    records::StoreState own = joining_state();
     store_peers peers;
     peers.follow(own, 1000);
     for (const char* id : {"b", "c"}) {
-      records::FenceReply reply;
-      reply.set_store(id);
-      reply.set_counts(true);
-      reply.set_epoch(group.epoch());
-      peers.on_fence_reply(id, reply, group.epoch());
-      peers.on_pull_started(id);
-      peers.on_records_stored(id, true);
+      fence(peers, own, id);
+      peers.on_records_stored(id, peers.on_pull_started(id), true);
     }
     CPPUNIT_ASSERT(peers.has_joined(own));
 
-    group = without_voter(group, "b");
-    adopt_group(own, group);
+    adopt_group(own, without_voter(own.group(), "b"));
     CPPUNIT_ASSERT(!peers.has_joined(own));
   }
+
+  // Guards against a voter without the records that were acknowledged between
+  // the pull and the fence: a slow disk stores the pull behind the next one.
+  void pull_that_began_before_the_fence_does_not_count() {
+    const records::StoreState own = joining_state();
+    store_peers peers;
+    peers.follow(own, 1000);
+    const pull_start before = peers.on_pull_started("b");
+    fence(peers, own, "b");
+    const pull_start after = peers.on_pull_started("b");
+
+    peers.on_records_stored("b", before, true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, peers.read_since_fence(own));
+    peers.on_records_stored("b", after, true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.read_since_fence(own));
+  }
+
+  // Guards against the same where the peer was fenced for an older epoch.
+  void pull_that_began_in_an_older_epoch_does_not_count() {
+    records::StoreState own = joining_state();
+    store_peers peers;
+    peers.follow(own, 1000);
+    fence(peers, own, "b");
+    const pull_start before = peers.on_pull_started("b");
+    adopt_group(own, without_voter(own.group(), "c"));
+    peers.follow(own, 1000);
+    fence(peers, own, "b");
+    peers.on_pull_started("b");
+
+    peers.on_records_stored("b", before, true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, peers.read_since_fence(own));
+  }
+
+  // Guards against a position that is set back.
+  void earlier_pull_that_is_stored_later_is_ignored() {
+    const records::StoreState own = joining_state();
+    store_peers peers;
+    peers.follow(own, 1000);
+    const pull_start earlier = peers.on_pull_started("b");
+    const pull_start later = peers.on_pull_started("b");
+
+    CPPUNIT_ASSERT(peers.on_records_stored("b", later, true));
+    CPPUNIT_ASSERT(!peers.on_records_stored("b", earlier, false));
+    CPPUNIT_ASSERT(peers.find("b")->read_to_end);
+  }
+
+ private:
+  // The state of store d, which replaces the voter a.
+  static records::StoreState joining_state() {
+    records::StoreState made;
+    made.set_id("d");
+    adopt_group(made, with_voter(spare_view().group, store_of("d", "4"), "a"));
+    return made;
+  }
+
+  // The voter confirms the epoch of the joining store.
+  static void fence(store_peers& peers, const records::StoreState& joining,
+                    const std::string& id) {
+    const std::uint64_t epoch = joining.group().epoch();
+    records::FenceReply reply;
+    reply.set_store(id);
+    reply.set_counts(true);
+    reply.set_epoch(epoch);
+    CPPUNIT_ASSERT(peers.on_fence_reply(id, reply, epoch));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_membership_test);
--- a/test/store_reader_test.cc
+++ b/test/store_reader_test.cc
@@ -13,6 +13,7 @@
 class store_reader_test : public record_store_fixture {
   CPPUNIT_TEST_SUITE(store_reader_test);
   CPPUNIT_TEST(voter_counts_once_its_listed_records_are_on_disk);
+  CPPUNIT_TEST(records_of_a_pull_before_the_fence_make_no_voter);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -41,6 +42,34 @@
     CPPUNIT_ASSERT(has_joined());
   }
 
+  // Guards against a voter that counts without the records that were
+  // acknowledged between a pull and the fence: the records of that pull reach
+  // the disk when the next pull has begun.
+  void records_of_a_pull_before_the_fence_make_no_voter() {
+    start_group();
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
+    add_joining_store();
+    joining().syncs.close();
+    pull_until([&] {
+      return is_pending(turn("t1", "", "one")) && joining().syncs.holds_sync();
+    });
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t2", "t1", "two")));
+    reader_->fence_previous_voters();
+    run_until(
+        [&] { return fenced() == 3 && is_pending(turn("t2", "t1", "two")); });
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, fenced());
+
+    joining().syncs.admit(1);
+    run_until([&] { return !is_pending(turn("t1", "", "one")); });
+    CPPUNIT_ASSERT(is_pending(turn("t2", "t1", "two")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, read_since_fence());
+
+    joining().syncs.open();
+    const timer ticks = loop_->every(milliseconds(5), [this] { tick(); });
+    run_until([&] { return has_joined(); });
+    CPPUNIT_ASSERT(has_joined());
+  }
+
  private:
   // Adds a store that replaces the third voter in epoch 2, and does not count
   // yet. Only this store has the new group.
@@ -76,6 +105,14 @@
     }
   }
 
+  // Pulls, without a fence.
+  void pull_until(const std::function<bool()>& condition) {
+    const timer ticks =
+        loop_->every(milliseconds(5), [this] { reader_->pull_due(); });
+    run_until(condition);
+    CPPUNIT_ASSERT(condition());
+  }
+
   // Replies of each voter that were seen since it was fenced, at least.
   int replies_since_fence() {
     int least = replies_.empty() ? 0 : replies_.begin()->second;
@@ -102,6 +139,12 @@
     return joining().server.index().is_pending(record_key(record));
   }
 
+  std::ptrdiff_t fenced() {
+    const auto& peers = reader_->peers().all();
+    return std::count_if(peers.begin(), peers.end(),
+                         [](const auto& each) { return each.second.fenced; });
+  }
+
   std::size_t read_since_fence() {
     return reader_->peers().read_since_fence(joining().server.state());
   }
