A voter that cannot send a listed record is not taken for read

A new voter may count without a record that another voter acknowledged and can't read any more.

Cause: a store that reads only missing records lists the keys and requests the missing ones. The other store leaves out a record that is in its index but not readable on its disk; the progress was recorded all the same. A full read (PULL_RECORDS) does not skip such a record.

Change: progress over listed keys is recorded only if this store has all of them. What expired between the list and the request is missing from the next list; what another voter sends in the meantime completes it. Since such a record is requested again at every pull, only the first failed read is logged; the metric failed_record_reads_total counts them.

Weighed: leaving it as it was. A voter that never counts costs one tolerated loss and is seen in store_counts; a turn that is denied is lost silently.

--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -91,7 +91,8 @@
  private:
   void load_entry(std::string_view key, std::string_view value);
   void load_permits(std::string_view value);
-  std::optional<records::Record> read_record(const std::string& key) const;
+  std::optional<records::Record> read_record(const std::string& key);
+  void on_unreadable(bool found);
   // The write of a record ended, with success unless disk_failed_ is set.
   void on_written(const std::string& key);
   void save_state(std::function<void()> durable);
@@ -129,6 +130,7 @@
   bool disk_failed_ = false;
   records::Record reading_;       // reused while the disk is loaded
   std::uint64_t unreadable_ = 0;  // records found at the start
+  bool unreadable_logged_ = false;
   std::set<std::string> retiring_;
   std::vector<std::function<void()>> group_observers_;
   std::function<void(const records::GivenPermits&)> on_permits_;
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -112,16 +112,25 @@
 }
 
 std::optional<records::Record> record_server::read_record(
-    const std::string& key) const {
+    const std::string& key) {
   const std::optional<std::string> bytes = disk_->read(key);
   records::Record record;
   if (!bytes || !record.ParseFromString(*bytes)) {
-    log_error("record_unreadable", {{"found", bytes ? "yes" : "no"}});
+    on_unreadable(bytes.has_value());
     return std::nullopt;
   }
   return record;
 }
 
+// Other stores request such a record again and again, so only the first read is
+// logged.
+void record_server::on_unreadable(bool found) {
+  metrics_.add("failed_record_reads_total", {});
+  if (!std::exchange(unreadable_logged_, true)) {
+    log_error("record_unreadable", {{"found", found ? "yes" : "no"}});
+  }
+}
+
 void record_server::on_written(const std::string& key) {
   if (!disk_failed_) {
     index_.durable(key);
--- a/src/records/store_reader.cc
+++ b/src/records/store_reader.cc
@@ -208,9 +208,17 @@
   }
 }
 
-// A listed record may be in the index while its write is still pending.
+// A listed record may be in the index while its write is still pending. One
+// that was listed and not sent is listed again at the next pull unless it
+// expired; an unreadable record must not be skipped.
 void store_reader::record_listed(const std::string& id, const pull_start& start,
                                  const records::PullReply& listed) {
+  const bool complete = std::all_of(
+      listed.keys().begin(), listed.keys().end(),
+      [this](const auto& each) { return server_.index().has(each); });
+  if (!complete) {
+    return;
+  }
   server_.when_durable(listed, [this, id, start, reached = reached_by(listed)] {
     record_progress(id, start, reached);
   });
--- a/test/store_reader_test.cc
+++ b/test/store_reader_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST_SUITE(store_reader_test);
   CPPUNIT_TEST(voter_counts_once_its_listed_records_are_on_disk);
   CPPUNIT_TEST(records_of_a_pull_before_the_fence_make_no_voter);
+  CPPUNIT_TEST(voter_that_cannot_send_a_listed_record_is_not_read);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -29,7 +30,8 @@
     CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
     add_joining_store();
     joining().syncs.close();
-    write_directly(turn("t1", "", "one"));
+    write_directly(joining(), turn("t1", "", "one"));
+    CPPUNIT_ASSERT(is_pending(joining(), turn("t1", "", "one")));
     const timer ticks = loop_->every(milliseconds(5), [this] { tick(); });
     constexpr int replies_each = 3;
     run_until([&] { return replies_since_fence() >= replies_each; });
@@ -51,17 +53,19 @@
     add_joining_store();
     joining().syncs.close();
     pull_until([&] {
-      return is_pending(turn("t1", "", "one")) && joining().syncs.holds_sync();
+      return is_pending(joining(), turn("t1", "", "one")) &&
+             joining().syncs.holds_sync();
     });
     CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t2", "t1", "two")));
     reader_->fence_previous_voters();
-    run_until(
-        [&] { return fenced() == 3 && is_pending(turn("t2", "t1", "two")); });
+    run_until([&] {
+      return fenced() == 3 && is_pending(joining(), turn("t2", "t1", "two"));
+    });
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, fenced());
 
     joining().syncs.admit(1);
-    run_until([&] { return !is_pending(turn("t1", "", "one")); });
-    CPPUNIT_ASSERT(is_pending(turn("t2", "t1", "two")));
+    run_until([&] { return !is_pending(joining(), turn("t1", "", "one")); });
+    CPPUNIT_ASSERT(is_pending(joining(), turn("t2", "t1", "two")));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, read_since_fence());
 
     joining().syncs.open();
@@ -70,7 +74,36 @@
     CPPUNIT_ASSERT(has_joined());
   }
 
+  // Guards against a voter that counts without a record that another one
+  // acknowledged and can't read any more.
+  void voter_that_cannot_send_a_listed_record_is_not_read() {
+    start_group();
+    store& damaged = *stores_.front();
+    write_directly(damaged, turn("t1", "", "one"));
+    run_until([&] { return !is_pending(damaged, turn("t1", "", "one")); });
+    lose_content(damaged);
+    add_joining_store();
+    write_directly(joining(), turn("t2", "", "two"));
+    const timer ticks = loop_->every(milliseconds(5), [this] { tick(); });
+    constexpr int replies_each = 3;
+    run_until(
+        [&] { return has_joined() && replies_since_fence() >= replies_each; });
+    CPPUNIT_ASSERT(has_joined());
+    const store_peer* const peer =
+        reader_->peers().find(damaged.server.state().id());
+    CPPUNIT_ASSERT(peer != nullptr && peer->fenced);
+    CPPUNIT_ASSERT(!peer->read_since_fence);
+  }
+
  private:
+  // The store can't read its records from disk any more.
+  static void lose_content(const store& damaged) {
+    for (const auto& each :
+         std::filesystem::directory_iterator(damaged.folder)) {
+      std::filesystem::resize_file(each.path(), 0);
+    }
+  }
+
   // Adds a store that replaces the third voter in epoch 2, and does not count
   // yet. Only this store has the new group.
   void add_joining_store() {
@@ -122,21 +155,23 @@
     return least;
   }
 
-  // Sends the joining store a record as a gateway does, without waiting.
-  void write_directly(const records::Record& record) {
+  // Sends a store a record as a gateway does, and waits until it is in the
+  // index.
+  void write_directly(store& to, const records::Record& record) {
     records::WriteRequest request;
-    request.set_store(joining().server.state().id());
-    request.set_epoch(joining().server.state().group().epoch());
+    request.set_store(to.server.state().id());
+    request.set_epoch(to.server.state().group().epoch());
     *request.mutable_record() = record;
     writing_ = pool_->ask<records::WriteReply>(
-        local(joining().port), "Write", request, call_timeout,
+        local(to.port), "Write", request, call_timeout,
         [](const result<records::WriteReply>&) {});
-    run_until([&] { return is_pending(record); });
-    CPPUNIT_ASSERT(is_pending(record));
+    const auto has = [&] { return to.server.index().has(record_key(record)); };
+    run_until(has);
+    CPPUNIT_ASSERT(has());
   }
 
-  bool is_pending(const records::Record& record) {
-    return joining().server.index().is_pending(record_key(record));
+  static bool is_pending(store& at, const records::Record& record) {
+    return at.server.index().is_pending(record_key(record));
   }
 
   std::ptrdiff_t fenced() {
