The model of the stores' group has disks that are slow

The simulation took pulled records as on disk at once, so that it could see neither a voter that counts ahead of its disk nor a pull that is credited late.

Change: the records of a pull reach the disk later, in the order of the pulls; a loss of power takes what has not. Half of the runs have quick disks, half slow ones. Two more rules are left out in turn: reads count once they are on disk, and a pull counts by what was true at its start.

--- a/test/store_group_model_test.cc
+++ b/test/store_group_model_test.cc
@@ -10,7 +10,7 @@
 namespace trayrock::testing {
 namespace {
 
-constexpr std::uint64_t seeds = 1500;
+constexpr std::uint64_t seeds = 3000;
 constexpr int steps_per_seed = 700;
 
 using store_group::omitted_rule;
@@ -48,6 +48,8 @@
   CPPUNIT_TEST(without_the_last_read_records_are_lost);
   CPPUNIT_TEST(without_new_store_ids_records_are_lost);
   CPPUNIT_TEST(with_a_single_denial_records_are_denied);
+  CPPUNIT_TEST(with_reads_ahead_of_the_disk_records_are_lost);
+  CPPUNIT_TEST(with_pulls_from_before_the_fence_records_are_lost);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -71,6 +73,12 @@
   void with_a_single_denial_records_are_denied() {
     expect_violation(omitted_rule::two_denials);
   }
+  void with_reads_ahead_of_the_disk_records_are_lost() {
+    expect_violation(omitted_rule::durable_reads);
+  }
+  void with_pulls_from_before_the_fence_records_are_lost() {
+    expect_violation(omitted_rule::pull_start);
+  }
 
  private:
   static void expect_no_violation(int boxes, std::uint32_t tolerated) {
--- a/test/store_group_simulation.cc
+++ b/test/store_group_simulation.cc
@@ -1,6 +1,7 @@
 #include "store_group_simulation.h"
 
 #include <algorithm>
+#include <utility>
 #include <variant>
 
 #include "trayrock/internal/records/store_group.h"
@@ -10,12 +11,17 @@
 
 constexpr std::size_t max_pending_writes = 3;
 constexpr std::uint64_t step_ms = 50;
+// Chance that the oldest write of a disk ends before its store continues.
+constexpr unsigned quick_disk_percent = 100;
+constexpr unsigned slow_disk_percent = 20;
 
 }  // namespace
 
 simulation::simulation(std::uint64_t seed, int boxes, std::uint32_t tolerated,
                        omitted_rule omitted)
-    : random_(seed), omitted_(omitted) {
+    : random_(seed),
+      omitted_(omitted),
+      disk_write_percent_(chance(50) ? quick_disk_percent : slow_disk_percent) {
   std::vector<records::Store> stores;
   for (int i = 0; i < boxes; ++i) {
     add_box();
@@ -210,6 +216,7 @@
     return;
   }
   self.peers.follow(self.state, now_ms_);
+  finish_random_disk_writes(self);
   pull_random_peer(self);
   const bool voter = is_voter(self.state.group(), self.state.id());
   if (voter && !self.state.counts()) {
@@ -251,11 +258,30 @@
   const bool reads = is_learner(group, self.state.id()) ||
                      (is_voter(group, self.state.id()) && !self.state.counts());
   if (reads) {
-    self.stored.insert(other.stored.begin(), other.stored.end());
-    self.peers.on_records_stored(from.id(), start, true);
+    self.writing.push_back({from.id(), start, other.stored});
+    if (omitted_ == omitted_rule::durable_reads) {
+      self.peers.on_records_stored(from.id(), start, true);
+    }
+    finish_random_disk_writes(self);
+  }
+}
+
+void simulation::finish_random_disk_writes(store& self) {
+  while (!self.writing.empty() && chance(disk_write_percent_)) {
+    finish_disk_write(self);
   }
 }
 
+void simulation::finish_disk_write(store& self) {
+  const pulled_records done = std::move(self.writing.front());
+  self.writing.pop_front();
+  self.stored.insert(done.records.begin(), done.records.end());
+  const pull_start start = omitted_ == omitted_rule::pull_start
+                               ? self.peers.on_pull_started(done.from)
+                               : done.start;
+  self.peers.on_records_stored(done.from, start, true);
+}
+
 void simulation::join(store& self) {
   const records::Group group = self.state.group();
   const std::uint64_t epoch = group.epoch();
@@ -446,6 +472,7 @@
   for (box& each : boxes_) {
     if (each.current != nullptr) {
       each.current->peers = store_peers();
+      each.current->writing.clear();
     }
   }
   if (with_a_disk) {
--- a/test/store_group_simulation.h
+++ b/test/store_group_simulation.h
@@ -1,7 +1,8 @@
 // Simulates boxes with record stores, a platform and gateways around the real
 // decision code of the stores' group. Each step is drawn from a seed: delayed
-// writes; competing proposals and lost responses; stores that lose their disks,
-// pause, are retired, or lose power together; an outage of the platform.
+// writes; competing proposals and lost responses; pulled records that reach the
+// disk later; stores that lose their disks, pause, are retired, or lose power
+// together; an outage of the platform.
 //
 // Example:
 //   simulation run(seed, 4, 1, omitted_rule::none);
@@ -31,15 +32,25 @@
   last_read,    // a new voter counts without reading the others after the fence
   store_ids,    // a store keeps its id after the loss of its disk
   two_denials,  // a single voter may deny a record
+  durable_reads,  // pulled records count as read before they are on disk
+  pull_start,     // a pull counts by what is true when its records are on disk
 };
 
 using record_set = std::set<int>;
 
+// Pulled records that are not on disk yet.
+struct pulled_records {
+  std::string from;
+  pull_start start;
+  record_set records;
+};
+
 // A store process with its disk. Replaced when the disk is lost.
 struct store {
   records::Store self;
   records::StoreState state;
-  record_set stored;
+  record_set stored;                   // on disk
+  std::deque<pulled_records> writing;  // in the order of the disk's writes
   store_peers peers;
   std::uint64_t vacancy_since_ms = 0;
 };
@@ -101,6 +112,8 @@
   void run_store();
   void pull_random_peer(store& self);
   void pull(store& self, const records::Store& from);
+  void finish_random_disk_writes(store& self);
+  void finish_disk_write(store& self);
   void join(store& self);
   bool has_joined(const store& self) const;
   membership_view view_of(store& self) const;
@@ -123,12 +136,14 @@
   void inject_fault();
   std::size_t count_boxes() const;
   void lose_store(bool disk);
-  // All processes lose their memory: pending calls, and what has been read.
+  // All processes lose their memory: pending calls, what has been read, and
+  // what is not on disk yet.
   void lose_power(bool with_a_disk);
   void retire();
 
   std::mt19937_64 random_;
   omitted_rule omitted_;
+  unsigned disk_write_percent_;  // of all disks of the run
   std::uint64_t now_ms_ = 100000;
   std::deque<box> boxes_;
   int boxes_made_ = 0;
