A pull of records makes only the keys that its reply carries

A voter that is read in full made 5,000 keys for each reply of 256 KB, of which about 100 were sent, and copied each record once more into the reply. That took more than half of its processor time, which writes wait for.

Change: record_index::visit_after() visits keys until its visitor returns false, in place of after(), which made a list; the record is moved into the reply. Positions, order and limits are as before.

Test: record_index_test no_key_is_made_after_the_visitor_has_ended, new with the interface, so that it can't run on the code before. reading_resumes... and old_records... check the same as before through the new method.

--- a/include/trayrock/internal/records/record_index.h
+++ b/include/trayrock/internal/records/record_index.h
@@ -82,9 +82,10 @@
   // All turns of a program; an attempt is identified by the bytes of its id.
   std::vector<turn_usage> usage(std::string_view program) const;
 
-  // Keys of the records after a position, oldest first.
-  std::vector<numbered_key> after(std::uint64_t position,
-                                  std::size_t max_count) const;
+  // Visits the keys of the records after a position, oldest first, until the
+  // visitor returns false.
+  using key_visitor = std::function<bool(const numbered_key&)>;
+  void visit_after(std::uint64_t position, const key_visitor& visit) const;
 
   // The position of the newest record.
   std::uint64_t position() const { return first_position_ + log_.size() - 1; }
--- a/src/records/record_index.cc
+++ b/src/records/record_index.cc
@@ -175,18 +175,18 @@
   return found;
 }
 
-std::vector<record_index::numbered_key> record_index::after(
-    std::uint64_t position, std::size_t max_count) const {
-  std::vector<numbered_key> found;
+void record_index::visit_after(std::uint64_t position,
+                               const key_visitor& visit) const {
   const std::uint64_t first =
       position < first_position_ ? 0 : position - first_position_ + 1;
-  for (std::uint64_t i = first; i < log_.size() && found.size() < max_count;
-       ++i) {
+  for (std::uint64_t i = first; i < log_.size(); ++i) {
     const log_entry& each = log_[i];
-    found.push_back({first_position_ + i, each.added_at_ms,
-                     key_of(static_cast<char>(each.kind), each.attempt)});
+    const numbered_key key{first_position_ + i, each.added_at_ms,
+                           key_of(static_cast<char>(each.kind), each.attempt)};
+    if (!visit(key)) {
+      return;
+    }
   }
-  return found;
 }
 
 std::vector<std::string> record_index::expire(std::uint64_t now_ms) {
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -353,24 +353,28 @@
   const std::uint64_t now = loop_.now_ms();
   const bool keys_only = request.kind() == records::PULL_KEYS;
   message.set_position(from);
+  std::size_t count = 0;
   std::size_t bytes = 0;
-  for (const auto& each : index_.after(from, max_pulled_records)) {
+  index_.visit_after(from, [&](const record_index::numbered_key& each) {
+    if (count == max_pulled_records || bytes >= max_pull_bytes) {
+      return false;
+    }
     if (keys_only) {
       message.add_keys(each.key);
-    } else if (bytes < max_pull_bytes) {
-      const std::optional<records::Record> record = index_.find(each.key);
+    } else {
+      std::optional<records::Record> record = index_.find(each.key);
       if (!record) {
-        break;  // an unreadable record must not be skipped
+        return false;  // an unreadable record must not be skipped
       }
       bytes += record->ByteSizeLong();
       records::PulledRecord& pulled = *message.add_records();
-      *pulled.mutable_record() = *record;
+      *pulled.mutable_record() = std::move(*record);
       pulled.set_age_ms(now - each.added_at_ms);
-    } else {
-      break;
     }
+    ++count;
     message.set_position(each.position);
-  }
+    return true;
+  });
   message.set_more(message.position() < index_.position());
 }
 
--- a/test/record_index_test.cc
+++ b/test/record_index_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(record_from_the_disk_keeps_no_text_in_memory);
   CPPUNIT_TEST(turn_settles_its_reservation);
   CPPUNIT_TEST(reading_resumes_from_a_position);
+  CPPUNIT_TEST(no_key_is_made_after_the_visitor_has_ended);
   CPPUNIT_TEST(old_records_and_their_programs_expire);
   CPPUNIT_TEST_SUITE_END();
 
@@ -110,14 +111,26 @@
   void reading_resumes_from_a_position() {
     index_.add(reservation("a", 10), 5);
     index_.add(reservation("b", 10), 6);
-    const auto first = index_.after(0, 1);
-    const auto rest = index_.after(first[0].position, 10);
+    const auto first = keys_after(0, 1);
+    const auto rest = keys_after(first[0].position, 10);
 
     CPPUNIT_ASSERT_EQUAL(record_key(reservation("a", 0)), first[0].key);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rest.size());
     CPPUNIT_ASSERT_EQUAL(record_key(reservation("b", 0)), rest[0].key);
     CPPUNIT_ASSERT_EQUAL(index_.position(), rest[0].position);
-    CPPUNIT_ASSERT(index_.after(index_.position(), 10).empty());
+    CPPUNIT_ASSERT(keys_after(index_.position(), 10).empty());
+  }
+
+  // Guards against pulls that name all records for each few that they send.
+  void no_key_is_made_after_the_visitor_has_ended() {
+    index_.add(reservation("a", 10), 0);
+    index_.add(reservation("b", 10), 0);
+    index_.add(reservation("c", 10), 0);
+    int visits = 0;
+    index_.visit_after(
+        0, [&](const record_index::numbered_key&) { return ++visits < 2; });
+
+    CPPUNIT_ASSERT_EQUAL(2, visits);
   }
 
   void old_records_and_their_programs_expire() {
@@ -130,10 +143,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, expired.size());
     CPPUNIT_ASSERT(!index_.chain("a").found);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, index_.usage("p").size());
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, index_.after(0, 10).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, keys_after(0, 10).size());
   }
 
  private:
+  std::vector<record_index::numbered_key> keys_after(std::uint64_t position,
+                                                     std::size_t max_count) {
+    std::vector<record_index::numbered_key> found;
+    index_.visit_after(position, [&](const record_index::numbered_key& each) {
+      found.push_back(each);
+      return found.size() < max_count;
+    });
+    return found;
+  }
+
   std::map<std::string, records::Record> disk_;
   int reads_ = 0;
   record_index index_{[this](const std::string& key) {
