A record is read from disk with one read of its size

The index had no size of a record, so that a read took 1,024 bytes first and then, for each longer record, all of it again. Turns are longer than that. This cost the voter that an empty store reads, and each read of a program's history.

Change: the index has the size of a record's frame, which is at hand when it is written or found at the start. The checksum and the key are checked as before.

It costs 4 bytes of memory for each record.

Test: segment_log_test record_of_any_size_is_one_read_of_the_disk; it failed before (2 reads, expected 1).

--- a/include/trayrock/internal/records/segment_log.h
+++ b/include/trayrock/internal/records/segment_log.h
@@ -46,6 +46,7 @@
 struct record_location {
   std::uint32_t segment = 0;  // the file's number
   std::uint32_t offset = 0;   // of its frame
+  std::uint32_t size = 0;     // of its frame, in bytes
 };
 
 class segment_log {
--- a/src/records/segment_log.cc
+++ b/src/records/segment_log.cc
@@ -22,8 +22,6 @@
 // smaller.
 constexpr std::uint32_t max_value_bytes = 64U << 20;
 constexpr std::uint32_t max_key_bytes = 1024;
-// Size of the first read of a frame whose length is not known yet.
-constexpr std::size_t first_read_bytes = 1024;
 
 std::uint64_t hash_of(std::string_view key) {
   return XXH3_64bits(key.data(), key.size());
@@ -215,7 +213,8 @@
   std::size_t at = has_header ? file_header.size() : content.size();
   while (const std::optional<frame_view> frame =
              parse_frame(content.substr(at))) {
-    index_record(frame->key, {number, static_cast<std::uint32_t>(at)});
+    index_record(frame->key, {number, static_cast<std::uint32_t>(at),
+                              static_cast<std::uint32_t>(frame->size)});
     visit(frame->key, frame->value);
     at += frame->size;
   }
@@ -272,8 +271,10 @@
   std::string bytes;
   for (const disk_record& each : records) {
     const std::size_t offset = current_->bytes + bytes.size();
-    locations.push_back({current_->number, static_cast<std::uint32_t>(offset)});
-    bytes += make_frame(each);
+    const std::string frame = make_frame(each);
+    locations.push_back({current_->number, static_cast<std::uint32_t>(offset),
+                         static_cast<std::uint32_t>(frame.size())});
+    bytes += frame;
   }
   if (const std::error_code failed = current_->file->append(bytes)) {
     return failed;
@@ -343,12 +344,8 @@
   if (in == nullptr) {
     return std::nullopt;
   }
-  result<std::string> bytes =
-      in->file->read(found->second.offset, first_read_bytes);
-  const std::size_t size = bytes ? frame_size(bytes.value()) : 0;
-  if (bytes && size > bytes.value().size()) {
-    bytes = in->file->read(found->second.offset, size);
-  }
+  const result<std::string> bytes =
+      in->file->read(found->second.offset, found->second.size);
   const std::optional<frame_view> frame =
       bytes ? parse_frame(bytes.value()) : std::nullopt;
   if (!frame || frame->key != key) {
--- a/test/segment_log_test.cc
+++ b/test/segment_log_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST_SUITE(segment_log_test);
   CPPUNIT_TEST(record_is_read_back);
   CPPUNIT_TEST(long_record_is_read_back);
+  CPPUNIT_TEST(record_of_any_size_is_one_read_of_the_disk);
   CPPUNIT_TEST(records_are_read_after_a_restart);
   CPPUNIT_TEST(later_record_of_a_key_is_read);
   CPPUNIT_TEST(file_is_removed_with_its_last_record);
@@ -67,6 +68,21 @@
     CPPUNIT_ASSERT_EQUAL(big(1).value, log->read("key-1").value());
   }
 
+  // Guards against a second read of each record that is longer than a guess.
+  void record_of_any_size_is_one_read_of_the_disk() {
+    volatile_disk disk(1);
+    contents seen;
+    {
+      const auto log = open_log(disk, seen);
+      write(*log, {{"before", "one"}, big(1)});
+      log->read("key-1");
+      CPPUNIT_ASSERT_EQUAL(1, disk.power().reads);
+    }
+    const auto reopened = open_log(disk, seen);
+    reopened->read("key-1");
+    CPPUNIT_ASSERT_EQUAL(2, disk.power().reads);
+  }
+
   void records_are_read_after_a_restart() {
     volatile_disk disk(1);
     contents seen;
--- a/test/volatile_disk.h
+++ b/test/volatile_disk.h
@@ -27,8 +27,9 @@
 using file_content_ptr = std::shared_ptr<file_content>;
 
 // Counts the calls that change the disk, and turns the power off at a chosen
-// one.
+// one; counts reads too.
 struct power_switch {
+  int reads = 0;
   int calls_left = -1;  // -1: unlimited
   bool off = false;
 
@@ -65,6 +66,7 @@
 
   result<std::string> read(std::uint64_t offset,
                            std::size_t length) const override {
+    ++power_.reads;
     const std::string whole = content_->all();
     return offset > whole.size() ? std::string() : whole.substr(offset, length);
   }
