An empty store requests the next records while it writes the last ones

Callers saw two successors of lost stores count 8.0 to 9.6 s after their start; 6 s are allowed.

Cause: a full read was strictly serial. The next pull was sent only once the records of the last one had been parsed, indexed, written and synced, so that the times of the source, of the network, of the learner and of its disk added up for each of about 500 pulls. And while a write was pending, no call was running, so that each tick of 100 ms requested the same records again: the voter read and sent them for nothing.

Change: once a reply has arrived, the next records are requested before these are indexed and written. At most one reply waits for the disk of those before it, and the position, and with it what counts as read, still moves only when the records are on disk, in order. While records are being stored, ticks poll only the voter's state, so that a slow own disk does not make it look silent.

Nothing on the wire changes.

Each reply keeps what was true when its pull began, so that a pull of before the fence is still credited to no later epoch.

--- a/include/trayrock/internal/records/store_reader.h
+++ b/include/trayrock/internal/records/store_reader.h
@@ -3,7 +3,8 @@
 // decide/store_peers.h tracks the stores and how far each has been read; this
 // class makes the calls. A spare store only polls the state of the others. A
 // learner or a new voter reads one voter in full, and only missing records from
-// the others.
+// the others. A full read requests the next records while the last ones are
+// being written; its position is that of the records on disk.
 //
 // Example:
 //   store_reader reader(loop, server, pool);
@@ -15,6 +16,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -50,12 +52,22 @@
   bool reported_retiring(const std::string& box) const;
 
  private:
+  // A reply to a pull, with what was true when the pull began.
+  struct pulled_records {
+    pull_start start;
+    records::PullReply reply;
+  };
+
   // The calls to one other store, and the position up to which it was read.
   struct read_progress {
     std::uint64_t log = 0;
     std::uint64_t position = 0;
     rpc_call pulling;
     rpc_call fencing;
+    timer store_step;
+    bool storing = false;  // records of a full read are not on disk yet
+    // Arrived while those before them were being stored.
+    std::optional<pulled_records> received;
     std::set<std::string> retiring_boxes;  // from its last reply
   };
 
@@ -67,14 +79,19 @@
 
   bool reads_records() const;
   bool is_due(const store_peer& from) const;
+  bool is_storing(const std::string& id) const;
   std::string pick_full_source() const;
   bool full_source_is_read() const;
   records::PullKind pull_kind(const store_peer& from);
   void pull(const store_peer& from);
+  void send_pull(const store_peer& from, const records::PullRequest& request);
   void on_pull_reply(const std::string& id, records::PullKind kind,
                      const pull_start& start, result<records::PullReply> reply);
-  void store_pulled(const std::string& id, const pull_start& start,
-                    const records::PullReply& reply);
+  void on_records(const std::string& id, pulled_records pulled);
+  void store_pulled(const std::string& id, pulled_records pulled);
+  void pull_after(const std::string& id, const records::PullReply& reached);
+  void on_records_stored(const std::string& id, const pull_start& start,
+                         const records::PullReply& reached);
   named_records find_missing(const records::PullReply& listed) const;
   void fetch_missing(const std::string& id, const pull_start& start,
                      const records::PullReply& listed);
@@ -82,8 +99,10 @@
                          const records::PullReply& listed, bool all);
   void record_listed(const std::string& id, const pull_start& start,
                      const records::PullReply& listed);
+  bool note_progress(const std::string& id, const pull_start& start,
+                     const records::PullReply& reached);
   void record_progress(const std::string& id, const pull_start& start,
-                       const records::PullReply& reply);
+                       const records::PullReply& reached);
   void fence(const store_peer& voter);
 
   event_loop& loop_;
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -323,6 +323,8 @@
 
 void record_server::pull(const records::PullRequest& request,
                          const rpc_reply_ptr& reply) {
+  metrics_.add("pulls_total",
+               {{"kind", records::PullKind_Name(request.kind())}});
   records::PullReply message;
   message.set_store(state_.id());
   message.set_counts(state_.counts());
--- a/src/records/store_reader.cc
+++ b/src/records/store_reader.cc
@@ -1,6 +1,7 @@
 #include "trayrock/internal/records/store_reader.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "trayrock/internal/records/record_id.h"
 #include "trayrock/internal/records/store_group.h"
@@ -64,15 +65,23 @@
   if (since >= idle_pull_period_ms || from.last_reply_ms == 0) {
     return true;
   }
+  if (is_storing(from.store.id())) {
+    return false;
+  }
   const bool behind = reads_records() && !from.read_to_end;
   return !from.learner && (behind || joining());
 }
 
+bool store_reader::is_storing(const std::string& id) const {
+  const auto found = progress_.find(id);
+  return found != progress_.end() && found->second.storing;
+}
+
 // An empty store reads one voter in full, and afterwards only missing records
-// from the others.
+// from the others. A stall of the own disk must not make voters look silent.
 records::PullKind store_reader::pull_kind(const store_peer& from) {
   if (!reads_records() || from.learner ||
-      from.id_at_address != from.store.id()) {
+      from.id_at_address != from.store.id() || is_storing(from.store.id())) {
     return records::PULL_STATE;
   }
   const bool empty = server_.index().size() == 0;
@@ -117,15 +126,20 @@
 // ---- Pulls -----------------------------------------------------------------
 
 void store_reader::pull(const store_peer& from) {
-  const records::PullKind kind = pull_kind(from);
-  const std::string id = from.store.id();
-  read_progress& progress = progress_[id];
+  const read_progress& progress = progress_[from.store.id()];
   records::PullRequest request;
   request.set_log(progress.log);
   request.set_after(progress.position);
-  request.set_kind(kind);
+  request.set_kind(pull_kind(from));
+  send_pull(from, request);
+}
+
+void store_reader::send_pull(const store_peer& from,
+                             const records::PullRequest& request) {
+  const records::PullKind kind = request.kind();
+  const std::string id = from.store.id();
   const pull_start start = peers_.on_pull_started(id);
-  progress.pulling = pool_.ask<records::PullReply>(
+  progress_[id].pulling = pool_.ask<records::PullReply>(
       from.store.address(), "Pull", request, call_timeout,
       [this, id, kind, start](result<records::PullReply> reply) {
         on_pull_reply(id, kind, start, std::move(reply));
@@ -138,7 +152,7 @@
   if (!received) {
     return;
   }
-  const records::PullReply& reply = received.value();
+  records::PullReply& reply = received.value();
   if (!peers_.on_pull_reply(id, reply, loop_.now_ms())) {
     return;
   }
@@ -150,7 +164,7 @@
   if (kind == records::PULL_KEYS) {
     fetch_missing(id, start, reply);
   } else if (kind == records::PULL_RECORDS) {
-    store_pulled(id, start, reply);
+    on_records(id, {start, std::move(reply)});
   }
 }
 
@@ -224,23 +238,74 @@
   });
 }
 
-void store_reader::store_pulled(const std::string& id, const pull_start& start,
-                                const records::PullReply& reply) {
-  server_.store_pulled(reply, [this, id, start, reached = reached_by(reply)] {
-    record_progress(id, start, reached);
-  });
+void store_reader::on_records(const std::string& id, pulled_records pulled) {
+  if (is_storing(id)) {
+    progress_[id].received = std::move(pulled);
+  } else {
+    store_pulled(id, std::move(pulled));
+  }
 }
 
-// All records up to the position are on this store's disk.
-void store_reader::record_progress(const std::string& id,
-                                   const pull_start& start,
-                                   const records::PullReply& reply) {
-  if (!peers_.on_records_stored(id, start, !reply.more())) {
+// The next records are requested before these are indexed and written. The
+// request is sent when the loop is reached again.
+void store_reader::store_pulled(const std::string& id, pulled_records pulled) {
+  read_progress& progress = progress_[id];
+  progress.storing = true;
+  if (pulled.reply.more()) {
+    pull_after(id, pulled.reply);
+  }
+  progress.store_step =
+      loop_.after(milliseconds(0), [this, id, pulled = std::move(pulled)] {
+        server_.store_pulled(pulled.reply,
+                             [this, id, start = pulled.start,
+                              reached = reached_by(pulled.reply)] {
+                               on_records_stored(id, start, reached);
+                             });
+      });
+}
+
+void store_reader::pull_after(const std::string& id,
+                              const records::PullReply& reached) {
+  const store_peer* const from = peers_.find(id);
+  if (from == nullptr) {
     return;
   }
-  progress_[id].log = reply.log();
-  progress_[id].position = reply.position();
-  if (reply.more()) {
+  records::PullRequest request;
+  request.set_log(reached.log());
+  request.set_after(reached.position());
+  request.set_kind(records::PULL_RECORDS);
+  send_pull(*from, request);
+}
+
+void store_reader::on_records_stored(const std::string& id,
+                                     const pull_start& start,
+                                     const records::PullReply& reached) {
+  read_progress& progress = progress_[id];
+  progress.storing = false;
+  note_progress(id, start, reached);
+  std::optional<pulled_records> next =
+      std::exchange(progress.received, std::nullopt);
+  if (next) {
+    store_pulled(id, std::move(*next));
+  }
+}
+
+// All records up to the position are on this store's disk. Returns false if
+// that is known already.
+bool store_reader::note_progress(const std::string& id, const pull_start& start,
+                                 const records::PullReply& reached) {
+  if (!peers_.on_records_stored(id, start, !reached.more())) {
+    return false;
+  }
+  progress_[id].log = reached.log();
+  progress_[id].position = reached.position();
+  return true;
+}
+
+void store_reader::record_progress(const std::string& id,
+                                   const pull_start& start,
+                                   const records::PullReply& reached) {
+  if (note_progress(id, start, reached) && reached.more()) {
     pull(*peers_.find(id));
   }
 }
