Learners of a group read different voters in full

Which voter a learner read was drawn by a hash of the two ids, so that two of them often took the same one, which then sent everything twice beside its writes, while another voter sent nothing.

Change: decide/read_source.h: the n-th learner of the group reads the n-th of the voters that replied, round and round; a store that is no learner is still spread by its id. An event voter_read says when a store has read a voter to the end, so that the log shows how long that took.

Test: read_source_test; learners_read_different_voters fails with the earlier rule in its place (3 learners read 2 of 3 voters).

--- a/src/records/store_reader.cc
+++ b/src/records/store_reader.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
-#include "trayrock/internal/records/record_id.h"
+#include "trayrock/internal/decide/read_source.h"
+#include "trayrock/internal/log.h"
 #include "trayrock/internal/records/store_group.h"
 
 namespace trayrock {
@@ -105,22 +107,15 @@
          loop_.now_ms() - source->last_reply_ms >= idle_pull_period_ms;
 }
 
-// Selects the voter to read in full. The hash spreads stores that join at the
-// same time over the voters.
 std::string store_reader::pick_full_source() const {
-  std::string picked;
-  std::uint64_t least = 0;
+  std::vector<std::string> readable;
   for (const auto& [id, each] : peers_.all()) {
-    if (each.learner || each.id_at_address != id) {
-      continue;
-    }
-    const std::uint64_t order = id_of(server_.state().id() + id).low;
-    if (picked.empty() || order < least) {
-      picked = id;
-      least = order;
+    if (!each.learner && each.id_at_address == id) {
+      readable.push_back(id);
     }
   }
-  return picked;
+  const records::StoreState& state = server_.state();
+  return pick_read_source(state.group(), state.id(), readable);
 }
 
 // ---- Pulls -----------------------------------------------------------------
@@ -294,11 +289,19 @@
 // that is known already.
 bool store_reader::note_progress(const std::string& id, const pull_start& start,
                                  const records::PullReply& reached) {
+  const store_peer* const peer = peers_.find(id);
+  const bool was_read = peer != nullptr && peer->read_to_end;
   if (!peers_.on_records_stored(id, start, !reached.more())) {
     return false;
   }
   progress_[id].log = reached.log();
   progress_[id].position = reached.position();
+  if (!was_read && !reached.more()) {
+    log_info("voter_read",
+             {{"voter", id},
+              {"in_full", id == full_source_ ? "yes" : "no"},
+              {"records", std::to_string(server_.index().size())}});
+  }
   return true;
 }
 
