An empty store reads a part of the records from each voter

Cause: a learner read one voter in full only if it held no record at all. Gateways send learners copies of new writes, and these came first. So it listed the keys of all voters and requested the records by name, 500 at a time and each from several voters.

Change: a store whose disk was empty at its start always reads in bulk, and reads from all voters at the same time: each sends the records of one part, by a hash of the attempt. Connections, disks and processors share the work, and no record is sent twice. A part that a lost voter leaves unread is read by key, as are records that the sender of a part lacks. What was read in parts makes no voter: for that, the keys of each voter are compared afterwards as before. Older voters ignore the part and send all; a newer voter sends all to an older store. Replaces the choice of one source.

Weighed: several connections to one voter (it would do all the work); parts by ranges of positions (voters number records differently).

--- a/include/trayrock/internal/records/store_reader.h
+++ b/include/trayrock/internal/records/store_reader.h
@@ -2,9 +2,10 @@
 //
 // decide/store_peers.h tracks the stores and how far each has been read; this
 // class makes the calls. A spare store only polls the state of the others. A
-// learner or a new voter reads one voter in full, and only missing records from
-// the others. A full read requests the next records while the last ones are
-// being written; its position is that of the records on disk.
+// learner or a new voter whose disk was empty reads all records, a part of them
+// from each voter at the same time (decide/divided_read.h), and afterwards only
+// missing records. A read of a part requests the next records while the last
+// ones are being written; its position is that of the records on disk.
 //
 // Example:
 //   store_reader reader(loop, server, pool);
@@ -19,7 +20,9 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
+#include "trayrock/internal/decide/divided_read.h"
 #include "trayrock/internal/decide/store_peers.h"
 #include "trayrock/internal/records/record_server.h"
 
@@ -28,8 +31,12 @@
 class store_reader {
  public:
   // All must outlive the object.
+  // The server has read its disk, and has no records that were written since.
   store_reader(event_loop& loop, record_server& server, rpc_pool& pool)
-      : loop_(loop), server_(server), pool_(pool) {}
+      : loop_(loop),
+        server_(server),
+        pool_(pool),
+        began_empty_(server.index().size() == 0) {}
   store_reader(const store_reader&) = delete;
   store_reader& operator=(const store_reader&) = delete;
 
@@ -52,12 +59,6 @@
   bool reported_retiring(const std::string& box) const;
 
  private:
-  // A reply to a pull, with what was true when the pull began.
-  struct pulled_records {
-    pull_start start;
-    records::PullReply reply;
-  };
-
   // The calls to one other store, and the position up to which it was read.
   struct read_progress {
     std::uint64_t log = 0;
@@ -65,9 +66,9 @@
     rpc_call pulling;
     rpc_call fencing;
     timer store_step;
-    bool storing = false;  // records of a full read are not on disk yet
+    bool storing = false;  // records of a part are not on disk yet
     // Arrived while those before them were being stored.
-    std::optional<pulled_records> received;
+    std::optional<records::PullReply> received;
     std::set<std::string> retiring_boxes;  // from its last reply
   };
 
@@ -80,17 +81,18 @@
   bool reads_records() const;
   bool is_due(const store_peer& from) const;
   bool is_storing(const std::string& id) const;
-  std::string pick_full_source() const;
-  bool full_source_is_read() const;
-  records::PullKind pull_kind(const store_peer& from);
+  void update_divided_read();
+  std::vector<std::string> readable_voters() const;
+  bool is_lost(const std::string& voter) const;
+  records::PullKind pull_kind(const store_peer& from) const;
   void pull(const store_peer& from);
-  void send_pull(const store_peer& from, const records::PullRequest& request);
+  void send_pull(const store_peer& from, records::PullRequest request);
   void on_pull_reply(const std::string& id, records::PullKind kind,
                      const pull_start& start, result<records::PullReply> reply);
-  void on_records(const std::string& id, pulled_records pulled);
-  void store_pulled(const std::string& id, pulled_records pulled);
+  void on_records(const std::string& id, records::PullReply reply);
+  void store_pulled(const std::string& id, records::PullReply reply);
   void pull_after(const std::string& id, const records::PullReply& reached);
-  void on_records_stored(const std::string& id, const pull_start& start,
+  void on_records_stored(const std::string& id,
                          const records::PullReply& reached);
   named_records find_missing(const records::PullReply& listed) const;
   void fetch_missing(const std::string& id, const pull_start& start,
@@ -99,6 +101,8 @@
                          const records::PullReply& listed, bool all);
   void record_listed(const std::string& id, const pull_start& start,
                      const records::PullReply& listed);
+  void on_part_stored(const std::string& id, const records::PullReply& reached);
+  void end_part(const std::string& voter);
   bool note_progress(const std::string& id, const pull_start& start,
                      const records::PullReply& reached);
   void record_progress(const std::string& id, const pull_start& start,
@@ -110,8 +114,8 @@
   rpc_pool& pool_;
   store_peers peers_;
   std::map<std::string, read_progress> progress_;  // by the store's id
-  // The voter that is read in full.
-  std::string full_source_;
+  bool began_empty_;
+  divided_read divided_read_;
 };
 
 }  // namespace trayrock
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include "trayrock/internal/decide/divided_read.h"
 #include "trayrock/internal/log.h"
 #include "trayrock/internal/records/store_group.h"
 
@@ -357,13 +358,14 @@
   message.set_position(from);
   std::size_t count = 0;
   std::size_t bytes = 0;
+  const read_part part{request.part(), request.parts()};
   index_.visit_after(from, [&](const record_index::numbered_key& each) {
     if (count == max_pulled_records || bytes >= max_pull_bytes) {
       return false;
     }
     if (keys_only) {
       message.add_keys(each.key);
-    } else {
+    } else if (is_in_part(each.key, part)) {
       std::optional<records::Record> record = index_.find(each.key);
       if (!record) {
         return false;  // an unreadable record must not be skipped
--- a/src/records/store_reader.cc
+++ b/src/records/store_reader.cc
@@ -4,7 +4,6 @@
 #include <utility>
 #include <vector>
 
-#include "trayrock/internal/decide/read_source.h"
 #include "trayrock/internal/log.h"
 #include "trayrock/internal/records/store_group.h"
 
@@ -17,6 +16,9 @@
 constexpr milliseconds call_timeout{700};
 // Records that are requested by key in one call.
 constexpr int max_named_records = 500;
+// A voter that has not replied for this long sends no more of its part. Longer
+// than an idle poll and the timeout of its call.
+constexpr std::uint64_t part_silence_ms = 1200;
 
 // The position that a reply reached, without its records.
 records::PullReply reached_by(const records::PullReply& reply) {
@@ -53,6 +55,7 @@
 }
 
 void store_reader::pull_due() {
+  update_divided_read();
   for (const auto& [id, each] : peers_.all()) {
     if (!progress_[id].pulling.running() && is_due(each)) {
       pull(each);
@@ -79,43 +82,55 @@
   return found != progress_.end() && found->second.storing;
 }
 
-// An empty store reads one voter in full, and afterwards only missing records
-// from the others. A stall of the own disk must not make voters look silent.
-records::PullKind store_reader::pull_kind(const store_peer& from) {
-  if (!reads_records() || from.learner ||
-      from.id_at_address != from.store.id() || is_storing(from.store.id())) {
-    return records::PULL_STATE;
-  }
-  const bool empty = server_.index().size() == 0;
-  if (full_source_.empty() && empty) {
-    full_source_ = pick_full_source();
+// Begins the read of an empty store once voters have replied, and ends the
+// parts of those that are lost.
+void store_reader::update_divided_read() {
+  if (!began_empty_ || !reads_records()) {
+    return;
   }
-  if (full_source_.empty() && empty) {
-    return records::PULL_STATE;
+  const std::vector<std::string> voters = readable_voters();
+  if (!divided_read_.has_begun() && !voters.empty()) {
+    divided_read_.begin(voters);
   }
-  if (from.store.id() == full_source_) {
-    return records::PULL_RECORDS;
+  const std::map<std::string, read_part> parts = divided_read_.parts();
+  for (const auto& [voter, part] : parts) {
+    if (is_lost(voter)) {
+      end_part(voter);
+    }
   }
-  return full_source_is_read() ? records::PULL_KEYS : records::PULL_STATE;
-}
-
-// Also true if that voter was replaced, removed, or has not replied recently.
-bool store_reader::full_source_is_read() const {
-  const store_peer* const source = peers_.find(full_source_);
-  return source == nullptr || source->read_to_end ||
-         source->id_at_address != full_source_ ||
-         loop_.now_ms() - source->last_reply_ms >= idle_pull_period_ms;
 }
 
-std::string store_reader::pick_full_source() const {
+std::vector<std::string> store_reader::readable_voters() const {
   std::vector<std::string> readable;
   for (const auto& [id, each] : peers_.all()) {
-    if (!each.learner && each.id_at_address == id) {
+    if (!each.learner && each.id_at_address == id && !is_lost(id)) {
       readable.push_back(id);
     }
   }
-  const records::StoreState& state = server_.state();
-  return pick_read_source(state.group(), state.id(), readable);
+  return readable;
+}
+
+// True if the voter was replaced or removed, or has not replied recently.
+bool store_reader::is_lost(const std::string& voter) const {
+  const store_peer* const peer = peers_.find(voter);
+  return peer == nullptr || peer->id_at_address != voter ||
+         loop_.now_ms() - peer->last_reply_ms >= part_silence_ms;
+}
+
+// Missing records are read by key once each part has been read. A stall of the
+// own disk must not make voters look silent.
+records::PullKind store_reader::pull_kind(const store_peer& from) const {
+  const std::string& id = from.store.id();
+  if (!reads_records() || from.learner || from.id_at_address != id ||
+      is_storing(id)) {
+    return records::PULL_STATE;
+  }
+  if (divided_read_.part_of(id)) {
+    return records::PULL_RECORDS;
+  }
+  const bool has_all_parts = !began_empty_ || (divided_read_.has_begun() &&
+                                               divided_read_.is_finished());
+  return has_all_parts ? records::PULL_KEYS : records::PULL_STATE;
 }
 
 // ---- Pulls -----------------------------------------------------------------
@@ -130,9 +145,14 @@
 }
 
 void store_reader::send_pull(const store_peer& from,
-                             const records::PullRequest& request) {
+                             records::PullRequest request) {
   const records::PullKind kind = request.kind();
   const std::string id = from.store.id();
+  const std::optional<read_part> part = divided_read_.part_of(id);
+  if (kind == records::PULL_RECORDS && part) {
+    request.set_part(part->number);
+    request.set_parts(part->count);
+  }
   const pull_start start = peers_.on_pull_started(id);
   progress_[id].pulling = pool_.ask<records::PullReply>(
       from.store.address(), "Pull", request, call_timeout,
@@ -159,7 +179,7 @@
   if (kind == records::PULL_KEYS) {
     fetch_missing(id, start, reply);
   } else if (kind == records::PULL_RECORDS) {
-    on_records(id, {start, std::move(reply)});
+    on_records(id, std::move(reply));
   }
 }
 
@@ -233,29 +253,28 @@
   });
 }
 
-void store_reader::on_records(const std::string& id, pulled_records pulled) {
+void store_reader::on_records(const std::string& id, records::PullReply reply) {
   if (is_storing(id)) {
-    progress_[id].received = std::move(pulled);
+    progress_[id].received = std::move(reply);
   } else {
-    store_pulled(id, std::move(pulled));
+    store_pulled(id, std::move(reply));
   }
 }
 
 // The next records are requested before these are indexed and written. The
 // request is sent when the loop is reached again.
-void store_reader::store_pulled(const std::string& id, pulled_records pulled) {
+void store_reader::store_pulled(const std::string& id,
+                                records::PullReply reply) {
   read_progress& progress = progress_[id];
   progress.storing = true;
-  if (pulled.reply.more()) {
-    pull_after(id, pulled.reply);
+  if (reply.more() && divided_read_.part_of(id)) {
+    pull_after(id, reply);
   }
   progress.store_step =
-      loop_.after(milliseconds(0), [this, id, pulled = std::move(pulled)] {
-        server_.store_pulled(pulled.reply,
-                             [this, id, start = pulled.start,
-                              reached = reached_by(pulled.reply)] {
-                               on_records_stored(id, start, reached);
-                             });
+      loop_.after(milliseconds(0), [this, id, pulled = std::move(reply)] {
+        server_.store_pulled(pulled, [this, id, reached = reached_by(pulled)] {
+          on_records_stored(id, reached);
+        });
       });
 }
 
@@ -273,18 +292,40 @@
 }
 
 void store_reader::on_records_stored(const std::string& id,
-                                     const pull_start& start,
                                      const records::PullReply& reached) {
   read_progress& progress = progress_[id];
   progress.storing = false;
-  note_progress(id, start, reached);
-  std::optional<pulled_records> next =
+  on_part_stored(id, reached);
+  std::optional<records::PullReply> next =
       std::exchange(progress.received, std::nullopt);
   if (next) {
     store_pulled(id, std::move(*next));
   }
 }
 
+// The records of a part up to the position are on this store's disk. They say
+// nothing of the other records of that voter.
+void store_reader::on_part_stored(const std::string& id,
+                                  const records::PullReply& reached) {
+  if (!divided_read_.part_of(id)) {
+    return;
+  }
+  progress_[id].log = reached.log();
+  progress_[id].position = reached.position();
+  if (!reached.more()) {
+    end_part(id);
+  }
+}
+
+// The voter's keys are listed from the first one on afterwards.
+void store_reader::end_part(const std::string& voter) {
+  divided_read_.end_part(voter);
+  progress_[voter].log = 0;
+  progress_[voter].position = 0;
+  log_info("part_read", {{"voter", voter},
+                         {"records", std::to_string(server_.index().size())}});
+}
+
 // All records up to the position are on this store's disk. Returns false if
 // that is known already.
 bool store_reader::note_progress(const std::string& id, const pull_start& start,
@@ -297,10 +338,9 @@
   progress_[id].log = reached.log();
   progress_[id].position = reached.position();
   if (!was_read && !reached.more()) {
-    log_info("voter_read",
-             {{"voter", id},
-              {"in_full", id == full_source_ ? "yes" : "no"},
-              {"records", std::to_string(server_.index().size())}});
+    log_info(
+        "voter_read",
+        {{"voter", id}, {"records", std::to_string(server_.index().size())}});
   }
   return true;
 }
--- a/test/full_read_test.cc
+++ b/test/full_read_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(next_records_are_requested_while_the_last_are_written);
   CPPUNIT_TEST(no_record_is_requested_again_while_it_is_written);
   CPPUNIT_TEST(records_that_are_not_on_disk_are_not_counted_as_read);
+  CPPUNIT_TEST(store_that_gateways_write_to_reads_all_records_in_bulk);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -60,6 +61,22 @@
                          learner_->server.index().size());
   }
 
+  // Guards against an empty store that reads record by record, because a
+  // gateway's write reached it before its first pull.
+  void store_that_gateways_write_to_reads_all_records_in_bulk() {
+    start_learner();
+    records::PullReply written;
+    *written.add_records()->mutable_record() = turn("new", "", "one");
+    learner_->server.store_pulled(written, [this] { loop_->stop(); });
+    run();
+
+    read_until([this] { return is_read(); });
+
+    CPPUNIT_ASSERT(is_read());
+    CPPUNIT_ASSERT_EQUAL(0, pulls("PULL_NAMED"));
+    CPPUNIT_ASSERT(record_pulls() > 0);
+  }
+
   void tearDown() override {
     ticks_ = timer();
     reader_.reset();
@@ -126,9 +143,11 @@
   }
 
   // Pulls of records by the learner that the voter has replied to.
-  int record_pulls() const {
+  int record_pulls() const { return pulls("PULL_RECORDS"); }
+
+  int pulls(const std::string& kind) const {
     return static_cast<int>(
-        stores_[0]->metrics.value("pulls_total", {{"kind", "PULL_RECORDS"}}));
+        stores_[0]->metrics.value("pulls_total", {{"kind", kind}}));
   }
 
   bool is_read() const {
