The delay of the event loop is measured and logged

A gateway that had more to do than processor time reported stores as lost; no figure said whether the stores or the gateway itself was late. Each event loop now measures how late a timer of 50 ms fires (decide/loop_delay.h). Gateways and stores show the largest delay of the last second as the gauge loop_delay_ms, and log loop_late, at most once a second, from 100 ms on.

Weighed: the time of one round of the loop, for which libevent 2.1 has no hook.

--- a/include/trayrock/internal/net/loop.h
+++ b/include/trayrock/internal/net/loop.h
@@ -17,6 +17,8 @@
 #include <functional>
 #include <memory>
 
+#include "trayrock/internal/decide/loop_delay.h"
+
 namespace trayrock {
 
 using milliseconds = std::chrono::milliseconds;
@@ -78,10 +80,17 @@
   // As now_ms(), in microseconds.
   std::uint64_t now_us() const;
 
+  // How late this loop runs its timers.
+  loop_delay& delay() { return delay_; }
+
   event_base* base() const { return base_; }
 
  private:
+  void schedule_tick();
+
   event_base* base_;
+  loop_delay delay_;
+  timer tick_;
 };
 
 // Milliseconds since 1970, for times that other processes see.
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -6,6 +6,7 @@
 #include "trayrock/internal/gateway/platform_view.h"
 #include "trayrock/internal/gateway/request_flow.h"
 #include "trayrock/internal/log.h"
+#include "trayrock/internal/net/loop_delay_reporter.h"
 #include "trayrock/internal/process.h"
 #include "trayrock/internal/settings/service_settings.h"
 
@@ -99,6 +100,7 @@
     log_info("gateway_started", {{"gateway", settings_.service.name},
                                  {"version", TRAYROCK_VERSION}});
     warn_of_trial(settings_.service);
+    const loop_delay_reporter delay_reporter(loop_, metrics_);
     observe_connections();
     serve_peers();
     lifecycle_.begin([this] { return ready(); });
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -73,7 +73,7 @@
 
 }  // namespace
 
-event_loop::event_loop() {
+event_loop::event_loop() : delay_(now_ms()) {
   // A peer that closes must show as a write error, not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   event_config* config = event_config_new();
@@ -82,9 +82,24 @@
   event_config_free(config);
 }
 
-event_loop::~event_loop() { event_base_free(base_); }
+event_loop::~event_loop() {
+  tick_.cancel();
+  event_base_free(base_);
+}
+
+void event_loop::run() {
+  delay_ = loop_delay(now_ms());
+  schedule_tick();
+  event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY);
+}
 
-void event_loop::run() { event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY); }
+// Set again from the time of the last tick, unlike every(), which catches up.
+void event_loop::schedule_tick() {
+  tick_ = after(milliseconds(loop_delay::tick_period_ms), [this] {
+    delay_.tick(now_ms());
+    schedule_tick();
+  });
+}
 
 void event_loop::stop() { event_base_loopbreak(base_); }
 
--- a/src/records/store_main.cc
+++ b/src/records/store_main.cc
@@ -5,6 +5,7 @@
 #include "platform/group_registry.h"
 #include "trayrock/internal/log.h"
 #include "trayrock/internal/net/http1_server.h"
+#include "trayrock/internal/net/loop_delay_reporter.h"
 #include "trayrock/internal/process.h"
 #include "trayrock/internal/records/permit_server.h"
 #include "trayrock/internal/records/store_membership_driver.h"
@@ -73,6 +74,7 @@
   log_info("store_started",
            {{"box", settings.service.box}, {"version", TRAYROCK_VERSION}});
   warn_of_trial(settings.service);
+  const loop_delay_reporter delay_reporter(loop, metrics);
   server.start([&] {
     permits.serve(rpc);
     membership.start();
