Time that a process is behind does not count as silence of others

Cause: silence of a store, of a relay, of an endpoint and of all others together was measured by the steady clock. A process that is behind reads replies late, and took its own delay for their silence: after 350 ms it called the stores through relays as well, after 600 ms it gave calls up and sent them again, which put it further behind.

Change: the loop keeps a second clock, attended time, of which at most 60 ms pass between two ticks of a timer of 50 ms (decide/loop_delay.h). Timeouts of calls between processes, silence of stores, retries to them, permits, and late endpoints go by it. The isolation detector, which left only pauses of 400 ms out of account, takes off all time by which its ticks are late. Deadlines of clients and the bounds on waiting for stores stay on the steady clock.

Why it works: in each round of the loop all connections are read before timeouts expire, and a timeout now spans several rounds, however long they take.

--- a/include/trayrock/internal/decide/isolation_detector.h
+++ b/include/trayrock/internal/decide/isolation_detector.h
@@ -31,10 +31,13 @@
   void tick(std::uint64_t now_ms);
 
   bool is_isolated() const { return isolated_since_ms_ != 0; }
-  // When the first request without a reply was sent; 0: not isolated.
+  // When the first request without a reply was sent, later by the time that
+  // this process was late since; 0: not isolated.
   std::uint64_t isolated_since_ms() const { return isolated_since_ms_; }
 
  private:
+  std::uint64_t lateness(std::uint64_t now_ms) const;
+
   std::uint64_t unanswered_since_ms_ = 0;  // 0: no reply is pending
   std::uint64_t last_tick_ms_ = 0;
   std::uint64_t isolated_since_ms_ = 0;
--- a/include/trayrock/internal/net/loop.h
+++ b/include/trayrock/internal/net/loop.h
@@ -65,6 +65,10 @@
   // Calls back once after the delay.
   timer after(milliseconds delay, std::function<void()> callback);
 
+  // As after(), but time by which this loop is late does not count: for the
+  // silence of others, whose replies may have arrived.
+  timer after_attended(milliseconds delay, std::function<void()> callback);
+
   // Calls back again and again, the first time after one period.
   timer every(milliseconds period, std::function<void()> callback);
 
@@ -80,6 +84,9 @@
   // As now_ms(), in microseconds.
   std::uint64_t now_us() const;
 
+  // As now_ms(), but stands still while this loop is late.
+  std::uint64_t attended_ms() const { return delay_.attended_ms(now_ms()); }
+
   // How late this loop runs its timers.
   loop_delay& delay() { return delay_; }
 
--- a/include/trayrock/internal/records/store_paths.h
+++ b/include/trayrock/internal/records/store_paths.h
@@ -1,9 +1,10 @@
 // Tracks how a client reaches each record store: directly, through a relay, or
 // not at all.
 //
-// No I/O; the caller passes the time. A store is silent if it has not replied
-// to any direct call for a timeout; a store that is only slow still replies to
-// some calls.
+// No I/O; the caller passes the time, of which only the time counts in which
+// replies could have been read (decide/loop_delay.h, attended time). A store is
+// silent if it has not replied to any direct call for a timeout; a store that
+// is only slow still replies to some calls.
 //
 // Example:
 //   store_paths paths;
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -127,7 +127,7 @@
     return;
   }
   const std::weak_ptr<request_flow> weak = weak_from_this();
-  silence_timer_ = context_.loop.after(limit, [weak] {
+  silence_timer_ = context_.loop.after_attended(limit, [weak] {
     const auto flow = weak.lock();
     if (flow != nullptr && !flow->ended_) {
       flow->on_endpoint_slow();
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -5,15 +5,33 @@
 
 namespace trayrock {
 
+namespace {
+
+timeval to_timeval(milliseconds delay) {
+  constexpr int ms_per_second = 1000;
+  constexpr int us_per_ms = 1000;
+  timeval value{};
+  value.tv_sec = delay.count() / ms_per_second;
+  value.tv_usec = (delay.count() % ms_per_second) * us_per_ms;
+  return value;
+}
+
+}  // namespace
+
 struct timer::state {
   event* handle = nullptr;
   bool repeats = false;
   bool firing = false;
   bool dropped = false;
   std::function<void()> callback;
+  const event_loop* attended_by = nullptr;  // null: all time counts
+  std::uint64_t due_attended_ms = 0;
 
   static void fire(evutil_socket_t, short, void* context) {
     auto* self = static_cast<state*>(context);
+    if (self->is_early()) {
+      return;
+    }
     self->firing = true;
     if (self->repeats) {
       self->callback();
@@ -28,6 +46,19 @@
     }
   }
 
+  // Waits on if too little of the time was attended.
+  bool is_early() const {
+    const std::uint64_t now_ms =
+        attended_by == nullptr ? 0 : attended_by->attended_ms();
+    if (attended_by == nullptr || now_ms >= due_attended_ms) {
+      return false;
+    }
+    const timeval left =
+        to_timeval(milliseconds(static_cast<long>(due_attended_ms - now_ms)));
+    event_add(handle, &left);
+    return true;
+  }
+
   static void destroy(state* self) {
     event_free(self->handle);
     delete self;
@@ -53,15 +84,6 @@
 
 namespace {
 
-timeval to_timeval(milliseconds delay) {
-  constexpr int ms_per_second = 1000;
-  constexpr int us_per_ms = 1000;
-  timeval value{};
-  value.tv_sec = delay.count() / ms_per_second;
-  value.tv_usec = (delay.count() % ms_per_second) * us_per_ms;
-  return value;
-}
-
 struct posted_call {
   std::function<void()> callback;
 
@@ -88,7 +110,7 @@
 }
 
 void event_loop::run() {
-  delay_ = loop_delay(now_ms());
+  delay_.resume(now_ms());
   schedule_tick();
   event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY);
 }
@@ -114,6 +136,15 @@
   return made;
 }
 
+timer event_loop::after_attended(milliseconds delay,
+                                 std::function<void()> callback) {
+  timer made = after(delay, std::move(callback));
+  made.state_->attended_by = this;
+  made.state_->due_attended_ms =
+      attended_ms() + static_cast<std::uint64_t>(delay.count());
+  return made;
+}
+
 timer event_loop::every(milliseconds period, std::function<void()> callback) {
   timer made;
   made.state_.reset(new timer::state);
--- a/src/net/rpc_client.cc
+++ b/src/net/rpc_client.cc
@@ -85,8 +85,8 @@
     bufferevent_setcb(bev, on_readable, nullptr, on_event, this);
     bufferevent_enable(bev, EV_READ | EV_WRITE);
     sockaddr_in to = internal::socket_address_of(peer);
-    connect_guard = loop.after(limits.connect_timeout,
-                               [this] { fail(errc::connect_failed); });
+    connect_guard = loop.after_attended(limits.connect_timeout,
+                                        [this] { fail(errc::connect_failed); });
     return bufferevent_socket_connect(bev, reinterpret_cast<sockaddr*>(&to),
                                       sizeof(to)) == 0;
   }
@@ -243,7 +243,7 @@
       return;
     }
     std::weak_ptr<rpc_call::state> weak = call;
-    call->silence = loop.after(call->timeout, [this, weak] {
+    call->silence = loop.after_attended(call->timeout, [this, weak] {
       if (const auto held = weak.lock()) {
         cancel(held->id);
         held->end(errc::rpc_timeout);
--- a/src/records/permit_client.cc
+++ b/src/records/permit_client.cc
@@ -103,9 +103,9 @@
     tried.clear();
     slow.clear();
     relayed = !relayed && client.relays_.pick != nullptr;
-    next_round =
-        client.loop_.after(relayed ? milliseconds(0) : round_delay,
-                           [self = shared_from_this()] { self->step(); });
+    next_round = client.loop_.after_attended(
+        relayed ? milliseconds(0) : round_delay,
+        [self = shared_from_this()] { self->step(); });
   }
 
   void call_store(const records::Store& to) {
@@ -126,7 +126,7 @@
           }
           self->on_direct_reply(store, reply);
         });
-    slow_timer = client.loop_.after(
+    slow_timer = client.loop_.after_attended(
         store_timeout,
         [self = shared_from_this(), store = to.id()] { self->on_slow(store); });
   }
@@ -140,11 +140,11 @@
     }
   }
 
-  void on_progress() { progress_ms = client.loop_.now_ms(); }
+  void on_progress() { progress_ms = client.loop_.attended_ms(); }
 
   bool store_is_writing() const {
     return call.running() && progress_ms != 0 &&
-           client.loop_.now_ms() - progress_ms <
+           client.loop_.attended_ms() - progress_ms <
                static_cast<std::uint64_t>(max_progress_gap.count());
   }
 
--- a/src/records/record_client.cc
+++ b/src/records/record_client.cc
@@ -93,7 +93,7 @@
     sent.set_send_chain(with_text);
     if (with_text) {
       chain.on_text_requested(to.id());
-      text_timer = client.connectivity_.loop.after(
+      text_timer = client.connectivity_.loop.after_attended(
           text_timeout, [this] { request_text_from_next(); });
     }
     calls->send(to, sent);
@@ -113,7 +113,7 @@
       return;
     }
     const std::weak_ptr<operation> weak = weak_from_this();
-    retries[id] = client.connectivity_.loop.after(delay, [weak, id] {
+    retries[id] = client.connectivity_.loop.after_attended(delay, [weak, id] {
       const auto self = weak.lock();
       const records::Store* to =
           self == nullptr ? nullptr : find_store(self->group.voters(), id);
@@ -185,7 +185,7 @@
 
   // The voter is still writing, but it has read the chain.
   void on_progress(const std::string& id, const records::WriteReply& report) {
-    progress_ms[id] = client.connectivity_.loop.now_ms();
+    progress_ms[id] = client.connectivity_.loop.attended_ms();
     add_chain_reply(id, report);
     finish_if_complete();
   }
@@ -193,7 +193,7 @@
   bool is_writing(const std::string& id) const {
     const auto last = progress_ms.find(id);
     return last != progress_ms.end() &&
-           client.connectivity_.loop.now_ms() - last->second <
+           client.connectivity_.loop.attended_ms() - last->second <
                static_cast<std::uint64_t>(max_progress_gap.count());
   }
 
--- a/src/records/store_calls.cc
+++ b/src/records/store_calls.cc
@@ -12,13 +12,13 @@
 }  // namespace
 
 bool store_connectivity::is_silent(const std::string& store) const {
-  return paths.is_silent(store, loop.now_ms(), relays.silence);
+  return paths.is_silent(store, loop.attended_ms(), relays.silence);
 }
 
 void store_connectivity::record_reply(const std::string& store, bool relayed) {
   isolation.on_reply();
   if (relayed) {
-    if (paths.on_relayed_reply(store, loop.now_ms())) {
+    if (paths.on_relayed_reply(store, loop.attended_ms())) {
       log_warn("dependency_lost",
                {{"dependency", "store"}, {"store", store}, {"way", "relay"}});
     }
@@ -39,7 +39,7 @@
                        const records::WriteRequest& request) {
   const std::string& id = to.id();
   relayed_.erase(id);
-  if (connectivity_.paths.uses_relay(id, connectivity_.loop.now_ms()) &&
+  if (connectivity_.paths.uses_relay(id, connectivity_.loop.attended_ms()) &&
       send_by_relay(to, request)) {
     return;
   }
@@ -56,7 +56,7 @@
           self->on_direct_reply(to, request, std::move(reply));
         }
       });
-  connectivity_.paths.on_request_sent(id, connectivity_.loop.now_ms());
+  connectivity_.paths.on_request_sent(id, connectivity_.loop.attended_ms());
   connectivity_.isolation.on_request_sent(connectivity_.loop.now_ms());
   if (connectivity_.relays.pick) {
     schedule_silence_check(to, request);
@@ -66,8 +66,8 @@
 void store_calls::schedule_silence_check(const records::Store& to,
                                          const records::WriteRequest& request) {
   const std::weak_ptr<store_calls> weak = weak_from_this();
-  silence_timers_[to.id()] =
-      connectivity_.loop.after(silence_check_period, [weak, to, request] {
+  silence_timers_[to.id()] = connectivity_.loop.after_attended(
+      silence_check_period, [weak, to, request] {
         const auto self = weak.lock();
         if (self == nullptr || self->finished_) {
           return;
--- a/test/isolation_detector_test.cc
+++ b/test/isolation_detector_test.cc
@@ -78,6 +78,8 @@
   CPPUNIT_TEST(short_partition_is_ignored);
   CPPUNIT_TEST(idle_process_is_not_isolated);
   CPPUNIT_TEST(stalled_process_is_not_isolated);
+  CPPUNIT_TEST(process_that_is_behind_is_not_isolated);
+  CPPUNIT_TEST(isolation_of_a_process_that_is_behind_is_detected);
   CPPUNIT_TEST(first_reply_ends_the_isolation);
   CPPUNIT_TEST(clients_retry_once_the_balancer_has_noticed);
   CPPUNIT_TEST_SUITE_END();
@@ -124,6 +126,28 @@
     CPPUNIT_ASSERT(!detector.is_isolated());
   }
 
+  // Guards against an overloaded gateway that rejects all turns because it
+  // reads replies late.
+  void process_that_is_behind_is_not_isolated() {
+    isolation_detector detector;
+    detector.tick(1000);
+    detector.on_request_sent(1010);
+    for (std::uint64_t now = 1350; now <= 2400; now += 350) {
+      detector.tick(now);
+    }
+    CPPUNIT_ASSERT(!detector.is_isolated());
+  }
+
+  void isolation_of_a_process_that_is_behind_is_detected() {
+    isolation_detector detector;
+    detector.tick(1000);
+    detector.on_request_sent(1010);
+    for (std::uint64_t now = 1350; now <= 6000; now += 350) {
+      detector.tick(now);
+    }
+    CPPUNIT_ASSERT(detector.is_isolated());
+  }
+
   void first_reply_ends_the_isolation() {
     isolation_detector detector;
     detector.on_request_sent(1000);
--- a/test/record_client_test.cc
+++ b/test/record_client_test.cc
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <thread>
 
 #include "record_store_fixture.h"
 
@@ -21,6 +22,7 @@
   CPPUNIT_TEST(relay_that_cannot_reach_the_store_is_replaced);
   CPPUNIT_TEST(replaced_store_is_retried_at_a_low_rate);
   CPPUNIT_TEST(slow_stores_are_not_called_through_relays);
+  CPPUNIT_TEST(process_that_is_behind_calls_stores_once);
   CPPUNIT_TEST(records_survive_a_restart_of_the_stores);
   CPPUNIT_TEST_SUITE_END();
 
@@ -242,6 +244,45 @@
     CPPUNIT_ASSERT_EQUAL(0, relays_picked);
   }
 
+  // Guards against a gateway without enough processor time that takes stores
+  // for silent, and repeats its calls directly and through relays.
+  void process_that_is_behind_calls_stores_once() {
+    records::Group group;
+    group.set_epoch(1);
+    group.set_tolerated(0);
+    records::Store& voter = *group.add_voters();
+    voter.set_id("prompt");
+    voter.set_address(local(ports_[3]));
+    rpc_server server(*loop_, {});
+    int requests = 0;
+    server.handle_typed<records::WriteRequest>(
+        "Write", [&](records::WriteRequest&, const rpc_reply_ptr& reply) {
+          ++requests;
+          reply->send(records::WriteReply());
+          reply->finish();
+        });
+    CPPUNIT_ASSERT(server.listen(address::parse(local(ports_[3])).value()));
+    int relays_picked = 0;
+    client_->use_relays({[&] {
+                           ++relays_picked;
+                           return local(ports_[4]);
+                         },
+                         [](const auto&...) {}, [](const auto&...) {}});
+    client_->adopt(group);
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
+    requests = 0;
+    constexpr milliseconds round_duration{250};
+    const timer work = loop_->every(milliseconds(1), [round_duration] {
+      std::this_thread::sleep_for(round_duration);
+    });
+    // The work is due when the call begins, and in each round from then on.
+    std::this_thread::sleep_for(round_duration);
+    CPPUNIT_ASSERT_EQUAL(std::error_code(),
+                         keep(turn("t2", "t1", "two"), max_test_duration));
+    CPPUNIT_ASSERT_EQUAL(1, requests);
+    CPPUNIT_ASSERT_EQUAL(0, relays_picked);
+  }
+
   void records_survive_a_restart_of_the_stores() {
     start_group();
     CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
