A connection between processes is read in few rounds of the loop

Cause: all calls to a store share one connection, and libevent 2.1 reads 4096 bytes and writes 16 KB of a connection in a round of its loop, however much has arrived. A busy gateway runs fewer rounds a second, so the replies of stores queue in their sockets, although they have come. In second 24 a reservation took 737 ms, while calls of tools, which have connections of their own, took 153 ms to their first byte (185 in second 19).

Change: when libevent has read all that it reads at once, what else has arrived is read in the same round, up to 256 KB, and as much is written.

Why it works: the bytes of a connection that a round handles no longer have a small bound, so that throughput does not fall with the rounds a second; the calls of system per byte fall as well.

Before: large_message_takes_few_rounds failed, 519 rounds for 1 MB there and back (100 are allowed). After: passed.

Weighed: several connections to each store; larger timeouts.

--- a/src/net/http2_session.cc
+++ b/src/net/http2_session.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cstring>
+#include <span>
 
 namespace trayrock::internal {
 namespace {
@@ -14,6 +15,10 @@
 constexpr std::size_t length_bytes = 4;
 constexpr std::int32_t window_bytes = 16 << 20;
 constexpr std::uint32_t max_streams = 100000;
+// libevent reads at most this much of a connection in a round of the loop.
+constexpr std::size_t libevent_read_bytes = 4096;
+// Other connections wait meanwhile.
+constexpr std::size_t max_round_bytes = 256 << 10;
 
 std::size_t read_length(std::string_view bytes) {
   std::size_t length = 0;
@@ -23,6 +28,54 @@
   return length;
 }
 
+bool feed(nghttp2_session* session, std::span<const unsigned char> received,
+          bool& busy, std::uint64_t& bytes_in) {
+  busy = true;
+  const ssize_t used =
+      nghttp2_session_mem_recv(session, received.data(), received.size());
+  busy = false;
+  if (used < 0) {
+    return false;
+  }
+  bytes_in += static_cast<std::uint64_t>(used);
+  return true;
+}
+
+bool feed_buffered(nghttp2_session* session, evbuffer* input, bool& busy,
+                   std::uint64_t& bytes_in) {
+  while (evbuffer_get_length(input) > 0) {
+    const auto length =
+        static_cast<std::size_t>(evbuffer_get_contiguous_space(input));
+    const unsigned char* bytes =
+        evbuffer_pullup(input, static_cast<ev_ssize_t>(length));
+    if (!feed(session, {bytes, length}, busy, bytes_in)) {
+      return false;
+    }
+    evbuffer_drain(input, length);
+  }
+  return true;
+}
+
+// The end of the connection, or an error, shows again when libevent reads.
+bool feed_unread(nghttp2_session* session, evutil_socket_t socket, bool& busy,
+                 std::uint64_t& bytes_in) {
+  std::array<unsigned char, 32 << 10> bytes;
+  std::size_t total = 0;
+  while (total < max_round_bytes) {
+    const ssize_t length =
+        recv(socket, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (length <= 0) {
+      return true;
+    }
+    total += static_cast<std::size_t>(length);
+    if (!feed(session, {bytes.data(), static_cast<std::size_t>(length)}, busy,
+              bytes_in)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 }  // namespace
 
 bool message_cutter::add(std::string_view bytes,
@@ -78,21 +131,11 @@
 bool feed_session(nghttp2_session* session, bufferevent* bev, bool& busy,
                   std::uint64_t& bytes_in) {
   evbuffer* input = bufferevent_get_input(bev);
-  while (evbuffer_get_length(input) > 0) {
-    const auto length =
-        static_cast<std::size_t>(evbuffer_get_contiguous_space(input));
-    const unsigned char* bytes =
-        evbuffer_pullup(input, static_cast<ev_ssize_t>(length));
-    busy = true;
-    const ssize_t used = nghttp2_session_mem_recv(session, bytes, length);
-    busy = false;
-    if (used < 0) {
-      return false;
-    }
-    bytes_in += static_cast<std::uint64_t>(used);
-    evbuffer_drain(input, static_cast<std::size_t>(used));
+  const bool more = evbuffer_get_length(input) >= libevent_read_bytes;
+  if (!feed_buffered(session, input, busy, bytes_in)) {
+    return false;
   }
-  return true;
+  return !more || feed_unread(session, bufferevent_getfd(bev), busy, bytes_in);
 }
 
 bool flush_session(nghttp2_session* session, bufferevent* bev, bool busy,
@@ -127,6 +170,10 @@
                                         window_bytes);
 }
 
+void use_large_writes(bufferevent* bev) {
+  bufferevent_set_max_single_write(bev, max_round_bytes);
+}
+
 void set_no_delay(bufferevent* bev) {
   const int on = 1;
   setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
--- a/src/net/http2_session.h
+++ b/src/net/http2_session.h
@@ -49,8 +49,10 @@
                       void* context);
 };
 
-// Feeds what has arrived on `bev` to the session. False when the session is
-// broken. `busy` is set while nghttp2's callbacks run.
+// Feeds what has arrived on `bev` to the session: all calls to a peer share a
+// connection, and what libevent reads in a round of the loop is too little.
+// False when the session is broken. `busy` is set while nghttp2's callbacks
+// run.
 bool feed_session(nghttp2_session* session, bufferevent* bev, bool& busy,
                   std::uint64_t& bytes_in);
 
@@ -61,6 +63,9 @@
 // Sends the settings and opens a large window for the connection.
 void submit_large_windows(nghttp2_session* session);
 
+// Writes as much in a round of the loop as feed_session() reads.
+void use_large_writes(bufferevent* bev);
+
 void set_no_delay(bufferevent* bev);
 
 }  // namespace trayrock::internal
--- a/src/net/rpc_client.cc
+++ b/src/net/rpc_client.cc
@@ -74,6 +74,7 @@
 
   bool open(const address& peer) {
     bev = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    internal::use_large_writes(bev);
     nghttp2_session_callbacks* callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
--- a/src/net/rpc_server.cc
+++ b/src/net/rpc_server.cc
@@ -98,6 +98,7 @@
   void open(evutil_socket_t socket) {
     bev = bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
     internal::set_no_delay(bev);
+    internal::use_large_writes(bev);
     nghttp2_session_callbacks* callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
     nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks,
