A stopping gateway sends its last responses although its loop is late

What callers saw: a closed connection in place of the last responses of a gateway that stops while its event loop is late.

Cause: the timer that answers open requests and the one that stops the loop were 300 ms apart. In a late loop both fire in one round, and the end of the loop discards what has been written and not sent.

Change: when the time is over, open requests are answered, and the loop stops once nothing is unsent, 150 ms later at the latest.

--- a/include/trayrock/internal/gateway/gateway_lifecycle.h
+++ b/include/trayrock/internal/gateway/gateway_lifecycle.h
@@ -67,6 +67,7 @@
  private:
   void stop_accepting_connections();
   void check_drained();
+  void flush_last_responses();
   void stop_unfinished();
 
   event_loop& loop_;
--- a/src/gateway/gateway_lifecycle.cc
+++ b/src/gateway/gateway_lifecycle.cc
@@ -14,9 +14,10 @@
 constexpr milliseconds drain_check_period{50};
 // The process ends this long before it would be killed.
 constexpr milliseconds stop_margin{300};
-// Requests that can't be finished get an error this long before the process
-// ends: on a busy processor, timers run late.
+// Open requests get their last responses this long before the process ends.
 constexpr milliseconds final_response_margin{300};
+// For the last responses to be sent, if the loop was late to write them.
+constexpr milliseconds flush_limit{150};
 // Connections to a new process wait at most this long.
 constexpr milliseconds max_start_delay{600};
 
@@ -70,7 +71,7 @@
                               [this] { stop_accepting_connections(); });
   observers_timer_ =
       loop_.after(time_to_shutdown(), [this] { observers_.notify(); });
-  end_timer_ = loop_.after(left, [this] { stop_unfinished(); });
+  end_timer_ = loop_.after(left, [this] { flush_last_responses(); });
 }
 
 void gateway_lifecycle::stop_accepting_connections() {
@@ -87,6 +88,12 @@
   }
 }
 
+// The end of the loop discards what is not sent yet.
+void gateway_lifecycle::flush_last_responses() {
+  observers_.notify();
+  end_timer_ = loop_.after(flush_limit, [this] { stop_unfinished(); });
+}
+
 void gateway_lifecycle::stop_unfinished() {
   log_warn("drain_unfinished",
            {{"open", std::to_string(clients_.open_requests())}});
--- a/test/gateway_stopping_test.cc
+++ b/test/gateway_stopping_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(stopping_gateway_sends_every_response);
   CPPUNIT_TEST(stopping_gateway_cuts_no_stream_that_it_began_late);
   CPPUNIT_TEST(stopping_gateway_sends_late_streams_whole);
+  CPPUNIT_TEST(stopping_gateway_responds_although_its_loop_is_late);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -189,6 +190,34 @@
                    "expected the first turn, seen " << body);
     system.wait_end("gateway-1");
   }
+
+  // Guards against a process that ends in the same round of its loop in which
+  // its last responses are written.
+  void stopping_gateway_responds_although_its_loop_is_late() {
+    constexpr std::chrono::milliseconds before_last_responses{1000};
+    constexpr std::chrono::milliseconds late{800};
+    service_options options;
+    options.stop_limit_s = 2;
+    service_deployment system(options);
+    system.start_all();
+    for (const char* runner : {"runner-1", "runner-2"}) {
+      system.runner_fault(runner, {{"hang", 1}});
+    }
+    http_answer response;
+    {
+      std::jthread client(
+          [&] { response = system.request("gateway-1", "/unsafe/a", "u1"); });
+      wait_until("the call runs", [&] { return system.runs("u1") == 1; });
+      system.signal("gateway-1", SIGTERM);
+      std::this_thread::sleep_for(before_last_responses);
+      system.signal("gateway-1", SIGSTOP);
+      std::this_thread::sleep_for(late);
+      system.signal("gateway-1", SIGCONT);
+    }
+
+    CPPUNIT_ASSERT_EQUAL(504, response.status);
+    system.wait_end("gateway-1");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_stopping_test);
