A stop tells requests that were not sent to come back

What callers saw: 504 "program's deadline has passed" for a request that waited for the stores when its gateway stopped, though nothing had run and the client had time left. And 504 "runner did not answer in time" for one whose stream was complete and whose turn was not durable yet.

Cause: the end of the process was handled as the client's deadline. The limit of the store's write and the deadline end in the same millisecond, so that the deadline always came first.

Change: a request that no endpoint got is refused with 503 and Retry-After (it has not run). One whose turn is being stored ends as not durable: 502, outcome unknown, if nothing was sent to the client. The observers of the shutdown outlive all that may hold requests. The test of late streams also checks that they are whole.

--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -190,6 +190,7 @@
   gateway_settings settings_;
   gateway_policy policy_;
   event_loop loop_;
+  shutdown_observers on_shutdown_;
   metrics_registry metrics_;
   rpc_pool rpc_;
   http1_pool pool_;
@@ -202,7 +203,6 @@
   duration_estimator durations_;
   std::map<std::string, slow_endpoint_detector, std::less<>> slow_detectors_;
   recent_programs programs_;
-  shutdown_observers on_shutdown_;
   platform_view view_;
   gateway_context context_;
   http1_server client_server_;
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -134,18 +134,27 @@
   if (ended_) {
     return;
   }
-  const bool sent = attempt_.in_flight() || report_.sends > 0;
-  attempt_.cancel();
-  attempt_.end(attempt_outcome::broken);
-  fail(sent ? errc::runner_timeout : errc::deadline_passed);
+  end_early(routing_.is_limited_by_shutdown() ? errc::stopping
+                                              : errc::deadline_passed);
 }
 
 void request_flow::on_shutdown() {
-  if (!response_.has_begun()) {
-    on_deadline();
+  if (!ended_ && !response_.has_begun()) {
+    end_early(errc::stopping);
   }
 }
 
+void request_flow::end_early(errc not_sent) {
+  if (storing_turn_) {
+    on_turn_stored(errc::not_durable);
+    return;
+  }
+  const bool sent = attempt_.in_flight() || report_.sends > 0;
+  attempt_.cancel();
+  attempt_.end(attempt_outcome::broken);
+  fail(sent ? errc::runner_timeout : not_sent);
+}
+
 void request_flow::give_up(errc why) {
   fail(may_have_run_ ? errc::runner_failed : why);
 }
--- a/src/gateway/request_flow_history.cc
+++ b/src/gateway/request_flow_history.cc
@@ -49,6 +49,7 @@
       response_.events().complete_events() * routing_.tokens_per_event();
   turn.endpoint = attempt_.identity().text();
   const std::uint64_t began = elapsed_us();
+  storing_turn_ = true;
   history_.store(std::move(turn), time_left(),
                  [self = shared_from_this(), began](std::error_code failed) {
                    self->report_.keep_us = self->elapsed_us() - began;
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -39,6 +39,10 @@
   // complete while the process exits.
   void on_shutdown();
 
+  // Ends the request before its response is complete. `not_sent` is the error
+  // if no endpoint got it.
+  void end_early(errc not_sent);
+
   // Fails the request when no endpoint is left to try. The error says that
   // nothing has run only if no endpoint may have run it.
   void give_up(errc why);
@@ -160,6 +164,7 @@
   bool may_have_run_ = false;  // a send ended without a response
   std::optional<permit> permit_;
   milliseconds limit_retry_after_{0};
+  bool storing_turn_ = false;  // the stream is complete, the turn not durable
   bool ended_ = false;
   timer deadline_;
   shutdown_observers::subscription shutdown_;
--- a/test/gateway_stopping_test.cc
+++ b/test/gateway_stopping_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(stopping_gateway_cuts_no_stream_that_it_began_late);
   CPPUNIT_TEST(stopping_gateway_sends_late_streams_whole);
   CPPUNIT_TEST(stopping_gateway_responds_although_its_loop_is_late);
+  CPPUNIT_TEST(stopping_gateway_refuses_requests_that_were_not_sent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -184,6 +185,8 @@
     const http_answer second = system.turn("gateway-2", "t2", "t1", "two");
 
     CPPUNIT_ASSERT_EQUAL(200, first.status);
+    CPPUNIT_ASSERT(first.complete);
+    CPPUNIT_ASSERT(first.headers.contains("content-length"));
     CPPUNIT_ASSERT_EQUAL(200, second.status);
     const std::string body = system.body_of("t2");
     TRAYROCK_CHECK(body.starts_with("one t1-1\nt1-2\nt1-3\n"),
@@ -218,6 +221,35 @@
     CPPUNIT_ASSERT_EQUAL(504, response.status);
     system.wait_end("gateway-1");
   }
+
+  // Guards against 504 for a request that waits for the stores and could be
+  // served by another gateway.
+  void stopping_gateway_refuses_requests_that_were_not_sent() {
+    constexpr const char* writes =
+        "record_writes_total{outcome=\"OUTCOME_OK\"}";
+    service_options options;
+    options.stop_limit_s = 1;
+    service_deployment system(options);
+    system.start_all();
+    system.turn("gateway-1", "t1", "", "one");
+    system.signal("store-2", SIGSTOP);
+    system.signal("store-3", SIGSTOP);
+    const double before = system.metric("store-1", writes);
+    http_answer response;
+    {
+      std::jthread client(
+          [&] { response = system.turn("gateway-2", "t2", "t1", "two"); });
+      wait_until("the request waits for the stores",
+                 [&] { return system.metric("store-1", writes) > before; });
+      system.signal("gateway-2", SIGTERM);
+    }
+    system.signal("store-2", SIGCONT);
+    system.signal("store-3", SIGCONT);
+
+    CPPUNIT_ASSERT_EQUAL(0, system.runs("t2"));
+    CPPUNIT_ASSERT_EQUAL(503, response.status);
+    system.wait_end("gateway-2");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_stopping_test);
