The wait for the stores is no duration of a request

What callers saw: every stream refused by a stopping gateway, because one of the last 64 had waited long for the stores.

Cause: the estimate of how long a request takes included its permit, its reservation and the storing of its turn, which say nothing about the next request.

Change: the estimate is of the run alone.

--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -196,6 +196,13 @@
   return milliseconds(static_cast<long>(elapsed_us() / us_per_ms));
 }
 
+milliseconds request_flow::run_time() const {
+  constexpr std::uint64_t us_per_ms = 1000;
+  const std::uint64_t waited =
+      std::max(report_.permit_us, report_.reserve_us) + report_.keep_us;
+  return milliseconds(static_cast<long>((elapsed_us() - waited) / us_per_ms));
+}
+
 std::uint64_t request_flow::elapsed_us() const {
   return context_.loop.now_us() - began_us_;
 }
@@ -218,7 +225,7 @@
   report_.route = routing_.route().name;
   report_.workspace = routing_.workspace_name();
   if (responded) {
-    context_.durations.add(routing_.route().name, elapsed_ms());
+    context_.durations.add(routing_.route().name, run_time());
   }
 }
 
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -59,6 +59,10 @@
   // Why the endpoint was chosen, for the log.
   std::string placed_by() const;
 
+  // The time that the request took, without its waits for the stores: these say
+  // nothing about the next request.
+  milliseconds run_time() const;
+
   // Rejected requests may have no route, or no configuration.
   void report_routing(bool responded);
   void end(std::string_view outcome, int status);
--- a/test/gateway_stopping_test.cc
+++ b/test/gateway_stopping_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(stopping_gateway_sends_late_streams_whole);
   CPPUNIT_TEST(stopping_gateway_responds_although_its_loop_is_late);
   CPPUNIT_TEST(stopping_gateway_refuses_requests_that_were_not_sent);
+  CPPUNIT_TEST(wait_for_stores_is_no_duration_of_a_stream);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -250,6 +251,36 @@
     CPPUNIT_ASSERT_EQUAL(503, response.status);
     system.wait_end("gateway-2");
   }
+
+  // Guards against a stopping gateway that refuses all streams because one had
+  // waited long for the stores.
+  void wait_for_stores_is_no_duration_of_a_stream() {
+    constexpr int recent_streams = 20;
+    constexpr std::chrono::milliseconds stores_frozen{4500};
+    service_options options;
+    options.runner_events = 10;
+    options.runner_pause_ms = 30;
+    service_deployment system(options);
+    system.start_all();
+    for (int i = 0; i < recent_streams; ++i) {
+      system.turn("gateway-1", "w" + std::to_string(i), "", "one");
+    }
+    {
+      std::jthread client([&] { system.turn("gateway-1", "t1", "", "one"); });
+      wait_until("the turn runs", [&] { return system.runs("t1") == 1; });
+      system.signal("store-2", SIGSTOP);
+      system.signal("store-3", SIGSTOP);
+      std::this_thread::sleep_for(stores_frozen);
+      system.signal("store-2", SIGCONT);
+      system.signal("store-3", SIGCONT);
+    }
+    system.signal("gateway-1", SIGTERM);
+    system.wait_draining("gateway-1");
+    const http_answer next = system.turn("gateway-1", "t2", "", "one");
+
+    CPPUNIT_ASSERT_EQUAL(200, next.status);
+    system.wait_end("gateway-1");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_stopping_test);
