A store reports that it counts once that is on its disk

A retiring voter leaves for a successor that counts in memory only; if a disk and all power are lost then, the successor forgets that it counts, and the group never has a quorum again.

Cause: replies to pulls reported the state in memory. Only fences waited for the disk.

Change: a store reports that it counts only while its state is on disk.

--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -328,7 +328,8 @@
                {{"kind", records::PullKind_Name(request.kind())}});
   records::PullReply message;
   message.set_store(state_.id());
-  message.set_counts(state_.counts());
+  // A store that forgets in a loss of power that it counts is no successor yet.
+  message.set_counts(state_.counts() && state_saves_ == 0);
   message.set_epoch(state_.group().epoch());
   *message.mutable_group() = state_.group();
   message.set_log(log_);
--- a/test/store_reader_test.cc
+++ b/test/store_reader_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(voter_counts_once_its_listed_records_are_on_disk);
   CPPUNIT_TEST(records_of_a_pull_before_the_fence_make_no_voter);
   CPPUNIT_TEST(voter_that_cannot_send_a_listed_record_is_not_read);
+  CPPUNIT_TEST(store_reports_that_it_counts_once_that_is_on_disk);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -95,6 +96,27 @@
     CPPUNIT_ASSERT(!peer->read_since_fence);
   }
 
+  // Guards against a retiring voter that leaves for a successor which forgets
+  // in a loss of power that it counts.
+  void store_reports_that_it_counts_once_that_is_on_disk() {
+    start_group();
+    add_joining_store();
+    joining().syncs.close();
+    joining().server.set_counts(true);
+    std::optional<bool> counts;
+    records::PullRequest request;
+    request.set_kind(records::PULL_STATE);
+    const rpc_call call = pool_->ask<records::PullReply>(
+        local(joining().port), "Pull", request, call_timeout,
+        [&](const result<records::PullReply>& reply) {
+          counts = reply && reply.value().counts();
+        });
+    run_until([&] { return counts.has_value(); });
+
+    CPPUNIT_ASSERT(counts.has_value());
+    TRAYROCK_CHECK(!*counts, "expected no, seen yes ahead of the disk");
+  }
+
  private:
   // The store can't read its records from disk any more.
   static void lose_content(const store& damaged) {
