A voter that cannot read a turn does not deny it

What callers saw: 404 for a turn that a quorum had stored, if one voter can't read it any more and another one does not reply.

Cause: a record that is in the index and can't be read was reported as missing.

Change: such a voter says nothing of the chain.

Before: voter_that_cannot_read_a_turn_does_not_deny_it failed. After: store_reader_test (6) passed.

--- a/include/trayrock/internal/records/record_index.h
+++ b/include/trayrock/internal/records/record_index.h
@@ -34,7 +34,8 @@
 
 // The inputs and outputs of a turn and of those before it, oldest first.
 struct turn_chain {
-  bool found = false;  // the turn itself is stored
+  bool found = false;       // the turn itself is stored
+  bool unreadable = false;  // the turn itself is stored and cannot be read
   std::string text;
   // The newest earlier turn that is missing; the text starts after it. Empty if
   // the chain is complete.
--- a/src/records/record_index.cc
+++ b/src/records/record_index.cc
@@ -152,6 +152,7 @@
     turns.push_back(std::move(*record));
   }
   made.found = !turns.empty();
+  made.unreadable = !made.found && has(key_of(turn_kind, id_of(attempt)));
   made.endpoint = made.found ? turns.front().turn().endpoint() : std::string();
   for (auto each = turns.rbegin(); each != turns.rend(); ++each) {
     made.text.append(each->turn().input()).append(each->turn().output());
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -310,6 +310,9 @@
 void record_server::add_chain(const records::WriteRequest& request,
                               records::WriteReply& message) const {
   turn_chain chain = index_.chain(request.chain_of());
+  if (chain.unreadable) {
+    return;  // it is stored, so this store must not count against it
+  }
   message.set_chain_of(request.chain_of());
   message.set_chain(!chain.found        ? records::CHAIN_MISSING
                     : chain.gap.empty() ? records::CHAIN_FOUND
--- a/test/store_reader_test.cc
+++ b/test/store_reader_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(records_of_a_pull_before_the_fence_make_no_voter);
   CPPUNIT_TEST(voter_that_cannot_send_a_listed_record_is_not_read);
   CPPUNIT_TEST(store_reports_that_it_counts_once_that_is_on_disk);
+  CPPUNIT_TEST(voter_that_cannot_read_a_turn_does_not_deny_it);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -117,6 +118,24 @@
     TRAYROCK_CHECK(!*counts, "expected no, seen yes ahead of the disk");
   }
 
+  // Guards against 404 for a turn that a quorum acknowledged: one voter can't
+  // read it any more, one never had it, and one does not reply.
+  void voter_that_cannot_read_a_turn_does_not_deny_it() {
+    start_group();
+    for (const int each : {0, 1}) {
+      write_directly(*stores_[each], turn("t1", "", "one"));
+      run_until(
+          [&] { return !is_pending(*stores_[each], turn("t1", "", "one")); });
+    }
+    lose_content(*stores_[0]);
+    stores_[1].reset();
+    constexpr milliseconds limit{1000};
+    const result<reserved_turn> reply = reserve({}, "t1", limit);
+
+    TRAYROCK_CHECK(!reply || reply.value().chain_found,
+                   "expected an error, seen the turn denied");
+  }
+
  private:
   // The store can't read its records from disk any more.
   static void lose_content(const store& damaged) {
