A voter that cannot read a record of its part keeps no store from joining

A successor never counted, and pulled without a pause (147,283 failed reads in 10 s), if the voter that it read could not read one record of its disk.

Cause: such a record must not be skipped, so that the read never ended, and the keys of the other voters were listed only behind it.

Change: the part ends there; what it lacks is read by key from the other voters.

--- a/src/records/store_reader.cc
+++ b/src/records/store_reader.cc
@@ -156,7 +156,14 @@
   const pull_start start = peers_.on_pull_started(id);
   progress_[id].pulling = pool_.ask<records::PullReply>(
       from.store.address(), "Pull", request, call_timeout,
-      [this, id, kind, start](result<records::PullReply> reply) {
+      [this, id, kind, start,
+       after = request.after()](result<records::PullReply> reply) {
+        const bool is_stuck =
+            reply && reply.value().more() && reply.value().position() <= after;
+        if (kind == records::PULL_RECORDS && is_stuck) {
+          end_part(id);  // the voter can't read its next record
+          return;
+        }
         on_pull_reply(id, kind, start, std::move(reply));
       });
 }
--- a/test/slow_disk_test.cc
+++ b/test/slow_disk_test.cc
@@ -126,6 +126,7 @@
     run();
 
     CPPUNIT_ASSERT(failed.has_value());
+    CPPUNIT_ASSERT(stores_[0] == nullptr);  // it has sent a report
     TRAYROCK_CHECK(bool(*failed),
                    "expected an error, seen a reply although the "
                    "record is not on disk");
--- a/test/store_reader_test.cc
+++ b/test/store_reader_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "record_store_fixture.h"
+#include "trayrock/internal/decide/divided_read.h"
 #include "trayrock/internal/records/store_group.h"
 
 namespace trayrock::testing {
@@ -15,6 +16,7 @@
   CPPUNIT_TEST(voter_counts_once_its_listed_records_are_on_disk);
   CPPUNIT_TEST(records_of_a_pull_before_the_fence_make_no_voter);
   CPPUNIT_TEST(voter_that_cannot_send_a_listed_record_is_not_read);
+  CPPUNIT_TEST(unreadable_record_of_a_voter_keeps_no_store_from_joining);
   CPPUNIT_TEST(store_reports_that_it_counts_once_that_is_on_disk);
   CPPUNIT_TEST(voter_that_cannot_read_a_turn_does_not_deny_it);
   CPPUNIT_TEST_SUITE_END();
@@ -97,6 +99,35 @@
     CPPUNIT_ASSERT(!peer->read_since_fence);
   }
 
+  // Guards against a successor that never counts: a voter can't read one record
+  // of its part, and the others are waiting for that part.
+  void unreadable_record_of_a_voter_keeps_no_store_from_joining() {
+    start_group();
+    CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(turn("t1", "", "one")));
+    for (const auto& each : stores_) {
+      run_until([&] {
+        return each->server.index().has(record_key(turn("t1", "", "one"))) &&
+               !is_pending(*each, turn("t1", "", "one"));
+      });
+    }
+    add_joining_store();
+    reader_->pull_due();
+    run_until([&] {
+      const auto& peers = reader_->peers().all();
+      return std::all_of(peers.begin(), peers.end(), [](const auto& each) {
+        return each.second.id_at_address == each.first;
+      });
+    });
+    lose_content(source_of_turn());
+    const timer ticks = loop_->every(milliseconds(5), [this] { tick(); });
+    run_until([&] { return has_joined(); });
+
+    TRAYROCK_CHECK(has_joined(),
+                   "expected a voter that counts, seen one that "
+                   "has read "
+                       << read_since_fence() << " of 2 voters");
+  }
+
   // Guards against a retiring voter that leaves for a successor which forgets
   // in a loss of power that it counts.
   void store_reports_that_it_counts_once_that_is_on_disk() {
@@ -137,6 +168,23 @@
   }
 
  private:
+  // The voter that sends the joining store the part of the turn t1.
+  store& source_of_turn() {
+    const std::string key = record_key(turn("t1", "", "one"));
+    std::map<std::string, store*> voters;
+    for (std::size_t i = 0; i < 3; ++i) {
+      voters[stores_[i]->server.state().id()] = stores_[i].get();
+    }
+    std::uint32_t part = 0;
+    for (const auto& [id, each] : voters) {
+      if (is_in_part(key, {part, 3})) {
+        return *each;
+      }
+      ++part;
+    }
+    return *stores_.front();
+  }
+
   // The store can't read its records from disk any more.
   static void lose_content(const store& damaged) {
     for (const auto& each :
