A store that joins gives permits at once if all voters confirm theirs

Cause: the store could not know what the others gave in the last window, and assumed the most, although they had given one permit of six.

Change: the store asks the voters of the previous epoch (ConfirmPermits). A voter adopts the new group, writes it to its disk and replies whether its permits lie within its new share. The store gives permits at once if all confirm and no store outside the previous epoch can have given any: the first epoch, or one that a store joined by this rule (decide/permit_confirmations.h). Else it waits for the window. In its first second a closed store asks to come back after 100 ms, so that gateways do not skip it for the rest of the window.

Why it works: the permits of a store that adopted a group never grow beyond its share of it, and the group on its disk keeps a restart from bringing back the old share; so once all have confirmed, the sum stays within the limit.

Compatibility: earlier stores lack the call, and the store that joins waits as before.

Ruled out: fields of the fence's reply (a joining store ends its fences after a read quorum, and needs all voters here). Not run: beside slow disks, and with programs of two versions.

--- a/include/trayrock/internal/decide/permit_limiter.h
+++ b/include/trayrock/internal/decide/permit_limiter.h
@@ -11,8 +11,9 @@
 // (see max_unsynced()) and the delay between a permit and its request.
 //
 // Permits issued before a restart are restored from disk, and count as if they
-// were issued at the start. A store that replaces another can't know what that
-// one issued, and issues nothing for one window.
+// were issued at the start. A store that joins the group issues nothing for one
+// window, unless the other stores confirm earlier that what they issued lies
+// within their new shares (decide/permit_confirmations.h).
 //
 // Requests that start a program can't use a part of each share, since a program
 // under way that is refused a permit loses all work done so far.
@@ -113,6 +114,14 @@
   void set_stores(std::vector<std::string> stores, const std::string& own,
                   std::uint64_t now_ms);
 
+  // True in the window in which a store that has joined issues nothing.
+  bool is_closed(std::uint64_t now_ms) const;
+  void open() { closed_until_ms_ = 0; }
+
+  // Whether the permits of the last window lie within this store's share of the
+  // current group, for every workspace. Once true, it stays true in this group.
+  bool is_within_share(std::uint64_t now_ms);
+
   permit_verdict acquire(std::string_view workspace, const request_limit& limit,
                          permit_use use, std::uint64_t now_ms);
 
@@ -139,9 +148,6 @@
     request_limit limit;  // of the latest configuration received
   };
 
-  // Issues nothing for one window.
-  void close(std::uint64_t now_ms);
-
   std::uint64_t window_end_ms(std::uint64_t now_ms) const;
   std::uint64_t slot_of(std::uint64_t now_ms) const;
   std::uint64_t slot_ms() const;
--- a/include/trayrock/internal/records/permit_server.h
+++ b/include/trayrock/internal/records/permit_server.h
@@ -41,6 +41,9 @@
                      std::function<void(std::error_code)>)>
       write;
   std::function<void(const std::vector<std::string>& workspaces)> erase;
+  // Adopts a group unless it is older; calls back once the store's group is on
+  // disk.
+  std::function<void(const records::Group&, std::function<void()>)> adopt;
 };
 
 class permit_server {
@@ -59,6 +62,13 @@
   // The store has adopted another group.
   void group_changed();
 
+  // True in the window in which a store that has joined grants nothing.
+  bool is_closed() const { return limiter_.is_closed(loop_.now_ms()); }
+
+  // Every voter of the previous epoch has confirmed its permits
+  // (decide/permit_confirmations.h).
+  void on_confirmed();
+
  private:
   struct waiting_reply {
     records::PermitReply message;
@@ -85,6 +95,9 @@
               records::PermitReply& message);
   void remember(const records::PermitRequest& request, std::uint64_t slot);
   void take_back(std::uint64_t call);
+  void confirm(const records::ConfirmPermitsRequest& request,
+               const rpc_reply_ptr& reply);
+  std::chrono::milliseconds shortened(std::chrono::milliseconds next) const;
   void wait_for_disk(const records::PermitRequest& request,
                      const records::PermitReply& message,
                      const rpc_reply_ptr& reply);
@@ -100,6 +113,8 @@
   std::deque<recent_permit> recent_;  // oldest first
   progress_reporter progress_;
   bool disk_failed_ = false;
+  std::uint64_t group_changed_ms_ = 0;
+  std::uint64_t complete_epoch_ = 0;  // decide/permit_confirmations.h
   timer cleanup_timer_;
 };
 
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -53,6 +53,10 @@
   // if it is older.
   void adopt(const records::Group& group, std::function<void()> durable);
 
+  // Adopts a group unless it is older; calls back once the store's state is on
+  // disk, whichever group that has.
+  void adopt_and_sync(const records::Group& group, std::function<void()> then);
+
   // Sets whether the store has all that the group's epoch requires.
   void set_counts(bool counts);
 
--- a/include/trayrock/internal/records/store_group.h
+++ b/include/trayrock/internal/records/store_group.h
@@ -20,6 +20,8 @@
 
 namespace trayrock {
 
+constexpr std::uint64_t first_epoch = 1;
+
 constexpr std::size_t write_quorum(std::size_t voters, std::size_t tolerated) {
   const std::size_t majority = voters / 2 + 1;
   return majority > tolerated + 1 ? majority : tolerated + 1;
--- a/src/decide/permit_limiter.cc
+++ b/src/decide/permit_limiter.cc
@@ -171,12 +171,28 @@
   return share;
 }
 
+bool permit_limiter::is_closed(std::uint64_t now_ms) const {
+  return now_ms < closed_until_ms_;
+}
+
+bool permit_limiter::is_within_share(std::uint64_t now_ms) {
+  const std::uint64_t slot = slot_of(now_ms);
+  return std::all_of(workspaces_.begin(), workspaces_.end(), [&](auto& each) {
+    auto& [workspace, usage] = each;
+    const std::uint64_t share =
+        split_.stores == 0 ? 0
+                           : share_in(requests_in_window(usage.limit, terms_),
+                                      workspace, split_);
+    return usage.window.count(slot) <= share;
+  });
+}
+
 permit_verdict permit_limiter::acquire(std::string_view workspace,
                                        const request_limit& limit,
                                        permit_use use, std::uint64_t now_ms) {
-  if (split_.stores == 0 || now_ms < closed_until_ms_) {
+  if (split_.stores == 0 || is_closed(now_ms)) {
     const std::uint64_t wait_ms =
-        now_ms < closed_until_ms_ ? closed_until_ms_ - now_ms : slot_ms();
+        is_closed(now_ms) ? closed_until_ms_ - now_ms : slot_ms();
     return permit_refused{milliseconds(wait_ms)};
   }
   const auto found = workspaces_.find(workspace);
--- a/src/records/permit_server.cc
+++ b/src/records/permit_server.cc
@@ -11,6 +11,10 @@
 constexpr milliseconds cleanup_period{5000};
 // Callers cancel within a second.
 constexpr std::size_t max_recent_permits = 2048;
+// A store that has joined may be confirmed within the first of these times.
+// Until then, gateways should try it again after the second one.
+constexpr std::uint64_t confirmation_wait_ms = 1000;
+constexpr milliseconds confirmation_retry{100};
 
 std::vector<std::string> ids_of_voters(const records::Group& group) {
   std::vector<std::string> made;
@@ -58,6 +62,10 @@
         reply->send(records::CancelPermitReply());
         reply->finish();
       });
+  server.handle_typed<records::ConfirmPermitsRequest>(
+      "ConfirmPermits",
+      [this](records::ConfirmPermitsRequest& request,
+             const rpc_reply_ptr& reply) { confirm(request, reply); });
   cleanup_timer_ = loop_.every(cleanup_period, [this] { drop_unused(); });
 }
 
@@ -70,6 +78,44 @@
     limiter_.set_stores(ids_of_voters(group), store_.state().id(),
                         loop_.now_ms());
   }
+  group_changed_ms_ = loop_.now_ms();
+}
+
+// Shares shrink when a group is adopted, so that the permits stay within the
+// new share once they are. The group has to be on disk before the reply, or
+// else a restart could bring back the larger share of the old group.
+void permit_server::confirm(const records::ConfirmPermitsRequest& request,
+                            const rpc_reply_ptr& reply) {
+  const auto send_reply = [this, reply] {
+    records::ConfirmPermitsReply message;
+    message.set_store(store_.state().id());
+    message.set_epoch(store_.state().group().epoch());
+    message.set_within_share(limiter_.is_within_share(loop_.now_ms()));
+    message.set_complete_epoch(complete_epoch_);
+    reply->send(message);
+    reply->finish();
+  };
+  if (request.store() == store_.state().id()) {
+    store_.adopt(request.group(), send_reply);
+  } else {
+    reply->send(records::ConfirmPermitsReply());
+    reply->finish();
+  }
+}
+
+void permit_server::on_confirmed() {
+  if (!limiter_.is_within_share(loop_.now_ms())) {
+    return;
+  }
+  limiter_.open();
+  complete_epoch_ = store_.state().group().epoch();
+  log_info("permits_confirmed", {{"epoch", std::to_string(complete_epoch_)}});
+}
+
+milliseconds permit_server::shortened(milliseconds next) const {
+  const bool may_open =
+      is_closed() && loop_.now_ms() < group_changed_ms_ + confirmation_wait_ms;
+  return may_open ? std::min(next, confirmation_retry) : next;
 }
 
 void permit_server::handle_permit(const records::PermitRequest& request,
@@ -163,7 +209,7 @@
     message.set_slot(given->slot);
     remember(request, given->slot);
   } else {
-    const auto next = std::get<permit_refused>(verdict).next;
+    const auto next = shortened(std::get<permit_refused>(verdict).next);
     message.set_next_ms(static_cast<std::uint32_t>(next.count()));
   }
 }
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -459,16 +459,21 @@
 
 void record_server::fence(const records::FenceRequest& request,
                           const rpc_reply_ptr& reply) {
-  const auto send_reply = [this, reply, epoch = request.group().epoch()] {
-    reply->send(answer_fence(state_, epoch));
-    reply->finish();
-  };
-  if (request.group().epoch() > state_.group().epoch()) {
-    adopt(request.group(), nullptr);
+  adopt_and_sync(request.group(),
+                 [this, reply, epoch = request.group().epoch()] {
+                   reply->send(answer_fence(state_, epoch));
+                   reply->finish();
+                 });
+}
+
+void record_server::adopt_and_sync(const records::Group& group,
+                                   std::function<void()> then) {
+  if (group.epoch() > state_.group().epoch()) {
+    adopt(group, nullptr);
   }
   // The group may have been adopted before, by another request or a watch, and
   // not be on disk yet. After a loss of power, the fence must still hold.
-  when_state_durable(send_reply);
+  when_state_durable(std::move(then));
 }
 
 void record_server::expire() {
--- a/src/records/store_group.cc
+++ b/src/records/store_group.cc
@@ -86,7 +86,7 @@
               return left.box() < right.box();
             });
   records::Group group;
-  group.set_epoch(1);
+  group.set_epoch(first_epoch);
   group.set_tolerated(tolerated);
   std::set<std::string> data_centres;
   std::set<std::string> chosen;
--- a/src/records/store_main.cc
+++ b/src/records/store_main.cc
@@ -7,7 +7,7 @@
 #include "trayrock/internal/net/http1_server.h"
 #include "trayrock/internal/net/loop_delay_reporter.h"
 #include "trayrock/internal/process.h"
-#include "trayrock/internal/records/permit_server.h"
+#include "trayrock/internal/records/permit_joiner.h"
 #include "trayrock/internal/records/store_membership_driver.h"
 #include "trayrock/internal/settings/service_settings.h"
 
@@ -50,10 +50,19 @@
        },
        [&server](const std::vector<std::string>& workspaces) {
          server.erase_permits(workspaces);
+       },
+       [&server](const records::Group& group, std::function<void()> then) {
+         server.adopt_and_sync(group, std::move(then));
        }});
+  permit_joiner joiner(
+      loop, peers, permits,
+      [&server]() -> const records::StoreState& { return server.state(); });
   server.on_permits(
       [&permits](const records::GivenPermits& read) { permits.restore(read); });
-  server.on_group([&permits] { permits.group_changed(); });
+  server.on_group([&permits, &joiner] {
+    permits.group_changed();
+    joiner.group_changed();
+  });
   if (const std::error_code failed = server.open_disk(settings.data_folder)) {
     log_error("store_not_started", {{"error", std::to_string(failed.value())},
                                     {"cause", failed.message()}});
--- a/test/permit_limiter_test.cc
+++ b/test/permit_limiter_test.cc
@@ -50,6 +50,10 @@
   CPPUNIT_TEST(workspaces_have_separate_limits);
   CPPUNIT_TEST(restart_keeps_the_permits_issued_before);
   CPPUNIT_TEST(joining_store_issues_nothing_for_a_window);
+  CPPUNIT_TEST(joining_store_that_is_opened_issues_its_share);
+  CPPUNIT_TEST(store_is_within_its_share_once_enough_permits_have_expired);
+  CPPUNIT_TEST(store_within_a_smaller_share_stays_within_it);
+  CPPUNIT_TEST(store_that_left_is_within_its_share_without_permits_only);
   CPPUNIT_TEST(shares_grow_one_window_after_a_store_has_left);
   CPPUNIT_TEST(replacement_of_a_store_keeps_the_limit_in_every_window);
   CPPUNIT_TEST(store_outside_the_group_issues_nothing);
@@ -170,6 +174,50 @@
     CPPUNIT_ASSERT_EQUAL(20, acquire_all(limiter, 6300));
   }
 
+  void joining_store_that_is_opened_issues_its_share() {
+    permit_limiter limiter(plain_terms);
+    limiter.begin({}, "store-1");
+    limiter.set_stores(three_stores, "store-1", 1000);
+    CPPUNIT_ASSERT(limiter.is_closed(1000));
+    limiter.open();
+
+    CPPUNIT_ASSERT(!limiter.is_closed(1000));
+    CPPUNIT_ASSERT_EQUAL(20, acquire_all(limiter, 1000));
+  }
+
+  void store_is_within_its_share_once_enough_permits_have_expired() {
+    permit_limiter limiter(plain_terms);
+    limiter.begin({"store-1", "store-2"}, "store-1");
+    CPPUNIT_ASSERT_EQUAL(30, acquire_all(limiter, 1000));
+    CPPUNIT_ASSERT(limiter.is_within_share(1000));
+    limiter.set_stores(three_stores, "store-1", 1100);
+
+    CPPUNIT_ASSERT(!limiter.is_within_share(1100));
+    CPPUNIT_ASSERT(limiter.is_within_share(6500));
+  }
+
+  void store_within_a_smaller_share_stays_within_it() {
+    permit_limiter limiter(plain_terms);
+    limiter.begin({"store-1", "store-2"}, "store-1");
+    for (int i = 0; i < 5; ++i) {
+      limiter.acquire("growers", limit_of_60, permit_use::regular, 1000);
+    }
+    limiter.set_stores(three_stores, "store-1", 1100);
+    CPPUNIT_ASSERT(limiter.is_within_share(1100));
+
+    CPPUNIT_ASSERT_EQUAL(15, acquire_all(limiter, 1200));
+    CPPUNIT_ASSERT(limiter.is_within_share(1200));
+  }
+
+  void store_that_left_is_within_its_share_without_permits_only() {
+    permit_limiter limiter = limiter_of("store-1");
+    limiter.acquire("growers", limit_of_60, permit_use::regular, 1000);
+    limiter.set_stores({"store-2", "store-3"}, "store-1", 1100);
+
+    CPPUNIT_ASSERT(!limiter.is_within_share(1100));
+    CPPUNIT_ASSERT(limiter.is_within_share(6500));
+  }
+
   void shares_grow_one_window_after_a_store_has_left() {
     permit_limiter limiter = limiter_of("store-1");
     limiter.set_stores({"store-1", "store-2"}, "store-1", 1000);
--- a/test/permit_path_test.cc
+++ b/test/permit_path_test.cc
@@ -32,6 +32,17 @@
                         {{"Authorization", "Bearer " + key}});
 }
 
+void add_third_store(service_deployment& system) {
+  system.add_store("store-3");
+  system.start("store-3");
+  wait_until("the group has three voters", [&] {
+    const json group = system.group();
+    return group.is_object() && group["voters"].size() == 3;
+  });
+  wait_until("store-3 counts",
+             [&] { return system.metric("store-3", "store_counts") == 1; });
+}
+
 // Permits require that the gateways have the stores' group.
 void wait_until_served(service_deployment& system) {
   wait_until("a permit is given", [&] {
@@ -43,6 +54,7 @@
   CPPUNIT_TEST_SUITE(permit_path_test);
   CPPUNIT_TEST(limit_is_shared_by_all_gateways);
   CPPUNIT_TEST(limit_is_complete_when_a_store_joins_a_first_group_of_two);
+  CPPUNIT_TEST(store_that_joins_grants_nothing_beyond_a_used_up_limit);
   CPPUNIT_TEST(rejection_has_retry_after_and_nothing_ran);
   CPPUNIT_TEST(workspace_over_its_limit_does_not_affect_others);
   CPPUNIT_TEST(request_that_did_not_run_is_not_counted);
@@ -74,14 +86,7 @@
     service_deployment system(options);
     system.start_all();
     wait_until_served(system);
-    system.add_store("store-3");
-    system.start("store-3");
-    wait_until("the group has three voters", [&] {
-      const json group = system.group();
-      return group.is_object() && group["voters"].size() == 3;
-    });
-    wait_until("store-3 counts",
-               [&] { return system.metric("store-3", "store_counts") == 1; });
+    add_third_store(system);
 
     int served = 1;
     for (int i = 0; i < 20; ++i) {
@@ -92,6 +97,29 @@
     CPPUNIT_ASSERT_EQUAL(12, served);
   }
 
+  void store_that_joins_grants_nothing_beyond_a_used_up_limit() {
+    service_options options = with_limit(0.2, 0, long_window_s);
+    options.stores = 2;
+    service_deployment system(options);
+    system.start_all();
+    wait_until_served(system);
+    int served = 1;
+    for (int i = 0; i < 20; ++i) {
+      served +=
+          send_request(system, "gateway-1", "a" + std::to_string(i)).status ==
+          200;
+    }
+    CPPUNIT_ASSERT_EQUAL(12, served);
+    add_third_store(system);
+
+    for (int i = 0; i < 20; ++i) {
+      served +=
+          send_request(system, "gateway-2", "b" + std::to_string(i)).status ==
+          200;
+    }
+    CPPUNIT_ASSERT_EQUAL(12, served);
+  }
+
   void rejection_has_retry_after_and_nothing_ran() {
     service_deployment system(with_limit(1, 0, 1));
     system.start_all();
