A voter that restarts does not end its part of a read

The check for a voter that can't read its next record compared positions of two logs: a voter that starts again numbers its records anew, so that its part ended and the rest was read by key. Found by reading the change; only the time was affected. Positions are compared within one log.

store_reader_test (6), full_read_test (4), record_stores_test (8) passed.

--- a/src/records/store_reader.cc
+++ b/src/records/store_reader.cc
@@ -29,6 +29,14 @@
   return made;
 }
 
+// True if the voter can't read its next record, which must not be skipped.
+bool is_stuck(const records::PullRequest& request,
+              const records::PullReply& reply) {
+  const std::uint64_t from = reply.log() == request.log() ? request.after() : 0;
+  return request.kind() == records::PULL_RECORDS && reply.more() &&
+         reply.position() <= from;
+}
+
 }  // namespace
 
 bool store_reader::joining() const {
@@ -146,25 +154,21 @@
 
 void store_reader::send_pull(const store_peer& from,
                              records::PullRequest request) {
-  const records::PullKind kind = request.kind();
   const std::string id = from.store.id();
   const std::optional<read_part> part = divided_read_.part_of(id);
-  if (kind == records::PULL_RECORDS && part) {
+  if (request.kind() == records::PULL_RECORDS && part) {
     request.set_part(part->number);
     request.set_parts(part->count);
   }
   const pull_start start = peers_.on_pull_started(id);
   progress_[id].pulling = pool_.ask<records::PullReply>(
       from.store.address(), "Pull", request, call_timeout,
-      [this, id, kind, start,
-       after = request.after()](result<records::PullReply> reply) {
-        const bool is_stuck =
-            reply && reply.value().more() && reply.value().position() <= after;
-        if (kind == records::PULL_RECORDS && is_stuck) {
-          end_part(id);  // the voter can't read its next record
+      [this, id, request, start](result<records::PullReply> reply) {
+        if (reply && is_stuck(request, reply.value())) {
+          end_part(id);
           return;
         }
-        on_pull_reply(id, kind, start, std::move(reply));
+        on_pull_reply(id, request.kind(), start, std::move(reply));
       });
 }
 
