Names, comments and log outcomes, read as a newcomer

A reader without the history read the whole change. Reworded: what the margins of a stop are for, when a request is ended early, what a complete epoch of permits is, attended time, why a socket is read beside its bufferevent. part_read becomes part_ended with its outcome, since it was also logged for parts that were not read. In store_reader two functions with nearly the same name are one. No behaviour changes but for that event.

--- a/include/trayrock/internal/decide/isolation_detector.h
+++ b/include/trayrock/internal/decide/isolation_detector.h
@@ -31,8 +31,8 @@
   void tick(std::uint64_t now_ms);
 
   bool is_isolated() const { return isolated_since_ms_ != 0; }
-  // When the first request without a reply was sent, later by the time that
-  // this process was late since; 0: not isolated.
+  // When the first request without a reply was sent, plus the time by which
+  // ticks were late since then; 0: not isolated.
   std::uint64_t isolated_since_ms() const { return isolated_since_ms_; }
 
  private:
--- a/include/trayrock/internal/decide/loop_delay.h
+++ b/include/trayrock/internal/decide/loop_delay.h
@@ -1,5 +1,5 @@
-// Judges how late an event loop runs its timers. No I/O; the caller passes the
-// time.
+// Measures how late an event loop runs its timers. No I/O; the caller passes
+// the time.
 //
 // A loop with more to do than it has processor time for handles each event
 // late: replies that have arrived are not read yet, and timeouts expire all the
@@ -31,7 +31,8 @@
   // The timer fired, to be set again for tick_period_ms.
   void tick(std::uint64_t now_ms);
 
-  // A clock that stands still while this loop is late. Never goes back.
+  // Attended time: advances by at most one period and the usual delay between
+  // two ticks. Never decreases.
   std::uint64_t attended_ms(std::uint64_t now_ms) const;
 
   // By how much the last tick was late.
--- a/include/trayrock/internal/decide/permit_confirmations.h
+++ b/include/trayrock/internal/decide/permit_confirmations.h
@@ -7,14 +7,17 @@
 //
 // - every voter of the previous epoch has the new group on disk, and confirms
 //   that its permits lie within its share of it (a voter that leaves has none);
-// - no other store issued permits, or can do so: the previous epoch is
-//   complete.
+// - the previous epoch is complete.
 //
-// The first epoch is complete, since no permits were issued before. A later one
-// is complete if a store joined it by this decision; only that store confirms
-// it, until it restarts. Without a confirmation, as from voters that are
-// silent, lost their disk or run an earlier version, the store waits for the
-// end of the window.
+// An epoch is complete if no store other than its voters issued permits in the
+// last window, or can still issue any. The first epoch is complete, since no
+// permits were issued before it. A later epoch is complete if a store that
+// joined it received all confirmations, since the voters that left have then
+// confirmed that they issued none. That store reports it (`complete_epoch`)
+// until it restarts, since this is not kept on disk.
+//
+// If a confirmation is missing, because a voter is silent, lost its disk or
+// runs an earlier version, the store waits for the end of the window.
 //
 // No I/O and no clock.
 //
--- a/include/trayrock/internal/gateway/client_response.h
+++ b/include/trayrock/internal/gateway/client_response.h
@@ -30,13 +30,13 @@
 
   http1_exchange& exchange() { return *out_; }
 
-  // Whether the client has received a part of the response.
+  // Whether the client may have received a part of the response.
   bool has_begun() const { return out_->begun(); }
 
-  // As above, or whether a part of the response is deferred.
+  // Whether begin() was called, even if the response is deferred.
   bool has_content() const { return has_begun() || deferred_head_.has_value(); }
 
-  // From now on, nothing is sent before finish().
+  // Nothing is sent before finish(). Must be called before begin().
   void defer_until_complete() { deferred_ = true; }
 
   // From now on, only complete events are passed on.
--- a/include/trayrock/internal/gateway/gateway_lifecycle.h
+++ b/include/trayrock/internal/gateway/gateway_lifecycle.h
@@ -54,8 +54,8 @@
   bool serving() const { return serving_; }
   bool draining() const { return draining_; }
 
-  // Time left to respond to open requests, shorter than that of the process;
-  // the largest value while not draining.
+  // Time left to send responses to open requests; less than the time until the
+  // process ends. The largest value while not draining.
   milliseconds time_to_shutdown() const;
 
   // Retry-After for requests that are rejected while draining.
@@ -67,7 +67,7 @@
  private:
   void stop_accepting_connections();
   void check_drained();
-  void flush_last_responses();
+  void await_last_responses();
   void stop_unfinished();
 
   event_loop& loop_;
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -45,7 +45,7 @@
   std::map<std::string, slow_endpoint_detector, std::less<>>&
       slow_detectors;  // by service
   recent_programs& programs;
-  shutdown_observers& on_shutdown;  // notified once open requests must end
+  shutdown_observers& on_shutdown;  // notified shortly before the process stops
   std::string data_centre;
   gateway_policy policy;
   std::function<configuration_ptr()> configuration;  // nullptr: none yet
--- a/include/trayrock/internal/gateway/shutdown_observers.h
+++ b/include/trayrock/internal/gateway/shutdown_observers.h
@@ -1,4 +1,5 @@
-// Open requests that need a response before the process stops.
+// Callbacks that are called once, shortly before the process stops, such as
+// those of open requests that need a response.
 //
 // Example:
 //   shutdown_observers observers;
@@ -46,7 +47,8 @@
     return {*this, last_id_};
   }
 
-  // Each callback is called at most once. It may end subscriptions.
+  // Calls each callback and removes it. A callback may destroy any
+  // subscription, its own included.
   void notify() {
     while (!callbacks_.empty()) {
       const callback next = std::move(callbacks_.begin()->second);
--- a/include/trayrock/internal/net/loop.h
+++ b/include/trayrock/internal/net/loop.h
@@ -65,8 +65,9 @@
   // Calls back once after the delay.
   timer after(milliseconds delay, std::function<void()> callback);
 
-  // As after(), but time by which this loop is late does not count: for the
-  // silence of others, whose replies may have arrived.
+  // As after(), but the delay is attended time (decide/loop_delay.h). For
+  // timeouts of replies: those that arrived while this loop was late are read
+  // first.
   timer after_attended(milliseconds delay, std::function<void()> callback);
 
   // Calls back again and again, the first time after one period.
@@ -84,7 +85,7 @@
   // As now_ms(), in microseconds.
   std::uint64_t now_us() const;
 
-  // As now_ms(), but stands still while this loop is late.
+  // As now_ms(), in attended time (decide/loop_delay.h).
   std::uint64_t attended_ms() const { return delay_.attended_ms(now_ms()); }
 
   // How late this loop runs its timers.
--- a/include/trayrock/internal/records/store_reader.h
+++ b/include/trayrock/internal/records/store_reader.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "trayrock/internal/decide/divided_read.h"
@@ -99,14 +100,12 @@
                      const records::PullReply& listed);
   void on_missing_stored(const std::string& id, const pull_start& start,
                          const records::PullReply& listed, bool all);
-  void record_listed(const std::string& id, const pull_start& start,
+  void finish_listed(const std::string& id, const pull_start& start,
                      const records::PullReply& listed);
   void on_part_stored(const std::string& id, const records::PullReply& reached);
-  void end_part(const std::string& voter);
-  bool note_progress(const std::string& id, const pull_start& start,
-                     const records::PullReply& reached);
-  void record_progress(const std::string& id, const pull_start& start,
-                       const records::PullReply& reached);
+  void end_part(const std::string& voter, std::string_view outcome);
+  void advance(const std::string& id, const pull_start& start,
+               const records::PullReply& reached);
   void fence(const store_peer& voter);
 
   event_loop& loop_;
--- a/src/decide/isolation_detector.cc
+++ b/src/decide/isolation_detector.cc
@@ -8,6 +8,7 @@
 // Longer than the timeout of a call to a store and of the same call by way of a
 // peer together.
 constexpr std::uint64_t max_silence_ms = 800;
+
 }  // namespace
 
 void isolation_detector::on_request_sent(std::uint64_t now_ms) {
@@ -21,7 +22,9 @@
   isolated_since_ms_ = 0;
 }
 
-// Replies that arrived while this process was late are not read yet.
+// Replies that arrived while this process was late are not read yet. Not
+// attended time (decide/loop_delay.h), since callers subtract
+// isolated_since_ms() from now_ms().
 std::uint64_t isolation_detector::lateness(std::uint64_t now_ms) const {
   const std::uint64_t due_ms =
       last_tick_ms_ == 0 ? now_ms : last_tick_ms_ + tick_period_ms;
--- a/src/gateway/gateway_lifecycle.cc
+++ b/src/gateway/gateway_lifecycle.cc
@@ -12,12 +12,13 @@
 // before the end; a request is rejected if its route needs longer than is left.
 constexpr milliseconds accept_margin{700};
 constexpr milliseconds drain_check_period{50};
-// The process ends this long before it would be killed.
+// Time between the end of the drain and the kill. Up to `flush_limit` of it is
+// used to send the last responses.
 constexpr milliseconds stop_margin{300};
-// Open requests get their last responses this long before the process ends.
+// Open requests get their last responses this long before the end of the drain.
 constexpr milliseconds final_response_margin{300};
-// For the last responses to be sent, if the loop was late to write them.
 constexpr milliseconds flush_limit{150};
+static_assert(flush_limit < stop_margin);
 // Connections to a new process wait at most this long.
 constexpr milliseconds max_start_delay{600};
 
@@ -71,7 +72,7 @@
                               [this] { stop_accepting_connections(); });
   observers_timer_ =
       loop_.after(time_to_shutdown(), [this] { observers_.notify(); });
-  end_timer_ = loop_.after(left, [this] { flush_last_responses(); });
+  end_timer_ = loop_.after(left, [this] { await_last_responses(); });
 }
 
 void gateway_lifecycle::stop_accepting_connections() {
@@ -88,8 +89,9 @@
   }
 }
 
-// The end of the loop discards what is not sent yet.
-void gateway_lifecycle::flush_last_responses() {
+// Stopping the loop would discard responses that are not sent yet. Requests
+// that arrived since the first notification get their response here.
+void gateway_lifecycle::await_last_responses() {
   observers_.notify();
   end_timer_ = loop_.after(flush_limit, [this] { stop_unfinished(); });
 }
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -49,8 +49,8 @@
     response_.make_resumable();
   }
   if (routing_.is_limited_by_shutdown()) {
-    // A stream that the process cannot finish ends with an error this way, and
-    // not in the middle.
+    // If the time is too short, the client then gets an error response and not
+    // an incomplete stream.
     response_.defer_until_complete();
   }
   watch_deadline_and_client();
@@ -106,7 +106,7 @@
           flow->on_deadline();
         }
       });
-  shutdown_ = context_.on_shutdown.add([weak] {
+  shutdown_subscription_ = context_.on_shutdown.add([weak] {
     if (const auto flow = weak.lock()) {
       flow->on_shutdown();
     }
@@ -144,7 +144,7 @@
   }
 }
 
-void request_flow::end_early(errc not_sent) {
+void request_flow::end_early(errc if_unsent) {
   if (storing_turn_) {
     on_turn_stored(errc::not_durable);
     return;
@@ -152,7 +152,7 @@
   const bool sent = attempt_.in_flight() || report_.sends > 0;
   attempt_.cancel();
   attempt_.end(attempt_outcome::broken);
-  fail(sent ? errc::runner_timeout : not_sent);
+  fail(sent ? errc::runner_timeout : if_unsent);
 }
 
 void request_flow::give_up(errc why) {
@@ -198,6 +198,8 @@
 
 milliseconds request_flow::run_time() const {
   constexpr std::uint64_t us_per_ms = 1000;
+  // permit_us and reserve_us are both measured from the start of the request;
+  // keep_us is a duration.
   const std::uint64_t waited =
       std::max(report_.permit_us, report_.reserve_us) + report_.keep_us;
   return milliseconds(static_cast<long>((elapsed_us() - waited) / us_per_ms));
@@ -232,7 +234,7 @@
 void request_flow::end(std::string_view outcome, int status) {
   ended_ = true;
   deadline_.cancel();
-  shutdown_ = {};
+  shutdown_subscription_ = {};
   silence_timer_.cancel();
   stores_guard_.cancel();
   return_unused_permit();
--- a/src/gateway/request_flow_history.cc
+++ b/src/gateway/request_flow_history.cc
@@ -61,6 +61,7 @@
   if (ended_) {
     return;
   }
+  // No part was sent, as with a deferred response: an error can still be sent.
   if (failed && !response_.has_begun()) {
     reject(errc::outcome_unknown);
     return;
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -35,13 +35,15 @@
   void on_client_disconnected();
   void on_deadline();
 
-  // The process stops before the deadline. A stream that has begun may still
-  // complete while the process exits.
+  // Called shortly before the process stops, for requests that began before the
+  // shutdown. Later ones have a time limit that ends earlier. A response that
+  // has begun is not ended here, since it may complete until the process ends.
   void on_shutdown();
 
-  // Ends the request before its response is complete. `not_sent` is the error
-  // if no endpoint got it.
-  void end_early(errc not_sent);
+  // Ends the request before its response is complete: as a turn that is not
+  // durable if the turn is being stored, with errc::runner_timeout if an
+  // endpoint may have received the request, else with `if_unsent`.
+  void end_early(errc if_unsent);
 
   // Fails the request when no endpoint is left to try. The error says that
   // nothing has run only if no endpoint may have run it.
@@ -59,8 +61,8 @@
   // Why the endpoint was chosen, for the log.
   std::string placed_by() const;
 
-  // The time that the request took, without its waits for the stores: these say
-  // nothing about the next request.
+  // elapsed_ms() without the waits for the stores, which depend on the stores'
+  // load and not on the route.
   milliseconds run_time() const;
 
   // Rejected requests may have no route, or no configuration.
@@ -171,7 +173,7 @@
   bool storing_turn_ = false;  // the stream is complete, the turn not durable
   bool ended_ = false;
   timer deadline_;
-  shutdown_observers::subscription shutdown_;
+  shutdown_observers::subscription shutdown_subscription_;
   timer silence_timer_;
   timer stores_guard_;
   std::uint64_t began_us_;
--- a/src/net/http2_session.cc
+++ b/src/net/http2_session.cc
@@ -15,9 +15,9 @@
 constexpr std::size_t length_bytes = 4;
 constexpr std::int32_t window_bytes = 16 << 20;
 constexpr std::uint32_t max_streams = 100000;
-// libevent reads at most this much of a connection in a round of the loop.
+// The most that libevent reads from a connection per iteration of the loop.
 constexpr std::size_t libevent_read_bytes = 4096;
-// Other connections wait meanwhile.
+// Limit per connection and iteration, so that other connections are served.
 constexpr std::size_t max_round_bytes = 256 << 10;
 
 std::size_t read_length(std::string_view bytes) {
@@ -56,7 +56,9 @@
   return true;
 }
 
-// The end of the connection, or an error, shows again when libevent reads.
+// Reads the socket directly, after all that libevent has buffered was fed. The
+// end of the connection and errors are left to libevent, whose next read
+// returns them.
 bool feed_unread(nghttp2_session* session, evutil_socket_t socket, bool& busy,
                  std::uint64_t& bytes_in) {
   std::array<unsigned char, 32 << 10> bytes;
@@ -131,11 +133,13 @@
 bool feed_session(nghttp2_session* session, bufferevent* bev, bool& busy,
                   std::uint64_t& bytes_in) {
   evbuffer* input = bufferevent_get_input(bev);
-  const bool more = evbuffer_get_length(input) >= libevent_read_bytes;
+  const bool may_have_unread =
+      evbuffer_get_length(input) >= libevent_read_bytes;
   if (!feed_buffered(session, input, busy, bytes_in)) {
     return false;
   }
-  return !more || feed_unread(session, bufferevent_getfd(bev), busy, bytes_in);
+  return !may_have_unread ||
+         feed_unread(session, bufferevent_getfd(bev), busy, bytes_in);
 }
 
 bool flush_session(nghttp2_session* session, bufferevent* bev, bool busy,
--- a/src/net/http2_session.h
+++ b/src/net/http2_session.h
@@ -49,10 +49,11 @@
                       void* context);
 };
 
-// Feeds what has arrived on `bev` to the session: all calls to a peer share a
-// connection, and what libevent reads in a round of the loop is too little.
-// False when the session is broken. `busy` is set while nghttp2's callbacks
-// run.
+// Feeds the bytes that have arrived on `bev` to the session. If libevent read
+// its maximum, also reads the socket directly: all calls to a peer share one
+// connection, and libevent reads only 4 KiB of it per iteration of the loop.
+// Returns false if the session is broken. `busy` is true while nghttp2's
+// callbacks run.
 bool feed_session(nghttp2_session* session, bufferevent* bev, bool& busy,
                   std::uint64_t& bytes_in);
 
@@ -63,7 +64,8 @@
 // Sends the settings and opens a large window for the connection.
 void submit_large_windows(nghttp2_session* session);
 
-// Writes as much in a round of the loop as feed_session() reads.
+// Raises libevent's limit on bytes written per iteration to that of
+// feed_session().
 void use_large_writes(bufferevent* bev);
 
 void set_no_delay(bufferevent* bev);
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -29,7 +29,7 @@
 
   static void fire(evutil_socket_t, short, void* context) {
     auto* self = static_cast<state*>(context);
-    if (self->is_early()) {
+    if (self->rearm_if_early()) {
       return;
     }
     self->firing = true;
@@ -46,11 +46,14 @@
     }
   }
 
-  // Waits on if too little of the time was attended.
-  bool is_early() const {
-    const std::uint64_t now_ms =
-        attended_by == nullptr ? 0 : attended_by->attended_ms();
-    if (attended_by == nullptr || now_ms >= due_attended_ms) {
+  // Sets the event again if less attended time than the delay has passed.
+  // Returns whether it did.
+  bool rearm_if_early() {
+    if (attended_by == nullptr) {
+      return false;
+    }
+    const std::uint64_t now_ms = attended_by->attended_ms();
+    if (now_ms >= due_attended_ms) {
       return false;
     }
     const timeval left =
--- a/src/records/permit_server.cc
+++ b/src/records/permit_server.cc
@@ -11,9 +11,10 @@
 constexpr milliseconds cleanup_period{5000};
 // Callers cancel within a second.
 constexpr std::size_t max_recent_permits = 2048;
-// A store that has joined may be confirmed within the first of these times.
-// Until then, gateways should try it again after the second one.
+// In this time after a change of the group, confirmations may still arrive and
+// end the wait for the window.
 constexpr std::uint64_t confirmation_wait_ms = 1000;
+// Retry delay of refused callers in that time.
 constexpr milliseconds confirmation_retry{100};
 
 std::vector<std::string> ids_of_voters(const records::Group& group) {
@@ -81,9 +82,10 @@
   group_changed_ms_ = loop_.now_ms();
 }
 
-// Shares shrink when a group is adopted, so that the permits stay within the
-// new share once they are. The group has to be on disk before the reply, or
-// else a restart could bring back the larger share of the old group.
+// Permits within the share stay within it, since the limiter applies the new
+// share once the group is adopted. The group must be on disk before the reply:
+// after a restart, the store would otherwise use the larger share of the old
+// group.
 void permit_server::confirm(const records::ConfirmPermitsRequest& request,
                             const rpc_reply_ptr& reply) {
   const auto send_reply = [this, reply] {
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -311,7 +311,7 @@
                               records::WriteReply& message) const {
   turn_chain chain = index_.chain(request.chain_of());
   if (chain.unreadable) {
-    return;  // it is stored, so this store must not count against it
+    return;  // no result: CHAIN_MISSING would deny a turn that is stored
   }
   message.set_chain_of(request.chain_of());
   message.set_chain(!chain.found        ? records::CHAIN_MISSING
@@ -331,7 +331,8 @@
                {{"kind", records::PullKind_Name(request.kind())}});
   records::PullReply message;
   message.set_store(state_.id());
-  // A store that forgets in a loss of power that it counts is no successor yet.
+  // Not before the state is on disk: after a loss of power, the store would no
+  // longer count, and others may have relied on it.
   message.set_counts(state_.counts() && state_saves_ == 0);
   message.set_epoch(state_.group().epoch());
   *message.mutable_group() = state_.group();
--- a/src/records/store_reader.cc
+++ b/src/records/store_reader.cc
@@ -103,7 +103,7 @@
   const std::map<std::string, read_part> parts = divided_read_.parts();
   for (const auto& [voter, part] : parts) {
     if (is_lost(voter)) {
-      end_part(voter);
+      end_part(voter, "lost");
     }
   }
 }
@@ -165,7 +165,7 @@
       from.store.address(), "Pull", request, call_timeout,
       [this, id, request, start](result<records::PullReply> reply) {
         if (reply && is_stuck(request, reply.value())) {
-          end_part(id);
+          end_part(id, "unreadable");
           return;
         }
         on_pull_reply(id, request.kind(), start, std::move(reply));
@@ -216,7 +216,7 @@
                                  const records::PullReply& listed) {
   const named_records missing = find_missing(listed);
   if (missing.request.keys_size() == 0) {
-    record_listed(id, start, listed);
+    finish_listed(id, start, listed);
     return;
   }
   const store_peer* const from = peers_.find(id);
@@ -242,16 +242,17 @@
                                      bool all) {
   const store_peer* const from = peers_.find(id);
   if (all) {
-    record_listed(id, start, listed);
+    finish_listed(id, start, listed);
   } else if (from != nullptr) {
     pull(*from);
   }
 }
 
-// A listed record may be in the index while its write is still pending. One
-// that was listed and not sent is listed again at the next pull unless it
-// expired; an unreadable record must not be skipped.
-void store_reader::record_listed(const std::string& id, const pull_start& start,
+// The position moves past the listed keys once all their records are on disk;
+// the index also has records whose write is pending. A record that the voter
+// could not send must not be skipped: its key is listed again by the next pull,
+// unless it expired.
+void store_reader::finish_listed(const std::string& id, const pull_start& start,
                                  const records::PullReply& listed) {
   const bool complete = std::all_of(
       listed.keys().begin(), listed.keys().end(),
@@ -260,7 +261,7 @@
     return;
   }
   server_.when_durable(listed, [this, id, start, reached = reached_by(listed)] {
-    record_progress(id, start, reached);
+    advance(id, start, reached);
   });
 }
 
@@ -324,44 +325,39 @@
   progress_[id].log = reached.log();
   progress_[id].position = reached.position();
   if (!reached.more()) {
-    end_part(id);
+    end_part(id, "read");
   }
 }
 
-// The voter's keys are listed from the first one on afterwards.
-void store_reader::end_part(const std::string& voter) {
+// What the part did not bring is read by key, so the next pull lists the
+// voter's keys from the start of its log.
+void store_reader::end_part(const std::string& voter,
+                            std::string_view outcome) {
   divided_read_.end_part(voter);
   progress_[voter].log = 0;
   progress_[voter].position = 0;
-  log_info("part_read", {{"voter", voter},
-                         {"records", std::to_string(server_.index().size())}});
+  log_info("part_ended", {{"voter", voter},
+                          {"outcome", std::string(outcome)},
+                          {"records", std::to_string(server_.index().size())}});
 }
 
-// All records up to the position are on this store's disk. Returns false if
-// that is known already.
-bool store_reader::note_progress(const std::string& id, const pull_start& start,
-                                 const records::PullReply& reached) {
+// All records up to the position are on this store's disk.
+void store_reader::advance(const std::string& id, const pull_start& start,
+                           const records::PullReply& reached) {
   const store_peer* const peer = peers_.find(id);
   const bool was_read = peer != nullptr && peer->read_to_end;
   if (!peers_.on_records_stored(id, start, !reached.more())) {
-    return false;
+    return;  // no longer a peer, or a later pull is on disk already
   }
   progress_[id].log = reached.log();
   progress_[id].position = reached.position();
-  if (!was_read && !reached.more()) {
+  if (reached.more()) {
+    pull(*peer);
+  } else if (!was_read) {
     log_info(
         "voter_read",
         {{"voter", id}, {"records", std::to_string(server_.index().size())}});
   }
-  return true;
-}
-
-void store_reader::record_progress(const std::string& id,
-                                   const pull_start& start,
-                                   const records::PullReply& reached) {
-  if (note_progress(id, start, reached) && reached.more()) {
-    pull(*peers_.find(id));
-  }
 }
 
 // ---- Fences ----------------------------------------------------------------
