Calls that pass changes on time out by the steady clock

Suspected, not shown: since time that a process is behind no longer counts, every call between processes waits longer on a busy gateway, also the polls of those that watch the platform. Their timeouts are shares of the 3,000 ms, which run in real time.

Change: attended time is for calls to the stores alone, as measured before; all others, and connecting, go by the steady clock as they did.

--- a/include/trayrock/internal/net/rpc.h
+++ b/include/trayrock/internal/net/rpc.h
@@ -130,6 +130,11 @@
   std::shared_ptr<canceller> canceller_;
 };
 
+// The time by which a call times out. Attended time (decide/loop_delay.h)
+// leaves out the delay of this process; calls with a bound of their own in real
+// time, as those that pass changes on, go by the steady clock.
+enum class timeout_clock { steady, attended };
+
 // Connections to peers, one for each address, made when first used.
 class rpc_pool {
  public:
@@ -148,10 +153,12 @@
   rpc_call start(const std::string& peer, std::string_view method,
                  const google::protobuf::MessageLite& request,
                  milliseconds timeout, message_callback on_message,
-                 end_callback on_end);
+                 end_callback on_end,
+                 timeout_clock clock = timeout_clock::steady);
 
-  // A call that may report progress: replies with pending() set go to
-  // `on_progress` and restart the timeout; the last reply goes to `done`.
+  // A call that may report progress, timed by attended time: replies with
+  // pending() set go to `on_progress` and restart the timeout; the last reply
+  // goes to `done`.
   template <typename reply_type>
   rpc_call ask_with_progress(const std::string& peer, std::string_view method,
                              const google::protobuf::MessageLite& request,
@@ -180,7 +187,8 @@
           } else {
             done(std::move(**reply));
           }
-        });
+        },
+        timeout_clock::attended);
   }
 
   // A call with exactly one reply, parsed.
--- a/src/net/rpc_client.cc
+++ b/src/net/rpc_client.cc
@@ -39,6 +39,7 @@
   bool answered = false;
   bool done = false;
   milliseconds timeout{0};
+  timeout_clock clock = timeout_clock::steady;
   timer silence;
   rpc_pool::message_callback on_message;
   rpc_pool::end_callback on_end;
@@ -86,8 +87,8 @@
     bufferevent_setcb(bev, on_readable, nullptr, on_event, this);
     bufferevent_enable(bev, EV_READ | EV_WRITE);
     sockaddr_in to = internal::socket_address_of(peer);
-    connect_guard = loop.after_attended(limits.connect_timeout,
-                                        [this] { fail(errc::connect_failed); });
+    connect_guard = loop.after(limits.connect_timeout,
+                               [this] { fail(errc::connect_failed); });
     return bufferevent_socket_connect(bev, reinterpret_cast<sockaddr*>(&to),
                                       sizeof(to)) == 0;
   }
@@ -244,12 +245,15 @@
       return;
     }
     std::weak_ptr<rpc_call::state> weak = call;
-    call->silence = loop.after_attended(call->timeout, [this, weak] {
+    const auto on_timeout = [this, weak] {
       if (const auto held = weak.lock()) {
         cancel(held->id);
         held->end(errc::rpc_timeout);
       }
-    });
+    };
+    call->silence = call->clock == timeout_clock::attended
+                        ? loop.after_attended(call->timeout, on_timeout)
+                        : loop.after(call->timeout, on_timeout);
   }
 
   event_loop& loop;
@@ -332,12 +336,13 @@
 rpc_call rpc_pool::start(const std::string& peer, std::string_view method,
                          const google::protobuf::MessageLite& request,
                          milliseconds timeout, message_callback on_message,
-                         end_callback on_end) {
+                         end_callback on_end, timeout_clock clock) {
   auto call =
       std::make_shared<rpc_call::state>(impl_->limits.max_message_bytes);
   call->on_message = std::move(on_message);
   call->on_end = std::move(on_end);
   call->timeout = timeout;
+  call->clock = clock;
   rpc_call handle(call);
   handle.canceller_ = std::make_shared<rpc_call::canceller>();
   handle.canceller_->held = call;
