Record stores tell a reservation the endpoint of the line's last turn

On routes without history a gateway knew the engine of the previous turn only if it had sent that turn itself.

A settlement now names the session's hash and the endpoint that ran the turn. A reservation names the session's hash, and the reply names the endpoint of that line's last turn, or of the program's. No message is added: a turn with a token budget makes both anyway. Of several voters the one that knows the most settled turns decides.

--- a/include/trayrock/internal/decide/token_budget.h
+++ b/include/trayrock/internal/decide/token_budget.h
@@ -41,6 +41,11 @@
   budget_verdict decide(std::string_view attempt, std::uint64_t max_tokens,
                         std::uint64_t budget) const;
 
+  // Whether no other attempt is known.
+  bool is_only(std::string_view attempt) const {
+    return turns_.empty() || (turns_.size() == 1 && turns_.contains(attempt));
+  }
+
   std::uint64_t used() const;  // tokens of settled turns
   std::uint64_t open() const;  // tokens reserved by open turns
 
--- a/include/trayrock/internal/gateway/turn_history.h
+++ b/include/trayrock/internal/gateway/turn_history.h
@@ -69,6 +69,19 @@
   // The previous chain; nullptr if there is none.
   const chain_cache::chain_ptr& chain() const { return chain_; }
 
+  // The turn is placed by its prompt: its line is recorded, so that the next
+  // turn's gateway learns the endpoint. Must precede reserve().
+  void track_line(std::uint64_t line) { line_ = line; }
+
+  // The endpoint of the line's last turn, from the stores; empty: unknown.
+  const std::string& last_endpoint() const { return last_endpoint_; }
+
+  // True if the stores replied that no turn of the program came before.
+  bool is_first_turn() const { return first_turn_; }
+
+  // The endpoint that the turn was sent to.
+  void set_endpoint(std::string endpoint) { endpoint_ = std::move(endpoint); }
+
   // Releases the reserved tokens beyond those handed out. Only the first call
   // has an effect, and none does after `store`.
   void settle(std::uint64_t tokens);
@@ -96,6 +109,10 @@
   std::string previous_turn_;
   chain_cache::chain_ptr chain_;
   std::string requested_chain_;  // by its last turn; empty: none requested
+  std::uint64_t line_ = 0;       // 0: not tracked
+  std::string endpoint_;
+  std::string last_endpoint_;
+  bool first_turn_ = false;
   bool reserved_ = false;
   bool settled_ = false;
 };
--- a/include/trayrock/internal/records/record_client.h
+++ b/include/trayrock/internal/records/record_client.h
@@ -33,6 +33,9 @@
   bool chain_found = false;  // false: a read quorum of voters lacks it
   std::string text;          // of the chain, oldest turn first
   std::string endpoint;      // that produced the newest turn's output
+  // Of the last settled turn of the reservation's line, or of its program;
+  // empty: unknown.
+  std::string last_endpoint;
 };
 
 class record_client {
--- a/include/trayrock/internal/records/record_index.h
+++ b/include/trayrock/internal/records/record_index.h
@@ -43,6 +43,12 @@
   std::string endpoint;  // that produced the turn's output
 };
 
+// Where the last turn of a line ran, as far as a store knows.
+struct last_placement {
+  std::string_view endpoint;  // empty: unknown
+  std::uint32_t turns = 0;    // of the program whose endpoint is known
+};
+
 class record_index {
  public:
   using record_reader =
@@ -83,6 +89,11 @@
   // All turns of a program; an attempt is identified by the bytes of its id.
   std::vector<turn_usage> usage(std::string_view program) const;
 
+  // The endpoint of the last turn of the line, or of the program if the line is
+  // not known. Valid until the index changes.
+  last_placement last_endpoint(std::string_view program,
+                               std::uint64_t line) const;
+
   // Visits the keys of the records after a position, oldest first, until the
   // visitor returns false.
   using key_visitor = std::function<bool(const numbered_key&)>;
@@ -105,6 +116,15 @@
     std::uint8_t kinds = 0;  // a bit for each kind of record that is stored
     bool settled = false;
   };
+  struct line_placement {
+    std::uint64_t line = 0;
+    std::uint32_t endpoint = 0;  // index into endpoints_
+  };
+  struct program_state {
+    std::vector<record_id> attempts;
+    std::vector<line_placement> lines;  // the last one used is at the end
+    std::uint32_t placed_turns = 0;
+  };
   struct log_entry {
     record_id attempt;
     std::uint64_t added_at_ms : 56;
@@ -115,14 +135,17 @@
   void apply(const records::Record& record, attempt_state& state);
   void add_to_program(const std::string& program, const record_id& attempt,
                       attempt_state& state);
+  void place(const records::Settlement& made);
+  std::uint32_t number_of(const std::string& endpoint);
   void erase(const log_entry& entry);
 
   record_reader read_disk_;
   std::deque<log_entry> log_;
   std::uint64_t first_position_ = 1;
   std::unordered_map<record_id, attempt_state, record_id_hash> attempts_;
-  std::unordered_map<record_id, std::vector<record_id>, record_id_hash>
-      programs_;
+  std::unordered_map<record_id, program_state, record_id_hash> programs_;
+  std::vector<std::string> endpoints_;
+  std::unordered_map<std::string, std::uint32_t> endpoint_numbers_;
   std::unordered_map<std::string, records::Record> pending_;
   std::uint32_t max_retention_s_ = 0;
 };
--- a/src/gateway/turn_history.cc
+++ b/src/gateway/turn_history.cc
@@ -46,6 +46,7 @@
     reservation.set_program(program_);
     reservation.set_attempt(attempt_);
     reservation.set_tokens(metadata_.max_output_tokens);
+    reservation.set_line(line_);
   }
   records_.reserve(reservation, requested_chain_, timeout, std::move(done));
 }
@@ -56,6 +57,9 @@
     settle(0);
     return errc::history_unavailable;
   }
+  last_endpoint_ = reserved.value().last_endpoint;
+  first_turn_ =
+      reserved_ && reserved.value().usage.is_only(bytes_of(id_of(attempt_)));
   if (!requested_chain_.empty()) {
     if (!reserved.value().chain_found) {
       settle(0);
@@ -105,6 +109,10 @@
   made.set_program(program_);
   made.set_attempt(attempt_);
   made.set_tokens(tokens);
+  if (line_ != 0) {
+    made.set_line(line_);
+    made.set_endpoint(endpoint_);
+  }
   records_.keep(std::move(record), settle_timeout,
                 [attempt = metadata_.attempt](std::error_code failed) {
                   if (failed) {
--- a/src/records/record_client.cc
+++ b/src/records/record_client.cc
@@ -44,6 +44,8 @@
   chain_reader chain;
   bool done = false;
   program_usage usage;
+  std::string last_endpoint;
+  std::uint32_t placed_turns = 0;  // of the reply with last_endpoint
   std::shared_ptr<store_calls> calls;
   std::map<std::string, rpc_call> group_updates;  // newer group, by store
   std::map<std::string, timer> retries;
@@ -232,6 +234,10 @@
     for (const records::Usage& each : reply.program()) {
       usage.add({each.attempt(), each.reserved(), each.settled(), each.used()});
     }
+    if (reply.placed_turns() > placed_turns) {
+      placed_turns = reply.placed_turns();
+      last_endpoint = reply.last_endpoint();
+    }
   }
 
   void add_chain_reply(const std::string& id,
@@ -293,6 +299,7 @@
     made.usage = std::move(usage);
     made.chain_found = chain.complete();
     made.endpoint = chain.endpoint();
+    made.last_endpoint = std::move(last_endpoint);
     if (made.chain_found) {
       made.text = chain.release_text();
     }
--- a/src/records/record_index.cc
+++ b/src/records/record_index.cc
@@ -96,6 +96,7 @@
     state.used =
         std::max(state.used, static_cast<std::uint32_t>(made.tokens()));
     add_to_program(made.program(), id_of(made.attempt()), state);
+    place(made);
   } else {
     const records::Turn& made = record.turn();
     max_retention_s_ = std::max(max_retention_s_, made.retention_s());
@@ -115,7 +116,28 @@
     return;
   }
   state.program = id_of(program);
-  programs_[state.program].push_back(attempt);
+  programs_[state.program].attempts.push_back(attempt);
+}
+
+void record_index::place(const records::Settlement& made) {
+  if (made.endpoint().empty()) {
+    return;
+  }
+  program_state& program = programs_[id_of(made.program())];
+  std::erase_if(program.lines, [&](const line_placement& each) {
+    return each.line == made.line();
+  });
+  program.lines.push_back({made.line(), number_of(made.endpoint())});
+  ++program.placed_turns;
+}
+
+std::uint32_t record_index::number_of(const std::string& endpoint) {
+  const auto [known, added] = endpoint_numbers_.try_emplace(
+      endpoint, static_cast<std::uint32_t>(endpoints_.size()));
+  if (added) {
+    endpoints_.push_back(endpoint);
+  }
+  return known->second;
 }
 
 bool record_index::has(const std::string& key) const {
@@ -166,7 +188,7 @@
   if (known == programs_.end()) {
     return found;
   }
-  for (const record_id& attempt : known->second) {
+  for (const record_id& attempt : known->second.attempts) {
     const auto state = attempts_.find(attempt);
     if (state != attempts_.end()) {
       found.push_back({bytes_of(attempt), state->second.reserved,
@@ -176,6 +198,20 @@
   return found;
 }
 
+last_placement record_index::last_endpoint(std::string_view program,
+                                           std::uint64_t line) const {
+  const auto known = programs_.find(id_of(program));
+  if (known == programs_.end() || known->second.lines.empty()) {
+    return {};
+  }
+  const std::vector<line_placement>& lines = known->second.lines;
+  const auto same =
+      std::find_if(lines.begin(), lines.end(),
+                   [line](const auto& each) { return each.line == line; });
+  const line_placement& found = same == lines.end() ? lines.back() : *same;
+  return {endpoints_[found.endpoint], known->second.placed_turns};
+}
+
 void record_index::visit_after(std::uint64_t position,
                                const key_visitor& visit) const {
   const std::uint64_t first =
@@ -219,8 +255,8 @@
   }
   const auto program = programs_.find(found->second.program);
   if (program != programs_.end()) {
-    std::erase(program->second, entry.attempt);
-    if (program->second.empty()) {
+    std::erase(program->second.attempts, entry.attempt);
+    if (program->second.attempts.empty()) {
       programs_.erase(program);
     }
   }
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -299,6 +299,7 @@
       usage.set_settled(each.settled);
       usage.set_used(each.used);
     }
+    add_last_endpoint(request.record().reservation(), message);
   }
   if (!request.chain_of().empty()) {
     add_chain(request, message);
@@ -307,6 +308,18 @@
   reply->finish();
 }
 
+void record_server::add_last_endpoint(const records::Reservation& made,
+                                      records::WriteReply& message) const {
+  if (made.line() == 0) {
+    return;
+  }
+  const last_placement last = index_.last_endpoint(made.program(), made.line());
+  if (!last.endpoint.empty()) {
+    message.set_last_endpoint(std::string(last.endpoint));
+    message.set_placed_turns(last.turns);
+  }
+}
+
 void record_server::add_chain(const records::WriteRequest& request,
                               records::WriteReply& message) const {
   turn_chain chain = index_.chain(request.chain_of());
--- a/test/record_index_test.cc
+++ b/test/record_index_test.cc
@@ -32,6 +32,16 @@
   return made;
 }
 
+records::Record settlement(const std::string& attempt, std::uint64_t line,
+                           const std::string& endpoint) {
+  records::Record made;
+  made.mutable_settlement()->set_program("p");
+  made.mutable_settlement()->set_attempt(attempt);
+  made.mutable_settlement()->set_line(line);
+  made.mutable_settlement()->set_endpoint(endpoint);
+  return made;
+}
+
 class record_index_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(record_index_test);
   CPPUNIT_TEST(record_is_added_once);
@@ -43,9 +53,46 @@
   CPPUNIT_TEST(reading_resumes_from_a_position);
   CPPUNIT_TEST(no_key_is_made_after_the_visitor_has_ended);
   CPPUNIT_TEST(old_records_and_their_programs_expire);
+  CPPUNIT_TEST(last_endpoint_is_that_of_the_line);
+  CPPUNIT_TEST(last_endpoint_of_an_unknown_line_is_that_of_the_program);
+  CPPUNIT_TEST(settlement_without_an_endpoint_changes_no_last_endpoint);
+  CPPUNIT_TEST(last_endpoints_expire_with_their_program);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void last_endpoint_is_that_of_the_line() {
+    index_.add(settlement("a", 1, "e1"), 0);
+    index_.add(settlement("b", 2, "e2"), 0);
+    index_.add(settlement("c", 1, "e3"), 0);
+    CPPUNIT_ASSERT_EQUAL(std::string_view("e3"),
+                         index_.last_endpoint("p", 1).endpoint);
+    CPPUNIT_ASSERT_EQUAL(std::string_view("e2"),
+                         index_.last_endpoint("p", 2).endpoint);
+    CPPUNIT_ASSERT_EQUAL(3U, index_.last_endpoint("p", 2).turns);
+  }
+
+  void last_endpoint_of_an_unknown_line_is_that_of_the_program() {
+    index_.add(settlement("a", 1, "e1"), 0);
+    CPPUNIT_ASSERT_EQUAL(std::string_view("e1"),
+                         index_.last_endpoint("p", 9).endpoint);
+    CPPUNIT_ASSERT(index_.last_endpoint("q", 1).endpoint.empty());
+  }
+
+  void settlement_without_an_endpoint_changes_no_last_endpoint() {
+    index_.add(settlement("a", 1, "e1"), 0);
+    index_.add(settlement("b", 1, ""), 0);
+    CPPUNIT_ASSERT_EQUAL(std::string_view("e1"),
+                         index_.last_endpoint("p", 1).endpoint);
+    CPPUNIT_ASSERT_EQUAL(1U, index_.last_endpoint("p", 1).turns);
+  }
+
+  void last_endpoints_expire_with_their_program() {
+    index_.add(turn("t", "", "in", "out"), 0);  // sets the retention
+    index_.add(settlement("a", 1, "e1"), 0);
+    index_.expire(200 * second);
+    CPPUNIT_ASSERT(index_.last_endpoint("p", 1).endpoint.empty());
+  }
+
   void record_is_added_once() {
     CPPUNIT_ASSERT(index_.add(reservation("a", 10), 0));
     CPPUNIT_ASSERT(!index_.add(reservation("a", 99), 0));
