Turns go to the engine that holds their prompt on routes without history

Where clients send the whole conversation with each turn, each turn went to the least loaded engine by one gateway's partial view, which read the whole prompt again.

Each turn now goes to the engine of the line's previous turn: by the stores' reply to its reservation, else by what this gateway sent lately. A program's first turn goes to an engine with few lines of this gateway; a line between two turns counts as load, as it has no request in flight then. Lines of which nothing is known are hashed, so that gateways agree without a message.

--- a/include/trayrock/internal/decide/endpoint_choice.h
+++ b/include/trayrock/internal/decide/endpoint_choice.h
@@ -15,18 +15,21 @@
 //   endpoint_criteria criteria;
 //   criteria.service = "chat";
 //   criteria.preferred = previous_turn.endpoint;
-//   const endpoint_state_ptr to =
+//   const endpoint_choice made =
 //       choose_endpoint(endpoints, criteria, choice_policy(), now);
+//   if (made.endpoint == nullptr) reject();
 #pragma once
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
 #include <string_view>
 
 #include "trayrock/internal/decide/endpoint_state.h"
+#include "trayrock/internal/decide/turn_placement.h"
 
 namespace trayrock {
 
@@ -62,12 +65,28 @@
   bool at_most_once = false;
   // A random number for this request, which breaks ties.
   std::uint64_t draw = 0;
+  // Places a turn by its prompt (decide/turn_placement.h); nothing: by load.
+  std::optional<turn_criteria> turn;
 };
 
-// Returns nullptr if none of the service's endpoints is usable.
-endpoint_state_ptr choose_endpoint(
-    std::span<const endpoint_state_ptr> endpoints,
-    const endpoint_criteria& criteria, const choice_policy& policy,
-    std::uint64_t now_ms);
+// Why an endpoint was chosen.
+enum class choice_reason {
+  load,           // the least loaded one
+  previous_turn,  // it ran the previous turn, by the turn's record
+  cached,         // it holds the prompt, by this gateway's own placements
+  hash            // it ranks first for the program
+};
+
+std::string_view text_of(choice_reason reason);
+
+struct endpoint_choice {
+  endpoint_state_ptr endpoint;  // nullptr: no endpoint of the service is usable
+  choice_reason reason = choice_reason::load;
+};
+
+endpoint_choice choose_endpoint(std::span<const endpoint_state_ptr> endpoints,
+                                const endpoint_criteria& criteria,
+                                const choice_policy& policy,
+                                std::uint64_t now_ms);
 
 }  // namespace trayrock
--- /dev/null
+++ b/include/trayrock/internal/decide/recent_placements.h
@@ -0,0 +1,78 @@
+// Where a gateway recently sent the turns of programs. No I/O; the caller
+// passes the time.
+//
+// A client that sends the whole conversation with each turn doesn't name the
+// previous turn, so this table is the only record of the engine whose cache
+// holds the prompt. It also counts the lines of turns that each engine has:
+// between two turns a line has no request in flight, and an engine with many
+// such lines would look idle.
+//
+// Example:
+//   recent_placements recent;
+//   recent.record({program, session}, engine, now);
+//   if (const auto held_by = recent.find({program, session}, now)) {
+//     prefer(*held_by);
+//   }
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "trayrock/internal/decide/endpoint_identity.h"
+
+namespace trayrock {
+
+// A line of turns: a program, or a sub-agent within it, has one each.
+struct turn_line {
+  std::string_view program;
+  std::string_view session;
+};
+
+class recent_placements {
+ public:
+  void record(const turn_line& line, const endpoint_identity& endpoint,
+              std::uint64_t now_ms);
+
+  // Where the line's last turn was sent. A line without one begins with the
+  // prompt of its program, so the program's last endpoint is returned instead.
+  std::optional<endpoint_identity> find(const turn_line& line,
+                                        std::uint64_t now_ms) const;
+
+  // The number of lines that had a turn at the endpoint within the last
+  // `active_ms`.
+  std::uint32_t active_lines(const endpoint_identity& endpoint,
+                             std::uint64_t now_ms);
+
+  std::size_t size() const { return by_key_.size(); }
+
+  // Longer than the pause between two turns of a program.
+  static constexpr std::uint64_t active_ms = 1000;
+
+ private:
+  struct entry {
+    endpoint_identity endpoint;
+    std::uint64_t at_ms = 0;
+    bool is_active = false;
+  };
+  struct mark {
+    std::uint64_t at_ms = 0;
+    std::uint64_t key = 0;
+  };
+
+  void put(std::uint64_t key, const endpoint_identity& endpoint,
+           std::uint64_t now_ms, bool is_line);
+  void deactivate(entry& from);
+  void remove_expired(std::uint64_t now_ms);
+  const entry* recent_entry(std::uint64_t key, std::uint64_t now_ms) const;
+
+  std::unordered_map<std::uint64_t, entry> by_key_;        // by hash
+  std::unordered_map<std::string, std::uint32_t> active_;  // by identity
+  std::deque<mark> active_marks_;
+  std::deque<mark> marks_;
+};
+
+}  // namespace trayrock
--- a/include/trayrock/internal/gateway/configuration.h
+++ b/include/trayrock/internal/gateway/configuration.h
@@ -66,6 +66,9 @@
   std::uint32_t max_connections = 0;  // of one endpoint, from all callers
   cold_limit cold;
   std::optional<engine_limits> engine;
+  // Clients of some route to these engines send the whole conversation with
+  // each turn (mark_resent_conversations()).
+  bool gets_resent_conversations = false;
 };
 
 // Bounds on what a client may send and how long it may be idle.
@@ -103,6 +106,9 @@
 const route* find_route(const configuration& from, std::string_view host,
                         std::string_view path);
 
+// Sets `gets_resent_conversations` of the services, by the routes to them.
+void mark_resent_conversations(configuration& of);
+
 // Picks a service of the route by weight. The same key gives the same service
 // as long as the weights don't change.
 std::string_view pick_service(const route& from, std::string_view key);
--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -9,7 +9,7 @@
 //   endpoints.replace(listed, false, now);
 //   endpoint_criteria wanted;
 //   wanted.service = "chat";
-//   const auto to = endpoints.choose(wanted, now);  // nullptr: none
+//   const auto to = endpoints.choose(wanted, now).endpoint;  // nullptr: none
 #pragma once
 
 #include <cstdint>
@@ -97,9 +97,8 @@
   // choose() skips them as soon as it is over, even before they are removed.
   std::vector<std::string> sweep(std::uint64_t now_ms);
 
-  // Returns nullptr if no endpoint of the service can be used.
-  endpoint_state_ptr choose(const endpoint_criteria& wanted,
-                            std::uint64_t now_ms) const;
+  endpoint_choice choose(const endpoint_criteria& wanted,
+                         std::uint64_t now_ms) const;
 
   // Whether this gateway has used up its share of the limit of a cold endpoint
   // of the service. Draining and evacuated endpoints don't count.
--- a/include/trayrock/internal/gateway/gateway_policy.h
+++ b/include/trayrock/internal/gateway/gateway_policy.h
@@ -38,6 +38,9 @@
   bool reports_slow_streams = true;
   bool repeats_listings = true;
   bool caches_chains = true;
+  // Places turns by the prompts that engines hold, where clients send the
+  // whole conversation with each turn.
+  bool places_by_prompt = true;
   // Closes idle connections to an endpoint after one of them failed.
   bool drops_connections = true;
 
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -17,6 +17,7 @@
 #include <string>
 
 #include "trayrock/internal/decide/duration_estimator.h"
+#include "trayrock/internal/decide/recent_placements.h"
 #include "trayrock/internal/decide/recent_programs.h"
 #include "trayrock/internal/decide/slow_endpoint_detector.h"
 #include "trayrock/internal/gateway/chain_cache.h"
@@ -45,6 +46,7 @@
   std::map<std::string, slow_endpoint_detector, std::less<>>&
       slow_detectors;  // by service
   recent_programs& programs;
+  recent_placements& placements;
   shutdown_observers& on_shutdown;  // notified shortly before the process stops
   std::string data_centre;
   gateway_policy policy;
--- a/include/trayrock/internal/gateway/request_routing.h
+++ b/include/trayrock/internal/gateway/request_routing.h
@@ -82,6 +82,9 @@
   // Whether the service's endpoints are model engines.
   bool targets_engine() const;
 
+  // Whether turns are placed by their prompts (decide/turn_placement.h).
+  bool places_by_prompt() const;
+
   // Of the service's engine; 1 if it is unknown.
   std::uint64_t tokens_per_event() const;
 
--- a/src/gateway/configuration.cc
+++ b/src/gateway/configuration.cc
@@ -20,6 +20,20 @@
   return best;
 }
 
+void mark_resent_conversations(configuration& of) {
+  for (const route& each : of.routes) {
+    if (each.kind != repetition::stream || each.keeps_history) {
+      continue;
+    }
+    for (const weighted_service& to : each.services) {
+      const auto found = of.services.find(to.name);
+      if (found != of.services.end() && found->second.engine) {
+        found->second.gets_resent_conversations = true;
+      }
+    }
+  }
+}
+
 std::string_view pick_service(const route& from, std::string_view key) {
   std::uint64_t total = 0;
   for (const weighted_service& each : from.services) {
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -281,11 +281,11 @@
   }
 }
 
-endpoint_state_ptr endpoint_directory::choose(const endpoint_criteria& wanted,
-                                              std::uint64_t now_ms) const {
+endpoint_choice endpoint_directory::choose(const endpoint_criteria& wanted,
+                                           std::uint64_t now_ms) const {
   const auto found = by_service_.find(wanted.service);
   if (found == by_service_.end()) {
-    return nullptr;
+    return {};
   }
   return choose_endpoint(found->second, wanted, policy_.choice, now_ms);
 }
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -56,6 +56,7 @@
             durations_,
             slow_detectors_,
             programs_,
+            placements_,
             on_shutdown_,
             settings.service.data_centre,
             policy_,
@@ -203,6 +204,7 @@
   duration_estimator durations_;
   std::map<std::string, slow_endpoint_detector, std::less<>> slow_detectors_;
   recent_programs programs_;
+  recent_placements placements_;
   platform_view view_;
   gateway_context context_;
   http1_server client_server_;
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -54,6 +54,9 @@
     response_.defer_until_complete();
   }
   watch_deadline_and_client();
+  if (is_placed_by_prompt()) {
+    history_.track_line(hash_of_line(line()));
+  }
   needs_record_ = history_.begin(routing_.route(), routing_.workspace_name());
   const bool needs_stores = needs_record_ || needs_permit();
   if (needs_stores && context_.isolated_for() > milliseconds(0)) {
@@ -209,14 +212,6 @@
   return context_.loop.now_us() - began_us_;
 }
 
-std::string request_flow::placed_by() const {
-  if (attempt_.target() == nullptr) {
-    return "";
-  }
-  const bool kept = previous_endpoint() == attempt_.identity();
-  return kept ? "previous_turn" : "load";
-}
-
 void request_flow::report_routing(bool responded) {
   if (routing_.configuration() != nullptr) {
     report_.configuration = routing_.configuration()->version;
@@ -240,7 +235,6 @@
   return_unused_permit();
   report_routing(outcome == "answered");
   report_.endpoint = attempt_.endpoint_id();
-  report_.placed_by = placed_by();
   report_.endpoints_age_ms = context_.endpoints_age_ms();
   report_.epoch = context_.records.group().epoch();
   report_.total_us = elapsed_us();
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -29,11 +29,14 @@
     give_up(*error);
     return;
   }
-  if (!attempt_.begin(context_.endpoints.choose(choice_criteria(),
-                                                context_.loop.now_ms()))) {
+  const endpoint_choice chosen =
+      context_.endpoints.choose(choice_criteria(), context_.loop.now_ms());
+  if (!attempt_.begin(chosen.endpoint)) {
     give_up(no_endpoint_error());
     return;
   }
+  report_.placed_by = text_of(chosen.reason);
+  record_placement();
   tried_.insert(attempt_.identity());
   may_run_ = true;
   attempt_.send(forwarded_request(), observer());
@@ -61,9 +64,45 @@
   made.connected = [this](const endpoint& each) {
     return context_.pool.has_idle(each.address, each.identity.text());
   };
+  made.turn = turn_to_place();
   return made;
 }
 
+bool request_flow::is_placed_by_prompt() const {
+  return context_.policy.places_by_prompt && routing_.places_by_prompt() &&
+         !metadata_.program.empty();
+}
+
+std::optional<turn_criteria> request_flow::turn_to_place() const {
+  if (!is_placed_by_prompt()) {
+    return std::nullopt;
+  }
+  const std::uint64_t now = context_.loop.now_ms();
+  turn_criteria made;
+  made.held_by =
+      history_.last_endpoint().empty()
+          ? context_.placements.find(line(), now)
+          : std::optional(endpoint_identity::parse(history_.last_endpoint()));
+  made.is_first = !made.held_by && history_.is_first_turn();
+  made.program_hash = hash_of_program(metadata_.program);
+  made.active_lines = [this, now](const endpoint_identity& at) {
+    return context_.placements.active_lines(at, now);
+  };
+  return made;
+}
+
+void request_flow::record_placement() {
+  if (is_placed_by_prompt()) {
+    context_.placements.record(line(), attempt_.identity(),
+                               context_.loop.now_ms());
+    history_.set_endpoint(attempt_.identity().text());
+  }
+}
+
+turn_line request_flow::line() const {
+  return {metadata_.program, metadata_.session};
+}
+
 // Only model engines use it.
 std::optional<int> request_flow::urgency() const {
   if (!routing_.targets_engine()) {
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -58,9 +58,6 @@
   milliseconds elapsed_ms() const;
   std::uint64_t elapsed_us() const;
 
-  // Why the endpoint was chosen, for the log.
-  std::string placed_by() const;
-
   // elapsed_ms() without the waits for the stores, which depend on the stores'
   // load and not on the route.
   milliseconds run_time() const;
@@ -113,6 +110,17 @@
   // The endpoint of the previous turn; empty if there is none.
   endpoint_identity previous_endpoint() const;
 
+  // What places the turn by its prompt; nothing where that doesn't apply.
+  std::optional<turn_criteria> turn_to_place() const;
+
+  // Whether the turn goes to the engine that holds its prompt, wherever the
+  // system doesn't keep the conversation itself.
+  bool is_placed_by_prompt() const;
+  turn_line line() const;
+
+  // Records where the turn's prompt is held from now on.
+  void record_placement();
+
   http1_request forwarded_request() const;
   http1_observer observer();
 
--- a/src/gateway/request_routing.cc
+++ b/src/gateway/request_routing.cc
@@ -72,6 +72,12 @@
          found->second.engine.has_value();
 }
 
+bool request_routing::places_by_prompt() const {
+  const auto found = configuration_->services.find(service_);
+  return found != configuration_->services.end() &&
+         found->second.gets_resent_conversations;
+}
+
 std::uint64_t request_routing::tokens_per_event() const {
   return targets_engine() ? configuration_->services.find(service_)
                                 ->second.engine->tokens_per_event
--- a/test/cold_endpoint_load_test.cc
+++ b/test/cold_endpoint_load_test.cc
@@ -117,7 +117,8 @@
     criteria.service = "s";
     criteria.data_centre = peers_[own].data_centre;
     criteria.draw = random_();
-    const endpoint_state_ptr to = directories_[own].choose(criteria, now_ms);
+    const endpoint_state_ptr to =
+        directories_[own].choose(criteria, now_ms).endpoint;
     ++outcome_.requests;
     if (to == nullptr) {
       ++outcome_.refused;
--- a/test/endpoint_choice_load_test.cc
+++ b/test/endpoint_choice_load_test.cc
@@ -126,8 +126,10 @@
     criteria.data_centre = data_centre;
     criteria.draw = random_();
     const auto& endpoints = states_[static_cast<std::size_t>(made.gateway)];
-    const endpoint_state_ptr to = choose_endpoint(
-        endpoints, criteria, policy_, static_cast<std::uint64_t>(now_ms_));
+    const endpoint_state_ptr to =
+        choose_endpoint(endpoints, criteria, policy_,
+                        static_cast<std::uint64_t>(now_ms_))
+            .endpoint;
     ++to->in_flight;
     made.at = std::stoi(to->record.identity.id);
     engine& at = engines_[static_cast<std::size_t>(made.at)];
--- a/test/endpoint_directory_test.cc
+++ b/test/endpoint_directory_test.cc
@@ -176,7 +176,7 @@
     endpoint_criteria wanted;
     wanted.service = service;
     wanted.preferred = {id};
-    auto found = endpoints.choose(wanted, start_ms);
+    auto found = endpoints.choose(wanted, start_ms).endpoint;
     TRAYROCK_CHECK(found != nullptr && found->record.identity.id == id,
                    "the preferred endpoint is chosen: " + id);
     return found;
@@ -193,7 +193,7 @@
                             std::uint64_t now_ms) {
     endpoint_criteria wanted;
     wanted.service = service;
-    const auto found = endpoints.choose(wanted, now_ms);
+    const auto found = endpoints.choose(wanted, now_ms).endpoint;
     return found == nullptr ? std::string() : found->record.identity.id;
   }
 };
--- a/test/endpoint_eligibility_test.cc
+++ b/test/endpoint_eligibility_test.cc
@@ -40,7 +40,7 @@
                           std::uint64_t now_ms) {
   endpoint_criteria wanted;
   wanted.service = "s";
-  return endpoints.choose(wanted, now_ms);
+  return endpoints.choose(wanted, now_ms).endpoint;
 }
 
 // The number of consecutive requests that are sent; each ends at once.
--- a/test/endpoint_identity_test.cc
+++ b/test/endpoint_identity_test.cc
@@ -34,7 +34,7 @@
                           std::uint64_t at_ms = now_ms) {
   endpoint_criteria criteria;
   criteria.service = service;
-  return endpoints.choose(criteria, at_ms);
+  return endpoints.choose(criteria, at_ms).endpoint;
 }
 
 // The start of the instance that a request goes to; 0: none.
@@ -204,10 +204,10 @@
     // Without a preference, the request's random number breaks the tie.
     criteria.draw = 1;
     const std::string one =
-        endpoints.choose(criteria, now_ms)->record.identity.id;
+        endpoints.choose(criteria, now_ms).endpoint->record.identity.id;
     criteria.draw = 2;
     const std::string two =
-        endpoints.choose(criteria, now_ms)->record.identity.id;
+        endpoints.choose(criteria, now_ms).endpoint->record.identity.id;
     CPPUNIT_ASSERT(one != two);
   }
 
@@ -217,7 +217,7 @@
     endpoint_criteria criteria;
     criteria.service = service;
     criteria.excluded = &tried;
-    CPPUNIT_ASSERT(endpoints.choose(criteria, now_ms) != nullptr);
+    CPPUNIT_ASSERT(endpoints.choose(criteria, now_ms).endpoint != nullptr);
   }
 
   void identity_is_encoded_in_messages() {
--- a/test/gateway_policy_test.cc
+++ b/test/gateway_policy_test.cc
@@ -115,10 +115,12 @@
     criteria.preferred = {"b"};
     endpoints[1]->in_flight = 1;
     choice_policy policy;
-    const auto kept = choose_endpoint(endpoints, criteria, policy, start_ms);
+    const auto kept =
+        choose_endpoint(endpoints, criteria, policy, start_ms).endpoint;
     CPPUNIT_ASSERT_EQUAL(std::string("b"), kept->record.identity.id);
     policy.keeps_previous = false;
-    const auto free = choose_endpoint(endpoints, criteria, policy, start_ms);
+    const auto free =
+        choose_endpoint(endpoints, criteria, policy, start_ms).endpoint;
     CPPUNIT_ASSERT_EQUAL(std::string("a"), free->record.identity.id);
   }
 
--- a/test/gateway_unit_test.cc
+++ b/test/gateway_unit_test.cc
@@ -102,12 +102,13 @@
     directory.replace({endpoint_of("a", "x"), endpoint_of("b", "x")}, false,
                       {now});
     endpoint_criteria criteria{"s", {"b"}, "x", nullptr, nullptr};
-    const auto chosen = directory.choose(criteria, now);
+    const auto chosen = directory.choose(criteria, now).endpoint;
     CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen->record.identity.id);
 
     chosen->in_flight = 100;
-    CPPUNIT_ASSERT_EQUAL(std::string("a"),
-                         directory.choose(criteria, now)->record.identity.id);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("a"),
+        directory.choose(criteria, now).endpoint->record.identity.id);
   }
 
   void failing_endpoint_is_in_backoff_unless_it_is_the_last_one() {
@@ -115,13 +116,15 @@
     directory.replace({endpoint_of("a", "x"), endpoint_of("b", "x")}, false,
                       {now});
     endpoint_criteria criteria{"s", {"a"}, "x", nullptr, nullptr};
-    endpoint_directory::end_attempt(*directory.choose(criteria, now),
+    endpoint_directory::end_attempt(*directory.choose(criteria, now).endpoint,
                                     attempt_outcome::unreachable, 1, now);
-    CPPUNIT_ASSERT_EQUAL(std::string("b"),
-                         directory.choose(criteria, now)->record.identity.id);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("b"),
+        directory.choose(criteria, now).endpoint->record.identity.id);
     directory.remove({"b"}, 0);
-    CPPUNIT_ASSERT_EQUAL(std::string("a"),
-                         directory.choose(criteria, now)->record.identity.id);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("a"),
+        directory.choose(criteria, now).endpoint->record.identity.id);
   }
 
   void local_data_centre_is_preferred() {
@@ -129,8 +132,9 @@
     directory.replace({endpoint_of("a", "far"), endpoint_of("b", "near")},
                       false, {now});
     endpoint_criteria criteria{"s", {""}, "near", nullptr, nullptr};
-    CPPUNIT_ASSERT_EQUAL(std::string("b"),
-                         directory.choose(criteria, now)->record.identity.id);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("b"),
+        directory.choose(criteria, now).endpoint->record.identity.id);
   }
 
   void local_data_centre_is_preferred_until_loaded() {
@@ -140,7 +144,7 @@
     endpoint_criteria criteria{"s", {""}, "near", nullptr, nullptr};
     std::string chosen;
     for (int i = 0; i < 4; ++i) {
-      const endpoint_state_ptr to = directory.choose(criteria, now);
+      const endpoint_state_ptr to = directory.choose(criteria, now).endpoint;
       endpoint_directory::begin_attempt(*to, now);
       chosen += to->record.identity.id;
     }
--- a/test/leaving_endpoint_test.cc
+++ b/test/leaving_endpoint_test.cc
@@ -28,7 +28,7 @@
   criteria.service = service;
   criteria.preferred = {"leaving"};
   criteria.data_centre = "x";
-  const endpoint_state_ptr found = endpoints.choose(criteria, now_ms);
+  const endpoint_state_ptr found = endpoints.choose(criteria, now_ms).endpoint;
   return found == nullptr ? "none" : found->record.identity.id;
 }
 
