The reservation comes before the permit where turns don't name the previous one

Requests that start a program may not use a part of a workspace's permits, so that programs under way are served first. On routes without history the gateway did not know which turns start a program, and counted all as turns of programs under way. The stores' reply to the reservation tells it. A request that is then refused a permit settles its reservation.

--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -61,7 +61,7 @@
   const bool needs_stores = needs_record_ || needs_permit();
   if (needs_stores && context_.isolated_for() > milliseconds(0)) {
     reject(errc::cut_off);
-  } else if (needs_permit()) {
+  } else if (needs_permit() && !reserves_before_permit()) {
     acquire_permit();
   } else {
     reserve_or_send();
@@ -95,7 +95,7 @@
   stores_guard_ = context_.loop.after(wait, [weak = weak_from_this(), why] {
     const auto flow = weak.lock();
     if (flow != nullptr && !flow->ended_) {
-      flow->reject(why);
+      flow->reject_unsent(why);
     }
   });
 }
@@ -174,6 +174,13 @@
   response_.abort();
 }
 
+void request_flow::reject_unsent(errc why) {
+  if (reserves_before_permit()) {
+    history_.settle(0);
+  }
+  reject(why);
+}
+
 void request_flow::reject(errc why) {
   end(make_error_code(why).message(), http_status(why));
   respond_error(response_.exchange(), why, retry_after(why));
--- a/src/gateway/request_flow_history.cc
+++ b/src/gateway/request_flow_history.cc
@@ -34,7 +34,11 @@
     reject(*error);
     return;
   }
-  send_next();
+  if (reserves_before_permit() && needs_permit()) {
+    acquire_permit();
+  } else {
+    send_next();
+  }
 }
 
 void request_flow::settle_begun_events() {
--- a/src/gateway/request_flow_permit.cc
+++ b/src/gateway/request_flow_permit.cc
@@ -14,10 +14,17 @@
   return routing_.owner() != nullptr && routing_.owner()->is_limited();
 }
 
+bool request_flow::reserves_before_permit() const {
+  return needs_record_ && is_placed_by_prompt() &&
+         !routing_.route().keeps_history;
+}
+
 permit_use request_flow::use_of_permit() const {
-  const bool starts = routing_.route().keeps_history &&
-                      !metadata_.program.empty() &&
-                      metadata_.previous_turn.empty();
+  const bool first_of_history = routing_.route().keeps_history &&
+                                !metadata_.program.empty() &&
+                                metadata_.previous_turn.empty();
+  const bool starts = first_of_history ||
+                      (reserves_before_permit() && history_.is_first_turn());
   return starts ? permit_use::starts_program : permit_use::regular;
 }
 
@@ -44,19 +51,23 @@
     return_unused_permit();
     return;
   }
-  reserve_or_send();
+  if (reserves_before_permit()) {
+    send_next();
+  } else {
+    reserve_or_send();
+  }
 }
 
 void request_flow::on_permit(const limit_reached& reached) {
   if (!ended_) {
     limit_retry_after_ = retry_after_at_limit(reached.next);
-    reject(errc::workspace_limit);
+    reject_unsent(errc::workspace_limit);
   }
 }
 
 void request_flow::on_permit(const permit_unknown&) {
   if (!ended_) {
-    reject(errc::workspace_limit_unknown);
+    reject_unsent(errc::workspace_limit_unknown);
   }
 }
 
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -53,6 +53,8 @@
   // aborted, so that it doesn't look complete.
   void fail(errc why);
 
+  // Rejects a request that still waits for the stores.
+  void reject_unsent(errc why);
   void reject(errc why);
   milliseconds retry_after(errc why) const;
   milliseconds elapsed_ms() const;
@@ -69,6 +71,11 @@
   // ---- The permit (request_flow_permit.cc) --------------------------------
 
   bool needs_permit() const;
+
+  // Whether the reservation comes before the permit. Where turns don't name the
+  // previous one, only the stores know whether a turn starts its program.
+  bool reserves_before_permit() const;
+
   permit_use use_of_permit() const;
   void acquire_permit();
   void on_permit(const permit& given);
