A watcher that is told of changes detects a silent platform

Cause: a watch that had not returned a change known to another gateway was sent again in a new round, and a new round ignores the calls of the previous one. The polls of followers repeat such a check every 250 to 600 ms, and a probe times out after 1,300 ms, so that no probe ever did: the gateway said that it watches for as long as it was polled and the platform was silent to it.

--- a/test/collection_watcher_test.cc
+++ b/test/collection_watcher_test.cc
@@ -96,6 +96,7 @@
   CPPUNIT_TEST(paused_watcher_sends_nothing_until_resumed);
   CPPUNIT_TEST(watch_after_a_change_is_short);
   CPPUNIT_TEST(probe_is_hedged);
+  CPPUNIT_TEST(watcher_that_is_told_of_a_change_detects_a_silent_platform);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -222,6 +223,30 @@
         0.0, metrics.value("platform_errors_total", {{"error", lost}}));
   }
 
+  // Guards against gateways that follow a watcher which has lost the platform:
+  // each poll of theirs named a later revision, on which the watch was sent
+  // anew before the previous one had timed out.
+  void watcher_that_is_told_of_a_change_detects_a_silent_platform() {
+    event_loop loop;
+    metrics_registry metrics;
+    silenceable_platform platform(loop);
+    platform::object_store store(loop, platform.where(), metrics);
+    platform::collection_watcher watcher(
+        loop, store, "things", {milliseconds(9000), milliseconds(10)});
+    watcher.on_snapshot([](const platform::object_listing&, bool) {});
+    watcher.start();
+    const timer polls =
+        loop.every(milliseconds(100), [&] { watcher.expect(8); });
+    const timer limit = loop.after(milliseconds(3000), [&] { loop.stop(); });
+    const timer lost = loop.every(milliseconds(10), [&] {
+      if (!watcher.reachable()) {
+        loop.stop();
+      }
+    });
+    loop.run();
+    CPPUNIT_ASSERT(!watcher.reachable());
+  }
+
  private:
   static platform::watch_pace quick_pace() {
     return {milliseconds(100), milliseconds(10)};
