Polls wait for a gateway that is about to watch

Cause: a selected watcher that read its first data from a peer takes up its role 40 ms later. A poll in this time got "does not watch" at once; the caller took that for a watcher that has lost the platform, put it into backoff for a second and watched in its place. Seen in the logs of failed runs of shared_watch_test configuration_reaches_gateways_that_do_not_watch (3 gateways watch, 2 expected) and starting_gateway_reads_its_state_from_peers (lists requested twice). Busy processors only make the gateways' starts differ more.

Change: a gateway whose role is not decided yet lets such polls wait, at most until the caller's own wait is over.

--- a/include/trayrock/internal/gateway/platform_view.h
+++ b/include/trayrock/internal/gateway/platform_view.h
@@ -94,6 +94,7 @@
   bool pause_watches();
   void resume_watches();
   bool is_watching() const;
+  watch_status status() const;
   watch_position position() const;
   std::error_code apply_reply(const records::WatchReply& reply,
                               std::uint64_t sent_ms);
--- a/include/trayrock/internal/gateway/watch_follower.h
+++ b/include/trayrock/internal/gateway/watch_follower.h
@@ -73,6 +73,9 @@
   // Whether another gateway watches for this one at present.
   bool is_following() const { return role_ == role::polling; }
 
+  // Whether this gateway has neither followed a watcher nor watched yet.
+  bool is_starting() const { return role_ == role::starting; }
+
   // Whether this gateway is selected as a watcher.
   bool is_watcher() const;
 
--- a/include/trayrock/internal/gateway/watch_server.h
+++ b/include/trayrock/internal/gateway/watch_server.h
@@ -2,12 +2,14 @@
 //
 // A reply waits until there is an update or the caller's wait is over. A
 // gateway that doesn't watch the platform, or can't reach it, replies at once
-// that it doesn't, so that callers poll another one. It still sends its
-// configuration with the proof of it and, to a gateway that has just started,
-// all that it has.
+// that it doesn't, so that callers poll another one. One that has just started
+// and may be about to watch lets callers wait: else they would take it for one
+// that has lost the platform, and watch in its place for a second or more. It
+// still sends its configuration with the proof of it and, to a gateway that has
+// just started, all that it has.
 //
 // Example:
-//   watch_server server(loop, log, is_watching, on_peer, add_proof);
+//   watch_server server(loop, log, status, on_peer, add_proof);
 //   server.serve(rpc);
 //   log.add_endpoints(changes);
 //   server.wake();
@@ -24,6 +26,12 @@
 
 namespace trayrock {
 
+enum class watch_status {
+  starting,  // it is not decided yet whether this gateway watches
+  watching,  // and it reaches the platform
+  not_watching
+};
+
 class watch_server {
  public:
   // Receives each caller and its revision of the endpoints.
@@ -33,10 +41,9 @@
   // Adds the proof of this gateway's configuration to a reply.
   using proof_callback = std::function<void(records::WatchReply&)>;
 
-  // `log` must outlive the object. `is_watching` returns whether this gateway
-  // watches the platform and reaches it.
+  // `log` must outlive the object.
   watch_server(event_loop& loop, const watch_log& log,
-               std::function<bool()> is_watching, peer_callback on_peer,
+               std::function<watch_status()> status, peer_callback on_peer,
                proof_callback add_proof);
   watch_server(const watch_server&) = delete;
   watch_server& operator=(const watch_server&) = delete;
@@ -68,7 +75,7 @@
 
   event_loop& loop_;
   const watch_log& log_;
-  std::function<bool()> is_watching_;
+  std::function<watch_status()> status_;
   peer_callback on_peer_;
   proof_callback add_proof_;
   std::list<waiting_call> waiting_;
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -94,7 +94,7 @@
       follower_(loop, pool, relays_, entry_of(settings.service), policy.watches,
                 timing_within(settings.endpoint_notice)),
       server_(
-          loop, log_, [this] { return is_watching(); },
+          loop, log_, [this] { return status(); },
           [this](const relay_peer& peer, std::uint64_t revision) {
             relays_.add(peer);
             expect_revision(revision);
@@ -264,6 +264,14 @@
          log_.revision() != 0;
 }
 
+watch_status platform_view::status() const {
+  if (is_watching()) {
+    return watch_status::watching;
+  }
+  return follower_.is_starting() ? watch_status::starting
+                                 : watch_status::not_watching;
+}
+
 watch_position platform_view::position() const {
   return {endpoints_.revision(), configuration_.document().version,
           registry_.revision(), evacuations_.current().revision};
--- a/src/gateway/watch_server.cc
+++ b/src/gateway/watch_server.cc
@@ -21,11 +21,11 @@
 }  // namespace
 
 watch_server::watch_server(event_loop& loop, const watch_log& log,
-                           std::function<bool()> is_watching,
+                           std::function<watch_status()> status,
                            peer_callback on_peer, proof_callback add_proof)
     : loop_(loop),
       log_(log),
-      is_watching_(std::move(is_watching)),
+      status_(std::move(status)),
       on_peer_(std::move(on_peer)),
       add_proof_(std::move(add_proof)) {}
 
@@ -56,7 +56,8 @@
   const std::uint64_t now = loop_.now_ms();
   const bool can_wait = now < call.until_ms;
   const bool all = !call.request.configuration_only();
-  if (all && is_watching_()) {
+  const watch_status status = status_();
+  if (all && status == watch_status::watching) {
     reply.set_watching(true);
     return log_.fill_reply(call.request, now, reply) || !can_wait;
   }
@@ -65,6 +66,9 @@
     // An empty reply waits: this gateway may have just started, too.
     return log_.revision() != 0 || !can_wait;
   }
+  if (all && status == watch_status::starting && can_wait) {
+    return false;
+  }
   log_.add_newer_configuration(call.request, reply);
   return true;
 }
