A watcher that misses a change says at once that it does not watch

Cause: a gateway that reaches the platform may poll two watchers to which the platform has fallen silent. These learn of a change from a watcher of another data centre, but said that they watch until a probe had timed out, and callers were held until the end of their wait. With a notice of 3,000 ms the sum is 1,000 (pause of the other watcher) + 120 (notification) + 250 (lag allowed) + 1,300 (probe) + 450 (wait of the poll) + 40 + 40 (pauses between polls) = 3,200 ms until the third poll or the own watch of the platform.

A watcher that stops watching replies to its callers within 50 ms.

--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -261,7 +261,7 @@
 
 bool platform_view::is_watching() const {
   return !endpoints_.is_paused() && endpoints_.reachable() &&
-         log_.revision() != 0;
+         !endpoints_.is_behind() && log_.revision() != 0;
 }
 
 watch_status platform_view::status() const {
--- a/src/gateway/watch_server.cc
+++ b/src/gateway/watch_server.cc
@@ -99,7 +99,13 @@
   }
 }
 
+// A gateway that has lost the platform does not let its callers wait: they have
+// to poll another one.
 void watch_server::reply_to_due() {
+  if (status_() == watch_status::not_watching) {
+    wake();
+    return;
+  }
   const std::uint64_t now = loop_.now_ms();
   waiting_.remove_if([&](const waiting_call& each) {
     return each.until_ms <= now && try_reply(each);
--- a/test/collection_watcher_test.cc
+++ b/test/collection_watcher_test.cc
@@ -97,6 +97,8 @@
   CPPUNIT_TEST(watch_after_a_change_is_short);
   CPPUNIT_TEST(probe_is_hedged);
   CPPUNIT_TEST(watcher_that_is_told_of_a_change_detects_a_silent_platform);
+  CPPUNIT_TEST(watcher_is_behind_before_its_probe_has_timed_out);
+  CPPUNIT_TEST(watcher_with_a_response_is_not_behind);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -247,6 +249,55 @@
     CPPUNIT_ASSERT(!watcher.reachable());
   }
 
+  // Guards against gateways that rely on a watcher for the timeout of its probe
+  // (1.3 s), which is most of the time in which they must avoid a draining
+  // endpoint.
+  void watcher_is_behind_before_its_probe_has_timed_out() {
+    event_loop loop;
+    metrics_registry metrics;
+    silenceable_platform platform(loop);
+    platform::object_store store(loop, platform.where(), metrics);
+    platform::collection_watcher watcher(
+        loop, store, "things", {milliseconds(9000), milliseconds(10)});
+    watcher.on_snapshot([](const platform::object_listing&, bool) {});
+    watcher.start();
+    const timer told =
+        loop.after(milliseconds(100), [&] { watcher.expect(8); });
+    const timer limit = loop.after(milliseconds(1100), [&] { loop.stop(); });
+    loop.run();
+    CPPUNIT_ASSERT(watcher.is_behind());
+    CPPUNIT_ASSERT(watcher.reachable());
+
+    platform.set_silent(false);
+    watcher.on_change([&](const platform::object_change&) { loop.stop(); });
+    watcher.expect(9);
+    loop.run();
+    CPPUNIT_ASSERT(!watcher.is_behind());
+  }
+
+  // Guards against followers that leave a watcher because it was told of a
+  // revision which it has, or which the platform has not.
+  void watcher_with_a_response_is_not_behind() {
+    event_loop loop;
+    metrics_registry metrics;
+    silenceable_platform platform(loop);
+    platform.set_silent(false);
+    platform::object_store store(loop, platform.where(), metrics);
+    platform::collection_watcher watcher(
+        loop, store, "things", {milliseconds(9000), milliseconds(10)});
+    watcher.on_snapshot([](const platform::object_listing&, bool) {});
+    watcher.start();
+    const timer told =
+        loop.every(milliseconds(100), [&] { watcher.expect(100); });
+    bool was_behind = false;
+    const timer checks = loop.every(milliseconds(10), [&] {
+      was_behind = was_behind || watcher.is_behind();
+    });
+    const timer limit = loop.after(milliseconds(1500), [&] { loop.stop(); });
+    loop.run();
+    CPPUNIT_ASSERT(!was_behind);
+  }
+
  private:
   static platform::watch_pace quick_pace() {
     return {milliseconds(100), milliseconds(10)};
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -56,7 +56,8 @@
     add_store("store-" + std::to_string(i));
   }
   for (int i = 1; i <= options_.gateways; ++i) {
-    add_gateway("gateway-" + std::to_string(i));
+    add_gateway("gateway-" + std::to_string(i),
+                i > options_.gateways - options_.gateways_elsewhere);
   }
 }
 
@@ -128,7 +129,8 @@
   std::ofstream(folder_ + "/" + name + ".json") << settings.dump();
 }
 
-void service_deployment::add_gateway(const std::string& name) {
+void service_deployment::add_gateway(const std::string& name, bool elsewhere) {
+  const char* const together = elsewhere ? "dc-2" : "dc-1";
   process& gateway = processes_[name];
   gateway.port = take_port();
   gateway.second_port = take_port();
@@ -138,7 +140,8 @@
   json settings = {
       {"name", name},
       {"box", name},
-      {"data_centre", options_.gateways_together ? "dc-1" : data_centre(name)},
+      {"data_centre",
+       options_.gateways_together ? together : data_centre(name)},
       {"http_listen", local(gateway.port)},
       {"ready_listen", local(gateway.second_port)},
       {"rpc_listen", local(take_port())},
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -22,6 +22,7 @@
   int timeout_ms = 8000;
   double stop_limit_s = 8;         // of the gateways
   bool gateways_together = false;  // all in one data centre
+  int gateways_elsewhere = 0;      // but for the last so many, in another one
   bool links = false;  // calls between processes go through fault proxies
   json workspaces;     // of the first configuration; null: none
   int revocation_limit_ms = 0;   // 0: no such promise
@@ -112,7 +113,7 @@
     pid_t id = 0;
   };
 
-  void add_gateway(const std::string& name);
+  void add_gateway(const std::string& name, bool elsewhere);
   void write_store_settings(const std::string& name, bool first_start);
 
   service_options options_;
--- a/test/shared_watch_test.cc
+++ b/test/shared_watch_test.cc
@@ -1,5 +1,7 @@
 // Four gateway processes of one data centre, two of which watch the platform.
 #include <algorithm>
+#include <chrono>
+#include <thread>
 
 #include "service_deployment.h"
 #include "test_support.h"
@@ -27,6 +29,7 @@
   CPPUNIT_TEST(all_gateways_serve_during_an_outage);
   CPPUNIT_TEST(list_request_to_a_silent_platform_is_repeated);
   CPPUNIT_TEST(starting_gateway_reads_its_state_from_peers);
+  CPPUNIT_TEST(draining_endpoint_is_avoided_while_watchers_lost_the_platform);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -130,7 +133,35 @@
                          system.platform_calls("GET /objects/config"));
   }
 
+  // Guards against requests to a draining endpoint from gateways that reach the
+  // platform and poll watchers to which it has fallen silent: these claimed to
+  // watch for as long as they were polled. A gateway of another data centre
+  // has the change.
+  void draining_endpoint_is_avoided_while_watchers_lost_the_platform() {
+    service_options options = shared_options();
+    options.gateways = gateway_count + 1;
+    options.gateways_elsewhere = 1;
+    options.links = true;
+    service_deployment system(options);
+    start_shared(system);
+    const std::vector<int> watching = watchers(system);
+    for (const int each : watching) {
+      system.link("platform of " + gateway(each)).set(link_fault::silence);
+    }
+    system.register_runner("runner-1", "draining");
+    std::this_thread::sleep_for(endpoint_notice);
+
+    for (int i = 1; i <= gateway_count; ++i) {
+      const bool follows =
+          std::find(watching.begin(), watching.end(), i) == watching.end();
+      CPPUNIT_ASSERT_MESSAGE(gateway(i),
+                             !follows || avoids_runner_1(system, i));
+    }
+  }
+
  private:
+  // The default of the setting endpoint_notice_ms.
+  static constexpr std::chrono::milliseconds endpoint_notice{2000};
   inline static const std::string gateways = "/objects/trayrock-gateways";
   inline static const std::string list_of_gateways = "GET " + gateways;
 
--- a/test/watch_server_test.cc
+++ b/test/watch_server_test.cc
@@ -18,6 +18,8 @@
 class watch_server_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(watch_server_test);
   CPPUNIT_TEST(gateway_that_has_just_started_is_waited_for);
+  CPPUNIT_TEST(gateway_that_does_not_watch_after_its_start_says_so);
+  CPPUNIT_TEST(watcher_that_loses_the_platform_says_so_at_once);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -30,12 +32,38 @@
     CPPUNIT_ASSERT(seen.watching);
   }
 
+  void gateway_that_does_not_watch_after_its_start_says_so() {
+    const outcome seen =
+        poll_during(watch_status::starting, watch_status::not_watching);
+    CPPUNIT_ASSERT(!seen.watching);
+    check_prompt(seen);
+  }
+
+  // Guards against callers that wait for a watcher which can't have an update:
+  // the wait is a sixth of the time in which they must avoid a draining
+  // endpoint.
+  void watcher_that_loses_the_platform_says_so_at_once() {
+    const outcome seen =
+        poll_during(watch_status::watching, watch_status::not_watching);
+    CPPUNIT_ASSERT(!seen.watching);
+    check_prompt(seen);
+  }
+
  private:
   struct outcome {
     bool watching = false;
     std::uint64_t after_ms = 0;
   };
 
+  static void check_prompt(const outcome& seen) {
+    constexpr std::uint64_t at_once_ms = 250;  // with a busy processor
+    const auto earliest = static_cast<std::uint64_t>(change_at.count());
+    TRAYROCK_CHECK(
+        seen.after_ms + 1 >= earliest && seen.after_ms < earliest + at_once_ms,
+        "expected a reply after " << earliest << " ms, seen after "
+                                  << seen.after_ms);
+  }
+
   // The reply to a poll of a gateway whose status changes meanwhile.
   static outcome poll_during(watch_status first, watch_status then) {
     event_loop loop;
