A record that is neither stored nor failed in a test names the disks' syncs

store_reader_test voter_counts_once_its_listed_records_are_on_disk failed once and is not traced: an operation may take 20 s while stores report pending writes, the fixture ends after 10 s, and the failure did not show whether a disk needed that long. The check is as before; its message has each store's longest sync, a pending one included.

--- a/test/record_store_fixture.h
+++ b/test/record_store_fixture.h
@@ -147,10 +147,23 @@
       loop_->stop();
     });
     run();
-    CPPUNIT_ASSERT(stored.has_value());
+    TRAYROCK_CHECK(stored.has_value(),
+                   "neither stored nor failed; " << syncs_text());
     return *stored;
   }
 
+  // The longest sync of each store's disk: a machine with a slow disk may need
+  // longer than max_test_duration.
+  std::string syncs_text() const {
+    std::string text = "longest syncs in ms:";
+    for (const auto& each : stores_) {
+      text += each == nullptr
+                  ? " none"
+                  : ' ' + std::to_string(each->syncs.longest_sync_ms());
+    }
+    return text;
+  }
+
   result<reserved_turn> reserve(const records::Reservation& made,
                                 const std::string& previous,
                                 milliseconds limit = call_timeout) {
--- a/test/slow_files.h
+++ b/test/slow_files.h
@@ -8,6 +8,8 @@
 //   gate.fail();     // from now on, syncs fail
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
@@ -48,6 +50,23 @@
     return waiting_ > 0;
   }
 
+  // The longest sync of the real files, pending ones included, in ms.
+  long longest_sync_ms() {
+    const std::scoped_lock lock(guard_);
+    return std::max(longest_sync_ms_, pending_sync_ms());
+  }
+
+  void on_sync_begun() {
+    const std::scoped_lock lock(guard_);
+    sync_began_ = clock::now();
+  }
+
+  void on_sync_ended() {
+    const std::scoped_lock lock(guard_);
+    longest_sync_ms_ = std::max(longest_sync_ms_, pending_sync_ms());
+    sync_began_ = {};
+  }
+
   // Waits; returns false if the sync is to fail.
   bool pass() {
     std::unique_lock lock(guard_);
@@ -68,12 +87,26 @@
     changed_.notify_all();
   }
 
+  using clock = std::chrono::steady_clock;
+
+  long pending_sync_ms() const {
+    if (sync_began_ == clock::time_point()) {
+      return 0;
+    }
+    return static_cast<long>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() -
+                                                              sync_began_)
+            .count());
+  }
+
   std::mutex guard_;
   std::condition_variable changed_;
   bool open_ = true;
   bool failing_ = false;
   int admitted_ = 0;
   int waiting_ = 0;
+  clock::time_point sync_began_;  // of the pending sync of a real file
+  long longest_sync_ms_ = 0;
 };
 
 class slow_file final : public disk_file {
@@ -85,8 +118,13 @@
     return file_->append(bytes);
   }
   std::error_code sync() override {
-    return gate_.pass() ? file_->sync()
-                        : std::make_error_code(std::errc::io_error);
+    if (!gate_.pass()) {
+      return std::make_error_code(std::errc::io_error);
+    }
+    gate_.on_sync_begun();
+    const std::error_code failed = file_->sync();
+    gate_.on_sync_ended();
+    return failed;
   }
   result<std::string> read(std::uint64_t offset,
                            std::size_t length) const override {
