Workspaces far above their limit start no more programs than their permits suffice for

Programs under way lost their work when a workspace sent several times its limit: a flood of first requests used up the window's permits at once, then programs in progress got 429 for two to three seconds.

Each store now bounds the programs that start in a window by its permits over the mean number of requests of the workspace's programs, which it learns in windows without a refusal.

--- a/src/decide/permit_limiter.cc
+++ b/src/decide/permit_limiter.cc
@@ -17,6 +17,14 @@
 // use, since a program under way that is refused one loses all work done so
 // far.
 constexpr double program_reserve_share = 0.25;
+// The programs that start in a window may need this share of the permits; the
+// rest covers programs that need more than the mean.
+constexpr double start_share = 0.9;
+// They may need more while less than this share of the permits is in use.
+constexpr double busy_share = 0.5;
+constexpr double idle_start_factor = 1.3;
+// Weight of the last window in the mean number of requests of a program.
+constexpr double window_weight = 0.3;
 // The share of each store's permits that may be issued before they are on disk,
 // and one permit more. With a tolerance of a tenth of the limit and 20
 // requests, a power failure on five stores loses less than half of what is not
@@ -92,6 +100,54 @@
   return made;
 }
 
+// ---- Programs that start ---------------------------------------------------
+
+void program_starts::add(std::uint64_t slot, permit_use use) {
+  end_window(slot);
+  ++window_requests_;
+  if (use == permit_use::starts_program) {
+    ++window_starts_;
+    starts_.add(slot, 1);
+  }
+}
+
+void program_starts::on_refusal(std::uint64_t slot) {
+  end_window(slot);
+  window_complete_ = false;
+}
+
+// A window in which requests were refused says little about the number that a
+// program needs.
+void program_starts::end_window(std::uint64_t slot) {
+  if (slot < window_begin_ + permit_window::slots) {
+    return;
+  }
+  if (window_complete_ && window_starts_ > 0) {
+    mean_requests_ += window_weight * (window_requests_ - mean_requests_);
+    mean_starts_ += window_weight * (window_starts_ - mean_starts_);
+  }
+  window_begin_ = slot;
+  window_requests_ = 0;
+  window_starts_ = 0;
+  window_complete_ = true;
+}
+
+std::uint64_t program_starts::slots_until_allowed(std::uint64_t slot,
+                                                  std::uint64_t share,
+                                                  std::uint64_t in_use) {
+  if (mean_starts_ <= 0) {
+    return 0;
+  }
+  const double requests_of_program =
+      std::max(mean_requests_ / mean_starts_, 1.0);
+  const bool busy =
+      static_cast<double>(in_use) >= static_cast<double>(share) * busy_share;
+  const double allowed = static_cast<double>(share) * start_share /
+                         requests_of_program * (busy ? 1 : idle_start_factor);
+  return starts_.slots_until_below(
+      slot, std::max<std::uint64_t>(1, static_cast<std::uint64_t>(allowed)));
+}
+
 // ---- All workspaces --------------------------------------------------------
 
 std::uint64_t permit_limiter::slot_ms() const {
@@ -211,11 +267,17 @@
   const std::uint64_t available =
       use == permit_use::starts_program ? share - reserved : share;
   const std::uint64_t slot = slot_of(now_ms);
-  const std::uint64_t wait = usage.window.slots_until_below(slot, available);
+  std::uint64_t wait = usage.window.slots_until_below(slot, available);
+  if (use == permit_use::starts_program) {
+    wait = std::max(wait, usage.starts.slots_until_allowed(
+                              slot, share, usage.window.count(slot)));
+  }
   if (wait == 0) {
     usage.window.add(slot, 1);
+    usage.starts.add(slot, use);
     return permit_given{slot};
   }
+  usage.starts.on_refusal(slot);
   const std::uint64_t next_ms = wait * slot_ms() - now_ms % slot_ms();
   return permit_refused{milliseconds(next_ms)};
 }
