Turns are placed by the pace of engines, and compared within a data centre

Engines may differ in speed; a latency of up to twice the median counted as equal, so that a slow engine got as many turns as a fast one. Latency also contains the lengths of prompt and output. The time between the events of a response contains neither: an engine's pace is this time relative to the median of its service. First turns go to the engine with the least lines times its pace, and a turn leaves an engine that is more than twice as slow as the median.

The number of lines at an engine was compared with that of the least loaded one of all data centres. Where a gateway has several lines at each engine nearby, that is an idle engine far away, and turns left engines that were as loaded as their neighbours. Only engines of the same data centre are compared now.

--- a/include/trayrock/internal/decide/endpoint_choice.h
+++ b/include/trayrock/internal/decide/endpoint_choice.h
@@ -51,6 +51,8 @@
   bool breaks_ties_randomly = true;
   // Latencies up to twice the median count as equal.
   bool ignores_latency_noise = true;
+  // Turns that are placed by their prompt go to engines by their pace.
+  bool weighs_engine_pace = true;
 
   bool operator==(const choice_policy&) const = default;
 };
@@ -79,6 +81,15 @@
 
 std::string_view text_of(choice_reason reason);
 
+// How many times the load of an endpoint counts for its distance, a new
+// connection and a cold start.
+double cost_factor(const endpoint_state& at, const endpoint_criteria& criteria,
+                   const choice_policy& policy, std::uint64_t now_ms);
+
+// The most requests of an endpoint for which it is kept, though another one has
+// only `least_requests`.
+double max_requests_to_keep(std::uint32_t least_requests);
+
 struct endpoint_choice {
   endpoint_state_ptr endpoint;  // nullptr: no endpoint of the service is usable
   choice_reason reason = choice_reason::load;
@@ -89,4 +100,10 @@
                                 const choice_policy& policy,
                                 std::uint64_t now_ms);
 
+// The choice for criteria with a turn, among endpoints that may be used.
+// Requires `candidates` not to be empty.
+endpoint_choice place_turn(std::span<const endpoint_state_ptr> candidates,
+                           const endpoint_criteria& criteria,
+                           const choice_policy& policy, std::uint64_t now_ms);
+
 }  // namespace trayrock
--- a/include/trayrock/internal/decide/endpoint_identity.h
+++ b/include/trayrock/internal/decide/endpoint_identity.h
@@ -12,6 +12,7 @@
 #include <charconv>
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -55,4 +56,10 @@
   }
 };
 
+struct endpoint_identity_hash {
+  std::size_t operator()(const endpoint_identity& of) const {
+    return std::hash<std::string>()(of.id) + of.started_ms;
+  }
+};
+
 }  // namespace trayrock
--- a/include/trayrock/internal/decide/endpoint_state.h
+++ b/include/trayrock/internal/decide/endpoint_state.h
@@ -12,6 +12,7 @@
 
 #include "trayrock/internal/decide/cold_start.h"
 #include "trayrock/internal/decide/endpoint_health.h"
+#include "trayrock/internal/decide/engine_pace.h"
 #include "trayrock/internal/gateway/configuration.h"
 
 namespace trayrock {
@@ -32,6 +33,7 @@
   endpoint_health health;
   double latency_ms = 0;            // smoothed, of responses; 0: none yet
   std::uint64_t latency_at_ms = 0;  // time of the last response
+  engine_pace pace;                 // of model engines
   // 0: listed; else no longer listed, and usable until this time.
   std::uint64_t kept_until_ms = 0;
   // Another endpoint has taken over its address: this instance must not be used
--- a/include/trayrock/internal/decide/mechanism.h
+++ b/include/trayrock/internal/decide/mechanism.h
@@ -41,6 +41,7 @@
   draws_among_equals,   // ties between endpoints are broken randomly
   levelled_latencies,   // small latency differences are ignored
   prompt_placement,     // turns go where the gateway sent their prompts
+  engine_pace,          // first turns avoid engines that write slowly
   ready_learners        // more stores are learners than there are vacancies
 };
 
--- a/include/trayrock/internal/decide/recent_placements.h
+++ b/include/trayrock/internal/decide/recent_placements.h
@@ -69,8 +69,9 @@
   void remove_expired(std::uint64_t now_ms);
   const entry* recent_entry(std::uint64_t key, std::uint64_t now_ms) const;
 
-  std::unordered_map<std::uint64_t, entry> by_key_;        // by hash
-  std::unordered_map<std::string, std::uint32_t> active_;  // by identity
+  std::unordered_map<std::uint64_t, entry> by_key_;  // by hash
+  std::unordered_map<endpoint_identity, std::uint32_t, endpoint_identity_hash>
+      active_;
   std::deque<mark> active_marks_;
   std::deque<mark> marks_;
 };
--- a/include/trayrock/internal/gateway/endpoint_attempt.h
+++ b/include/trayrock/internal/gateway/endpoint_attempt.h
@@ -76,6 +76,10 @@
 
   attempt_outcome outcome_of(http1_end how) const;
 
+  // The response is a complete stream of that many events: records the engine's
+  // pace.
+  void record_pace(std::uint64_t events) const;
+
   // Counts a slow response as a failure in the endpoint's health.
   void mark_slow();
 
@@ -96,6 +100,7 @@
   http1_call call_;
   bool in_flight_ = false;
   std::uint64_t sent_at_us_ = 0;
+  std::uint64_t head_at_us_ = 0;
   http1_answer_head head_;
   response_metadata response_;
   std::string body_;
--- a/src/decide/endpoint_choice.cc
+++ b/src/decide/endpoint_choice.cc
@@ -12,7 +12,7 @@
 // The preferred endpoint is kept while it has at most this many more requests
 // of this gateway than the least loaded one.
 constexpr double slack_share = 0.25;
-constexpr std::uint32_t slack_requests = 6;
+constexpr double slack_requests = 6;
 constexpr double assumed_latency_ms = 100;
 // Latencies up to this multiple of the service's median count as the median:
 // queue lengths vary that much, and slow or overloaded endpoints lie above.
@@ -64,32 +64,12 @@
   double median_ms_ = assumed_latency_ms;
 };
 
-// Requests in flight; of turns that are placed by their prompt, the lines,
-// which are there between their turns, too.
-std::uint32_t requests_at(const endpoint_state& at,
-                          const endpoint_criteria& criteria) {
-  if (!criteria.turn) {
-    return at.in_flight;
-  }
-  return std::max(at.in_flight,
-                  criteria.turn->active_lines(at.record.identity));
-}
-
 double load_of(const endpoint_state& at, const endpoint_criteria& criteria,
                const choice_policy& policy, const latency_scale& latencies,
                std::uint64_t now_ms) {
-  double load = (requests_at(at, criteria) + 1) *
-                latencies.relative_to_median(at) / at.record.capacity;
-  if (at.record.data_centre != criteria.data_centre) {
-    load *= policy.elsewhere_factor;
-  }
-  if (criteria.connected && !criteria.connected(at.record)) {
-    load *= policy.unconnected_factor;
-  }
-  if (at.is_cold(now_ms)) {
-    load *= policy.cold_factor;
-  }
-  return load;
+  const double load = (at.in_flight + 1) * latencies.relative_to_median(at) /
+                      at.record.capacity;
+  return load * cost_factor(at, criteria, policy, now_ms);
 }
 
 bool is_usable(const endpoint_state& at, const endpoint_criteria& criteria,
@@ -130,29 +110,6 @@
   return static_cast<double>(healthy.size()) < min_count ? usable : healthy;
 }
 
-// The index into `least` of the endpoint that gets the request. Of several
-// gateways, each chooses the same one for a program as far as the same
-// endpoints are least loaded for them.
-std::size_t break_tie(std::span<const endpoint_state_ptr> candidates,
-                      std::span<const std::size_t> least,
-                      const endpoint_criteria& criteria,
-                      const choice_policy& policy) {
-  if (!policy.breaks_ties_randomly) {
-    return 0;
-  }
-  if (!criteria.turn) {
-    return criteria.draw % least.size();
-  }
-  const auto rank = [&](std::size_t index) {
-    return rendezvous_rank(criteria.turn->program_hash,
-                           candidates[index]->record.identity);
-  };
-  const auto first = std::max_element(
-      least.begin(), least.end(),
-      [&](std::size_t a, std::size_t b) { return rank(a) < rank(b); });
-  return static_cast<std::size_t>(first - least.begin());
-}
-
 // `candidates` must not be empty.
 const endpoint_state_ptr& pick_least_loaded(
     std::span<const endpoint_state_ptr> candidates,
@@ -170,51 +127,37 @@
       least.push_back(i);
     }
   }
-  return candidates[least[break_tie(candidates, least, criteria, policy)]];
+  const std::size_t drawn =
+      policy.breaks_ties_randomly ? criteria.draw % least.size() : 0;
+  return candidates[least[drawn]];
 }
 
 // True if the preferred endpoint has little more load than the least loaded.
 bool is_within_slack(const endpoint_state& preferred,
-                     const endpoint_state& least_loaded,
-                     const endpoint_criteria& criteria) {
-  const double allowed =
-      requests_at(least_loaded, criteria) * (1 + slack_share) + slack_requests;
-  return requests_at(preferred, criteria) <= allowed;
+                     const endpoint_state& least_loaded) {
+  return preferred.in_flight <= max_requests_to_keep(least_loaded.in_flight);
 }
 
-// Of the endpoints in the request's data centre, the one that ranks first for
-// the program and is neither slow nor has much more load than the least loaded
-// one. nullptr: there is none.
-endpoint_state_ptr first_by_rank(std::span<const endpoint_state_ptr> candidates,
-                                 const endpoint_criteria& criteria,
-                                 const latency_scale& latencies,
-                                 const endpoint_state& least) {
-  endpoint_state_ptr first;
-  std::uint64_t first_rank = 0;
-  for (const endpoint_state_ptr& each : candidates) {
-    if (each->record.data_centre != criteria.data_centre ||
-        latencies.is_slow(*each) || !is_within_slack(*each, least, criteria)) {
-      continue;
-    }
-    const std::uint64_t rank =
-        rendezvous_rank(criteria.turn->program_hash, each->record.identity);
-    if (first == nullptr || rank > first_rank) {
-      first = each;
-      first_rank = rank;
-    }
-  }
-  return first;
-}
+}  // namespace
 
-// The endpoint that holds the prompt; empty if none is known.
-endpoint_identity holder_of(const endpoint_criteria& criteria) {
-  if (!criteria.preferred.empty() || !criteria.turn) {
-    return criteria.preferred;
+double cost_factor(const endpoint_state& at, const endpoint_criteria& criteria,
+                   const choice_policy& policy, std::uint64_t now_ms) {
+  double factor = 1;
+  if (at.record.data_centre != criteria.data_centre) {
+    factor *= policy.elsewhere_factor;
+  }
+  if (criteria.connected && !criteria.connected(at.record)) {
+    factor *= policy.unconnected_factor;
   }
-  return criteria.turn->held_by.value_or(endpoint_identity());
+  if (at.is_cold(now_ms)) {
+    factor *= policy.cold_factor;
+  }
+  return factor;
 }
 
-}  // namespace
+double max_requests_to_keep(std::uint32_t least_requests) {
+  return least_requests * (1 + slack_share) + slack_requests;
+}
 
 std::string_view text_of(choice_reason reason) {
   switch (reason) {
@@ -239,29 +182,23 @@
   if (candidates.empty()) {
     return {};
   }
+  if (criteria.turn) {
+    return place_turn(candidates, criteria, policy, now_ms);
+  }
   const latency_scale latencies(candidates, policy.ignores_latency_noise,
                                 now_ms);
   const endpoint_state_ptr& least =
       pick_least_loaded(candidates, criteria, policy, latencies, now_ms);
-  const endpoint_identity holder = holder_of(criteria);
-  const auto found = std::find_if(
-      candidates.begin(), candidates.end(),
-      [&](const auto& each) { return each->record.identity == holder; });
-  const bool keeps_holder =
-      policy.keeps_previous && found != candidates.end() &&
-      !latencies.is_slow(**found) && is_within_slack(**found, *least, criteria);
-  if (keeps_holder) {
-    return {*found, criteria.preferred.empty() ? choice_reason::cached
-                                               : choice_reason::previous_turn};
-  }
-  if (criteria.turn && !criteria.turn->is_first) {
-    const endpoint_state_ptr first =
-        first_by_rank(candidates, criteria, latencies, *least);
-    if (first != nullptr) {
-      return {first, choice_reason::hash};
-    }
-  }
-  return {least, choice_reason::load};
+  const auto preferred =
+      std::find_if(candidates.begin(), candidates.end(), [&](const auto& each) {
+        return each->record.identity == criteria.preferred;
+      });
+  const bool keeps_preferred =
+      policy.keeps_previous && preferred != candidates.end() &&
+      !latencies.is_slow(**preferred) && is_within_slack(**preferred, *least);
+  return keeps_preferred
+             ? endpoint_choice{*preferred, choice_reason::previous_turn}
+             : endpoint_choice{least, choice_reason::load};
 }
 
 }  // namespace trayrock
--- a/src/decide/mechanism.cc
+++ b/src/decide/mechanism.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // In the order of the enumeration.
-constexpr std::array<std::string_view, 24> names{"relays",
+constexpr std::array<std::string_view, 25> names{"relays",
                                                  "failure_news",
                                                  "superseded_news",
                                                  "revision_news",
@@ -30,6 +30,7 @@
                                                  "draws_among_equals",
                                                  "levelled_latencies",
                                                  "prompt_placement",
+                                                 "engine_pace",
                                                  "ready_learners"};
 static_assert(names.size() ==
               static_cast<std::size_t>(mechanism::ready_learners) + 1);
--- a/src/decide/recent_placements.cc
+++ b/src/decide/recent_placements.cc
@@ -41,7 +41,7 @@
 std::uint32_t recent_placements::active_lines(const endpoint_identity& endpoint,
                                               std::uint64_t now_ms) {
   remove_expired(now_ms);
-  const auto found = active_.find(endpoint.text());
+  const auto found = active_.find(endpoint);
   return found == active_.end() ? 0 : found->second;
 }
 
@@ -53,7 +53,7 @@
   held = {endpoint, now_ms, is_line};
   marks_.push_back({now_ms, key});
   if (is_line) {
-    ++active_[endpoint.text()];
+    ++active_[endpoint];
     active_marks_.push_back({now_ms, key});
   }
 }
@@ -63,7 +63,7 @@
     return;
   }
   from.is_active = false;
-  const auto found = active_.find(from.endpoint.text());
+  const auto found = active_.find(from.endpoint);
   if (--found->second == 0) {
     active_.erase(found);
   }
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -63,8 +63,19 @@
       static_cast<long>((loop_.now_us() - sent_at_us_) / us_per_ms));
 }
 
+void endpoint_attempt::record_pace(std::uint64_t events) const {
+  constexpr std::uint64_t min_events = 3;
+  if (endpoint_ == nullptr || events < min_events) {
+    return;
+  }
+  constexpr double us_per_ms = 1000;
+  const auto ms = static_cast<double>(loop_.now_us() - head_at_us_) / us_per_ms;
+  endpoint_->pace.record(ms / static_cast<double>(events - 1), loop_.now_ms());
+}
+
 void endpoint_attempt::accept_head(const http1_answer_head& head,
                                    response_metadata response) {
+  head_at_us_ = loop_.now_us();
   head_ = head;
   response_ = std::move(response);
   invalid_ = succeeded() && (!response_.sealed || response_.encoded);
--- a/src/gateway/gateway_policy.cc
+++ b/src/gateway/gateway_policy.cc
@@ -74,6 +74,9 @@
     case mechanism::prompt_placement:
       from.places_by_prompt = false;
       return;
+    case mechanism::engine_pace:
+      from.endpoints.choice.weighs_engine_pace = false;
+      return;
     case mechanism::ready_learners:
       return;  // of record stores
   }
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -356,6 +356,9 @@
 }
 
 void request_flow::on_stream_complete() {
+  if (is_placed_by_prompt() && report_.sends == 1) {
+    attempt_.record_pace(response_.events().complete_events());
+  }
   if (routing_.route().keeps_history) {
     store_turn();
     return;
