--- a/include/trayrock/internal/decide/permit_limiter.h
+++ b/include/trayrock/internal/decide/permit_limiter.h
@@ -16,9 +16,10 @@
 // within their new shares (decide/permit_confirmations.h).
 //
 // Requests that start a program can't use a part of each share, since a program
-// under way that is refused a permit loses all work done so far. A workspace
-// far above its limit may not start more programs in a window than its permits
-// suffice for: these would use up all permits at once, and none would complete.
+// under way that is refused a permit loses all work done so far. Once one was
+// refused, its workspace may not start more programs in a window than its
+// permits suffice for: these would use up all permits at once, and none would
+// complete.
 //
 // No I/O; times are of a steady clock.
 //
@@ -97,20 +98,20 @@
   std::uint64_t newest_ = 0;
 };
 
-// Limits the programs of a workspace that start in a window, by the mean number
-// of requests that its programs made in windows without a refusal.
+// Limits the programs of a workspace that start in a window, once programs
+// under way were refused permits: by the mean number of requests that its
+// programs made in windows without a refusal.
 class program_starts {
  public:
   // A permit was issued.
   void add(std::uint64_t slot, permit_use use);
 
   // A request was refused a permit.
-  void on_refusal(std::uint64_t slot);
+  void on_refusal(std::uint64_t slot, permit_use use);
 
   // The number of slots until a program may start. `share` is the number of
-  // permits of a window, `in_use` the number of those issued in the last one.
-  std::uint64_t slots_until_allowed(std::uint64_t slot, std::uint64_t share,
-                                    std::uint64_t in_use);
+  // permits of a window.
+  std::uint64_t slots_until_allowed(std::uint64_t slot, std::uint64_t share);
 
  private:
   void end_window(std::uint64_t slot);
@@ -121,7 +122,8 @@
   std::uint64_t window_begin_ = 0;
   std::uint32_t window_requests_ = 0;
   std::uint32_t window_starts_ = 0;
-  bool window_complete_ = false;  // no request was refused
+  bool window_complete_ = false;     // no request was refused
+  std::uint64_t limited_until_ = 0;  // slot
 };
 
 class permit_limiter {
--- a/src/decide/permit_limiter.cc
+++ b/src/decide/permit_limiter.cc
@@ -20,9 +20,9 @@
 // The programs that start in a window may need this share of the permits; the
 // rest covers programs that need more than the mean.
 constexpr double start_share = 0.9;
-// They may need more while less than this share of the permits is in use.
-constexpr double busy_share = 0.5;
-constexpr double idle_start_factor = 1.3;
+// How long programs that start are limited after a program under way was
+// refused a permit, in windows. At other times the limit has room for them.
+constexpr std::uint64_t limited_windows = 3;
 // Weight of the last window in the mean number of requests of a program.
 constexpr double window_weight = 0.3;
 // The share of each store's permits that may be issued before they are on disk,
@@ -111,9 +111,12 @@
   }
 }
 
-void program_starts::on_refusal(std::uint64_t slot) {
+void program_starts::on_refusal(std::uint64_t slot, permit_use use) {
   end_window(slot);
   window_complete_ = false;
+  if (use == permit_use::regular) {
+    limited_until_ = slot + limited_windows * permit_window::slots;
+  }
 }
 
 // A window in which requests were refused says little about the number that a
@@ -133,17 +136,14 @@
 }
 
 std::uint64_t program_starts::slots_until_allowed(std::uint64_t slot,
-                                                  std::uint64_t share,
-                                                  std::uint64_t in_use) {
-  if (mean_starts_ <= 0) {
+                                                  std::uint64_t share) {
+  if (mean_starts_ <= 0 || slot >= limited_until_) {
     return 0;
   }
   const double requests_of_program =
       std::max(mean_requests_ / mean_starts_, 1.0);
-  const bool busy =
-      static_cast<double>(in_use) >= static_cast<double>(share) * busy_share;
-  const double allowed = static_cast<double>(share) * start_share /
-                         requests_of_program * (busy ? 1 : idle_start_factor);
+  const double allowed =
+      static_cast<double>(share) * start_share / requests_of_program;
   return starts_.slots_until_below(
       slot, std::max<std::uint64_t>(1, static_cast<std::uint64_t>(allowed)));
 }
@@ -269,15 +269,14 @@
   const std::uint64_t slot = slot_of(now_ms);
   std::uint64_t wait = usage.window.slots_until_below(slot, available);
   if (use == permit_use::starts_program) {
-    wait = std::max(wait, usage.starts.slots_until_allowed(
-                              slot, share, usage.window.count(slot)));
+    wait = std::max(wait, usage.starts.slots_until_allowed(slot, share));
   }
   if (wait == 0) {
     usage.window.add(slot, 1);
     usage.starts.add(slot, use);
     return permit_given{slot};
   }
-  usage.starts.on_refusal(slot);
+  usage.starts.on_refusal(slot, use);
   const std::uint64_t next_ms = wait * slot_ms() - now_ms % slot_ms();
   return permit_refused{milliseconds(next_ms)};
 }
