--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -36,6 +36,7 @@
     return;
   }
   report_.placed_by = text_of(chosen.reason);
+  count_placement();
   record_placement();
   tried_.insert(attempt_.identity());
   may_run_ = true;
@@ -91,6 +92,13 @@
   return made;
 }
 
+void request_flow::count_placement() {
+  if (is_placed_by_prompt()) {
+    context_.metrics.add("turn_placements_total",
+                         {{"reason", report_.placed_by}});
+  }
+}
+
 void request_flow::record_placement() {
   if (is_placed_by_prompt()) {
     context_.placements.record(line(), attempt_.identity(),
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -125,6 +125,8 @@
   bool is_placed_by_prompt() const;
   turn_line line() const;
 
+  void count_placement();
+
   // Records where the turn's prompt is held from now on.
   void record_placement();
 
--- a/test/gateway_path_test.cc
+++ b/test/gateway_path_test.cc
@@ -1,5 +1,6 @@
 // End-to-end tests of gateways and record stores with a fake platform and fake
 // endpoints.
+#include <algorithm>
 #include <csignal>
 #include <future>
 #include <thread>
@@ -23,6 +24,7 @@
   CPPUNIT_TEST(turn_with_an_unknown_predecessor_does_not_run);
   CPPUNIT_TEST(program_with_spent_tokens_gets_402_and_does_not_run);
   CPPUNIT_TEST(budget_applies_to_turns_without_history);
+  CPPUNIT_TEST(conversation_stays_at_its_endpoint_across_gateways);
   CPPUNIT_TEST(turn_that_did_not_run_uses_no_budget);
   CPPUNIT_TEST(at_most_once_request_is_not_resent_after_a_lost_connection);
   CPPUNIT_TEST(repeatable_request_is_resent_to_another_endpoint);
@@ -104,6 +106,31 @@
     CPPUNIT_ASSERT_EQUAL(0, system.runs("t3"));
   }
 
+  // Guards against turns of routes without history that go to endpoints that do
+  // not hold the conversation, since another gateway sent the turn before. The
+  // gateways are in different data centres.
+  void conversation_stays_at_its_endpoint_across_gateways() {
+    constexpr int turns = 6;
+    service_options options;
+    options.runners = 4;
+    service_deployment system(options);
+    system.start_all();
+    for (int i = 1; i <= turns; ++i) {
+      const std::string gateway = i % 2 == 0 ? "gateway-2" : "gateway-1";
+      const http_answer response =
+          system.turn(gateway, "t" + std::to_string(i), "", "input", 1000,
+                      "/resumable-stream/a");
+      CPPUNIT_ASSERT_EQUAL(200, response.status);
+    }
+
+    std::size_t most = 0;
+    for (int i = 1; i <= options.runners; ++i) {
+      const json counts = system.counts("runner-" + std::to_string(i));
+      most = std::max(most, counts["runs"].size());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{turns}, most);
+  }
+
   void turn_that_did_not_run_uses_no_budget() {
     service_deployment system;
     system.start_all();
