HTTP/1.1 connections report what they buffer, and can pause

A proxy that bounds its memory has to know how many bytes a client has not read, and has to stop reading from an endpoint. http1_server reports each change of what a connection buffers, and closes one by its id. http1_call can pause and resume reading, and tells when its request has left the process. Only libevent's copy of a request that is sent is kept. Without an observer nothing is called back.

--- a/include/trayrock/internal/net/http1_client.h
+++ b/include/trayrock/internal/net/http1_client.h
@@ -44,6 +44,9 @@
   std::function<bool(const http1_answer_head&)> on_head;
   std::function<void(std::string_view)> on_body;
   std::function<void(http1_end)> on_end;
+  // May be empty. Called once the whole request has left the process; not
+  // called if the call ends before.
+  std::function<void()> on_sent;
 };
 
 // Handle of a running request; dropping it cancels the request.
@@ -51,6 +54,12 @@
  public:
   http1_call() = default;
   void cancel() { held_.reset(); }
+
+  // Stops reading the response. Bytes that this process has read already are
+  // still passed on. The end of the connection is noticed after resuming.
+  void pause_reading();
+  void resume_reading();
+
   struct canceller;
 
  private:
--- a/include/trayrock/internal/net/http1_server.h
+++ b/include/trayrock/internal/net/http1_server.h
@@ -15,8 +15,10 @@
 //   out->finish();
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -43,6 +45,14 @@
   std::string body;
 };
 
+// Bytes that one client's connection buffers in this process.
+struct http1_buffered {
+  std::size_t received = 0;  // requests that were not handed on yet
+  std::size_t unread = 0;    // responses that the client has not taken
+
+  std::size_t total() const { return received + unread; }
+};
+
 // The answer to one request. Calls after the client has gone do nothing.
 class http1_exchange {
  public:
@@ -65,6 +75,10 @@
 
   // True once the answer's head is on its way.
   virtual bool begun() const = 0;
+
+  // Of the client's connection, which other requests may follow on. Never
+  // reused by the server.
+  virtual std::uint64_t connection_id() const = 0;
 };
 using http1_exchange_ptr = std::shared_ptr<http1_exchange>;
 
@@ -75,6 +89,11 @@
   // Told of each answer that the server gave by itself.
   using refusal_observer = std::function<void(int status)>;
 
+  // Told of each change of what a connection buffers, also from within
+  // http1_exchange's calls. No value: the connection was closed.
+  using buffer_observer = std::function<void(
+      std::uint64_t connection, std::optional<http1_buffered> held)>;
+
   http1_server(event_loop& loop, limits_source limits, handler serve);
   http1_server(const http1_server&) = delete;
   http1_server& operator=(const http1_server&) = delete;
@@ -85,6 +104,13 @@
 
   void on_refusal(refusal_observer observer);
 
+  // Only connections that are accepted from now on are observed.
+  void on_buffered(buffer_observer observer);
+
+  // Closes a connection; a response that has begun stays incomplete. Must not
+  // be called from a buffer_observer.
+  void drop(std::uint64_t connection);
+
   // From now on every answer closes its connection.
   void close_after_answers(bool closes = true);
 
--- a/src/net/http1_client.cc
+++ b/src/net/http1_client.cc
@@ -42,6 +42,22 @@
   }
 };
 
+void http1_call::pause_reading() {
+  const auto held =
+      held_ == nullptr || held_->ended ? nullptr : held_->connection.lock();
+  if (held != nullptr) {
+    held->pause_reading();
+  }
+}
+
+void http1_call::resume_reading() {
+  const auto held =
+      held_ == nullptr || held_->ended ? nullptr : held_->connection.lock();
+  if (held != nullptr) {
+    held->resume_reading();
+  }
+}
+
 http1_pool::http1_pool(event_loop& loop)
     : impl_(std::make_shared<impl>(loop)) {}
 
--- a/src/net/http1_client_connection.cc
+++ b/src/net/http1_client_connection.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 
 #include <charconv>
+#include <utility>
 
 #include "http2_session.h"
 #include "socket_address.h"
@@ -58,7 +59,7 @@
 
 bool http1_client_connection::open(const address& peer) {
   bev_ = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-  bufferevent_setcb(bev_, on_readable, nullptr, on_event, this);
+  bufferevent_setcb(bev_, on_readable, on_written, on_event, this);
   bufferevent_enable(bev_, EV_READ | EV_WRITE);
   sockaddr_in to = socket_address_of(peer);
   guard_ = loop_.after(connect_limit, [this] { end(http1_end::never_sent); });
@@ -73,7 +74,27 @@
     return;
   }
   guard_.cancel();
-  bufferevent_write(bev_, call_->bytes.data(), call_->bytes.size());
+  send_request();
+}
+
+// Only libevent's copy of the request is kept until it has left.
+void http1_client_connection::send_request() {
+  const std::string bytes = std::exchange(call_->bytes, {});
+  bufferevent_write(bev_, bytes.data(), bytes.size());
+}
+
+void http1_client_connection::pause_reading() {
+  if (!dead_ && call_ != nullptr && !paused_) {
+    paused_ = true;
+    bufferevent_disable(bev_, EV_READ);
+  }
+}
+
+void http1_client_connection::resume_reading() {
+  if (!dead_ && paused_) {
+    paused_ = false;
+    bufferevent_enable(bev_, EV_READ);
+  }
 }
 
 void http1_client_connection::drop() {
@@ -100,6 +121,7 @@
 
 void http1_client_connection::end(http1_end how) {
   const std::unique_ptr<running_call> ended = std::move(call_);
+  resume_reading();
   if (how != http1_end::complete || !reusable_) {
     drop();
   } else {
@@ -263,6 +285,18 @@
   self(context).read();
 }
 
+void http1_client_connection::on_written(bufferevent*, void* context) {
+  http1_client_connection& me = self(context);
+  const auto keep = me.shared_from_this();
+  // libevent also calls this for a fresh connection.
+  const bool sent = me.call_ != nullptr && me.call_->bytes.empty() &&
+                    evbuffer_get_length(bufferevent_get_output(me.bev_)) == 0;
+  if (sent && !me.dead_ && me.call_->observer.on_sent) {
+    const auto on_sent = std::exchange(me.call_->observer.on_sent, nullptr);
+    on_sent();
+  }
+}
+
 void http1_client_connection::on_event(bufferevent* bev, short what,
                                        void* context) {
   http1_client_connection& me = self(context);
@@ -273,7 +307,7 @@
     set_no_delay(bev);
     watch_path(bufferevent_getfd(bev));
     if (me.call_ != nullptr) {
-      bufferevent_write(bev, me.call_->bytes.data(), me.call_->bytes.size());
+      me.send_request();
     }
     return;
   }
--- a/src/net/http1_client_connection.h
+++ b/src/net/http1_client_connection.h
@@ -54,7 +54,7 @@
 
 // A pending request and its callbacks.
 struct running_call {
-  std::string bytes;  // head and body, as sent
+  std::string bytes;  // head and body, until they are sent
   bool head_request = false;
   http1_observer observer;
 };
@@ -83,6 +83,10 @@
   // Closes without telling the request's owner.
   void drop();
 
+  // The running call's, until it ends.
+  void pause_reading();
+  void resume_reading();
+
   // The connection may carry another request.
   bool usable() const { return !dead_ && call_ == nullptr; }
 
@@ -95,6 +99,7 @@
   }
   static const http_parser_settings& parser_settings();
 
+  void send_request();
   void end(http1_end how);
   void message_done();
   void rest();
@@ -108,6 +113,7 @@
   static int on_body(http_parser* parser, const char* at, std::size_t length);
   static int on_message(http_parser* parser);
   static void on_readable(bufferevent*, void* context);
+  static void on_written(bufferevent*, void* context);
   static void on_event(bufferevent*, short what, void* context);
 
   std::weak_ptr<http1_pool::impl> pool_;
@@ -124,6 +130,7 @@
   bool interim_ = false;
   bool message_done_ = false;
   bool reusable_ = false;
+  bool paused_ = false;
   timer guard_;
 };
 
--- a/src/net/http1_server.cc
+++ b/src/net/http1_server.cc
@@ -18,7 +18,8 @@
 void http1_server::impl::accept(evconnlistener*, evutil_socket_t socket,
                                 sockaddr*, int, void* context) {
   auto* self = static_cast<impl*>(context);
-  auto made = std::make_shared<internal::http1_server_connection>(*self);
+  auto made = std::make_shared<internal::http1_server_connection>(
+      *self, ++self->last_connection);
   self->connections[made.get()] = made;
   self->accepted_at_ms = self->loop.now_ms();
   made->open(socket);
@@ -63,6 +64,22 @@
   impl_->refused = std::move(observer);
 }
 
+void http1_server::on_buffered(buffer_observer observer) {
+  impl_->buffered = std::move(observer);
+}
+
+void http1_server::drop(std::uint64_t connection) {
+  const auto found =
+      std::find_if(impl_->connections.begin(), impl_->connections.end(),
+                   [connection](const auto& each) {
+                     return each.second->id() == connection;
+                   });
+  if (found != impl_->connections.end()) {
+    const auto keep = found->second;
+    keep->lose();
+  }
+}
+
 void http1_server::close_after_answers(bool closes) { impl_->closing = closes; }
 
 void http1_server::close_idle() {
--- a/src/net/http1_server_connection.cc
+++ b/src/net/http1_server_connection.cc
@@ -28,6 +28,10 @@
   set_no_delay(bev_);
   bufferevent_setcb(bev_, on_readable, on_written, on_event, this);
   bufferevent_setwatermark(bev_, EV_READ, 0, read_ahead_bytes);
+  observed_ = static_cast<bool>(server_.buffered);
+  if (observed_) {
+    evbuffer_add_cb(bufferevent_get_output(bev_), on_output_changed, this);
+  }
   bufferevent_enable(bev_, EV_READ | EV_WRITE);
   arm(server_.limits().idle_timeout);
 }
@@ -166,6 +170,24 @@
   if (closing_) {
     evbuffer_drain(input, evbuffer_get_length(input));
   }
+  report_buffered();
+}
+
+void http1_server_connection::report_buffered() const {
+  if (!observed_) {
+    return;
+  }
+  http1_buffered held;
+  held.received = evbuffer_get_length(bufferevent_get_input(bev_)) +
+                  (reading_ ? request_.body.size() : 0);
+  held.unread = evbuffer_get_length(bufferevent_get_output(bev_));
+  server_.buffered(id_, held);
+}
+
+void http1_server_connection::on_output_changed(evbuffer*,
+                                                const evbuffer_cb_info*,
+                                                void* context) {
+  self(context).report_buffered();
 }
 
 void http1_server_connection::dispatch() {
@@ -173,8 +195,9 @@
   serving_ = true;
   guard_.cancel();
   http_parser_pause(&parser_, 0);
+  report_buffered();  // without the request, which its handler counts
   ++server_.open;
-  exchange_ = std::make_shared<http1_server_exchange>(weak_from_this());
+  exchange_ = std::make_shared<http1_server_exchange>(weak_from_this(), id_);
   const std::shared_ptr<http1_server_exchange> handed = exchange_;
   server_.serve(std::move(request_), handed);
 }
@@ -243,6 +266,10 @@
   if (bev_ != nullptr) {
     bufferevent_disable(bev_, EV_READ | EV_WRITE);
   }
+  if (observed_) {
+    observed_ = false;
+    server_.buffered(id_, std::nullopt);
+  }
   server_.loop.post([keep] {});
 }
 
--- a/src/net/http1_server_connection.h
+++ b/src/net/http1_server_connection.h
@@ -5,7 +5,7 @@
 // on once it is whole; the next one is read when its answer has ended.
 //
 // Example (in the server, with an accepted socket):
-//   auto made = std::make_shared<http1_server_connection>(server);
+//   auto made = std::make_shared<http1_server_connection>(server, id);
 //   server.connections[made.get()] = made;
 //   made->open(socket);
 #pragma once
@@ -38,6 +38,8 @@
   limits_source limits;
   handler serve;
   refusal_observer refused;
+  buffer_observer buffered;
+  std::uint64_t last_connection = 0;  // its id
   evconnlistener* listener = nullptr;
   bool closing = false;
   std::size_t open = 0;
@@ -56,8 +58,8 @@
 class http1_server_connection
     : public std::enable_shared_from_this<http1_server_connection> {
  public:
-  explicit http1_server_connection(http1_server::impl& server)
-      : server_(server) {
+  http1_server_connection(http1_server::impl& server, std::uint64_t id)
+      : server_(server), id_(id) {
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
   }
@@ -72,6 +74,8 @@
   // Takes over an accepted socket.
   void open(evutil_socket_t socket);
 
+  std::uint64_t id() const { return id_; }
+
   // No request has begun on it.
   bool idle() const { return !serving_ && !reading_ && !closing_; }
 
@@ -96,6 +100,9 @@
   // Closes at once; an incomplete answer stays visibly incomplete.
   void drop();
 
+  // As drop(), and tells the open exchange that its client has gone.
+  void lose();
+
   // Sends what is left, then closes.
   void close_gently();
 
@@ -116,7 +123,7 @@
   void begin_request();
   void refuse(int status);
   void dispatch();
-  void lose();
+  void report_buffered() const;
 
   static int on_url(http_parser* parser, const char* at, std::size_t length);
   static int on_field(http_parser* parser, const char* at, std::size_t length);
@@ -127,10 +134,14 @@
   static void on_readable(bufferevent*, void* context);
   static void on_written(bufferevent*, void* context);
   static void on_event(bufferevent*, short what, void* context);
+  static void on_output_changed(evbuffer*, const evbuffer_cb_info*,
+                                void* context);
 
   bool count_header_bytes(std::size_t length);
 
   http1_server::impl& server_;
+  std::uint64_t id_;
+  bool observed_ = false;  // changes of what is buffered are reported
   bufferevent* bev_ = nullptr;
   http_parser parser_{};
   http1_limits limits_;
--- a/src/net/http1_server_exchange.h
+++ b/src/net/http1_server_exchange.h
@@ -4,7 +4,7 @@
 // weakly: once the client has gone, or the answer has ended, calls do nothing.
 //
 // Example:
-//   auto made = std::make_shared<http1_server_exchange>(connection);
+//   auto made = std::make_shared<http1_server_exchange>(connection, id);
 //   made->respond(200, {}, "hello");
 #pragma once
 
@@ -19,9 +19,9 @@
 
 class http1_server_exchange final : public http1_exchange {
  public:
-  explicit http1_server_exchange(
-      std::weak_ptr<http1_server_connection> connection)
-      : connection_(std::move(connection)) {}
+  http1_server_exchange(std::weak_ptr<http1_server_connection> connection,
+                        std::uint64_t connection_id)
+      : connection_(std::move(connection)), connection_id_(connection_id) {}
 
   void respond(int status, const header_list& headers,
                std::string_view body) override;
@@ -33,6 +33,7 @@
     gone_ = std::move(callback);
   }
   bool begun() const override { return begun_; }
+  std::uint64_t connection_id() const override { return connection_id_; }
 
   // The client has gone.
   void lose();
@@ -45,6 +46,7 @@
   void end(http1_server_connection& connection);
 
   std::weak_ptr<http1_server_connection> connection_;
+  std::uint64_t connection_id_;
   std::function<void()> gone_;
   bool begun_ = false;
   bool chunked_ = false;
--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -115,6 +115,11 @@
   CPPUNIT_TEST(connection_with_surplus_bytes_is_not_used_again);
   CPPUNIT_TEST(sound_connection_is_used_again);
   CPPUNIT_TEST(answer_of_an_earlier_request_is_skipped);
+  CPPUNIT_TEST(unread_bytes_of_a_client_are_reported);
+  CPPUNIT_TEST(received_bytes_of_a_request_are_reported);
+  CPPUNIT_TEST(dropped_connection_is_told_and_incomplete);
+  CPPUNIT_TEST(paused_response_is_read_after_resuming);
+  CPPUNIT_TEST(paused_connection_is_used_again);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -256,7 +261,186 @@
     CPPUNIT_ASSERT_EQUAL(2, seen.heads);
   }
 
+  // Guards against a gateway that doesn't notice that a client has stopped or
+  // begun to read.
+  void unread_bytes_of_a_client_are_reported() {
+    constexpr std::size_t response = 16U << 20;  // more than sockets hold
+    std::vector<std::optional<http1_buffered>> seen;
+    http1_server server(
+        *loop_, [] { return http1_limits(); },
+        [&](const http1_request&, const http1_exchange_ptr& out) {
+          CPPUNIT_ASSERT(out->connection_id() != 0);
+          out->respond(200, {}, std::string(response, 'x'));
+        });
+    server.on_buffered([&](std::uint64_t, std::optional<http1_buffered> held) {
+      seen.push_back(held);
+      if (!held) {
+        loop_->stop();
+      }
+    });
+    CPPUNIT_ASSERT(server.listen(local(port_)));
+    std::jthread client([&] {
+      send_raw(port_, "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+               answer_seconds);
+    });
+    run_briefly();
+
+    std::size_t most = 0;
+    for (const auto& each : seen) {
+      most = std::max(most, each ? each->unread : 0);
+    }
+    CPPUNIT_ASSERT(most > response);  // with its head
+    CPPUNIT_ASSERT(seen.size() > 2);
+    CPPUNIT_ASSERT(!seen.back().has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, seen[seen.size() - 2]->total());
+  }
+
+  // Guards against request bodies that are received in part and count nowhere.
+  void received_bytes_of_a_request_are_reported() {
+    std::size_t most = 0;
+    bool closed = false;
+    http1_server server(
+        *loop_, [] { return http1_limits(); },
+        [&](const http1_request&, const http1_exchange_ptr&) {});
+    server.on_buffered([&](std::uint64_t, std::optional<http1_buffered> held) {
+      most = std::max(most, held ? held->received : 0);
+      closed = closed || !held;
+      if (closed) {
+        loop_->stop();
+      }
+    });
+    CPPUNIT_ASSERT(server.listen(local(port_)));
+    std::jthread client([&] {
+      send_raw(port_,
+               "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" +
+                   std::string(50000, 'x'),
+               1);
+    });
+    run_briefly();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{50000}, most);
+    CPPUNIT_ASSERT(closed);
+  }
+
+  // Guards against a response that is cut and looks complete.
+  void dropped_connection_is_told_and_incomplete() {
+    bool gone = false;
+    http1_server* asked = nullptr;
+    http1_server server(
+        *loop_, [] { return http1_limits(); },
+        [&](const http1_request&, const http1_exchange_ptr& out) {
+          out->begin(200, {});
+          out->write("part");
+          out->on_gone([&] { gone = true; });
+          const std::uint64_t id = out->connection_id();
+          loop_->post([&, id] {
+            asked->drop(id + 1);  // unknown
+            asked->drop(id);
+          });
+        });
+    asked = &server;
+    CPPUNIT_ASSERT(server.listen(local(port_)));
+    std::string seen;
+    std::atomic<bool> done = false;
+    std::jthread client([&] {
+      seen =
+          send_raw(port_, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n", answer_seconds);
+      done = true;
+    });
+    const timer watching = loop_->every(milliseconds(10), [&] {
+      if (done) {
+        loop_->stop();
+      }
+    });
+    run_briefly();
+    client.join();
+    CPPUNIT_ASSERT(gone);
+    CPPUNIT_ASSERT(!seen.ends_with("0\r\n\r\n"));
+  }
+
+  // Guards against a gateway that buffers on while it should not read, and
+  // against one that misses the rest, or the end, of what it did not read.
+  void paused_response_is_read_after_resuming() {
+    constexpr std::size_t length = 16U << 20;
+    const scripted_peer peer(
+        *loop_, port_,
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) +
+            "\r\n\r\n" + std::string(length, 'x'),
+        scripted_peer::ending::close);
+    pool_ = std::make_unique<http1_pool>(*loop_);
+    http1_call call;
+    std::size_t read = 0;
+    std::size_t read_while_paused = 0;
+    std::optional<http1_end> end;
+    bool paused = false;
+    http1_observer observer;
+    observer.on_head = [](const http1_answer_head&) { return true; };
+    observer.on_body = [&](std::string_view bytes) {
+      read += bytes.size();
+      if (!paused) {
+        paused = true;
+        call.pause_reading();
+        call.pause_reading();
+      }
+    };
+    observer.on_end = [&](http1_end how) {
+      end = how;
+      loop_->stop();
+    };
+    call = start(observer);
+    const timer later = loop_->after(milliseconds(300), [&] {
+      read_while_paused = read;
+      call.resume_reading();
+    });
+    run_briefly();
+    CPPUNIT_ASSERT(read_while_paused > 0);
+    CPPUNIT_ASSERT(read_while_paused <= 65536);
+    CPPUNIT_ASSERT_EQUAL(length, read);
+    CPPUNIT_ASSERT(end == http1_end::complete);
+  }
+
+  // Guards against a connection that stays paused in the pool, on which the
+  // next request would get no response.
+  void paused_connection_is_used_again() {
+    const scripted_peer peer(*loop_, port_,
+                             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                             scripted_peer::ending::stay_open);
+    pool_ = std::make_unique<http1_pool>(*loop_);
+    for (int i = 0; i < 2; ++i) {
+      http1_call call;
+      std::optional<http1_end> end;
+      bool sent = false;
+      http1_observer observer;
+      observer.on_head = [](const http1_answer_head&) { return true; };
+      observer.on_body = [&](std::string_view) { call.pause_reading(); };
+      observer.on_sent = [&] { sent = true; };
+      observer.on_end = [&](http1_end how) {
+        end = how;
+        loop_->stop();
+      };
+      call = start(observer);
+      run_briefly();
+      CPPUNIT_ASSERT(end == http1_end::complete);
+      CPPUNIT_ASSERT(sent);
+      call.resume_reading();  // of a call that has ended: nothing
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peer.connections());
+  }
+
  private:
+  // Until the loop is stopped, or for the longest time that a test may take.
+  void run_briefly() {
+    const timer guard = loop_->after(longest_run, [this] { loop_->stop(); });
+    loop_->run();
+  }
+
+  http1_call start(const http1_observer& observer) {
+    http1_request request;
+    request.method = "GET";
+    request.target = "/";
+    return pool_->start("127.0.0.1:" + std::to_string(port_), "life", request,
+                        observer);
+  }
+
   // Gives raw bytes to a server with tight limits and returns its answer.
   std::string serve(const std::string& bytes) {
     http1_limits limits;
