Event streams can be counted without keeping their data

A gateway keeps the data of all events of a stream until its end, also on routes that store no turn. discard_data() leaves it out.

--- a/include/trayrock/internal/decide/event_stream.h
+++ b/include/trayrock/internal/decide/event_stream.h
@@ -20,6 +20,9 @@
  public:
   void add(std::string_view bytes);
 
+  // Events are only counted from now on, and data() stays as it is.
+  void discard_data() { keeps_data_ = false; }
+
   // The number of complete events.
   std::uint64_t complete_events() const { return complete_events_; }
 
@@ -37,6 +40,7 @@
   std::string event_data_;
   std::string data_;
   std::uint64_t complete_events_ = 0;
+  bool keeps_data_ = true;
   bool has_data_ = false;
   bool in_event_ = false;
 };
--- a/src/decide/event_stream.cc
+++ b/src/decide/event_stream.cc
@@ -28,7 +28,9 @@
   if (line_.empty()) {
     if (has_data_) {
       ++complete_events_;
-      data_.append(event_data_).push_back('\n');
+      if (keeps_data_) {
+        data_.append(event_data_).push_back('\n');
+      }
     }
     event_data_.clear();
     has_data_ = false;
--- a/test/gateway_unit_test.cc
+++ b/test/gateway_unit_test.cc
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(longest_prefix_of_the_host_wins);
   CPPUNIT_TEST(service_weights_split_requests_by_key);
   CPPUNIT_TEST(events_are_parsed_across_any_chunk_boundary);
+  CPPUNIT_TEST(events_are_counted_without_their_data);
   CPPUNIT_TEST(budget_fits_waits_or_is_spent);
   CPPUNIT_TEST(turn_prefers_the_previous_endpoint);
   CPPUNIT_TEST(failing_endpoint_is_in_backoff_unless_it_is_the_last_one);
@@ -86,6 +87,16 @@
     }
   }
 
+  // Guards against streams of routes without history that are kept in memory.
+  void events_are_counted_without_their_data() {
+    event_stream events;
+    events.discard_data();
+    events.add("data: one\n\ndata: two\n\ndata: th");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, events.complete_events());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, events.started_events());
+    CPPUNIT_ASSERT(events.data().empty());
+  }
+
   void budget_fits_waits_or_is_spent() {
     program_usage usage;
     usage.add({"a", 30, true, 20});
