Gateways bound what they buffer for slow readers

With the setting memory_limit_mb (deploy: limits.memoryMb), buffer_limiter applies the budget to the clients' connections: reading from endpoints pauses, new requests are refused with 1312 (503, Retry-After) before anything was sent, and the largest connection is closed. A pause stops the timers for silent endpoints; how long a paused attempt takes, or that its endpoint cuts it off, does not count for the endpoint. Streams of routes without history do not keep the data of their events. Without the setting nothing is counted or bounded.

--- a/include/trayrock/errors.h
+++ b/include/trayrock/errors.h
@@ -59,6 +59,7 @@
   tokens_reserved = 1309,
   workspace_limit = 1310,
   workspace_limit_unknown = 1311,
+  buffers_full = 1312,
 
   runner_failed = 1401,
   outcome_unknown = 1402,
--- a/include/trayrock/internal/decide/endpoint_state.h
+++ b/include/trayrock/internal/decide/endpoint_state.h
@@ -21,7 +21,7 @@
   responded,
   refused,         // the endpoint reports that it did not run the request
   other_instance,  // not run, since it was meant for another instance
-  cancelled,       // the client disconnected first
+  cancelled,       // ended here, for its client or for memory
   unreachable,     // the request was never sent
   broken           // sent, but the response did not arrive completely
 };
--- a/include/trayrock/internal/gateway/client_response.h
+++ b/include/trayrock/internal/gateway/client_response.h
@@ -39,6 +39,9 @@
   // Nothing is sent before finish(). Must be called before begin().
   void defer_until_complete() { deferred_ = true; }
 
+  // The data of events is not needed. Must be called before begin().
+  void discard_data() { events_.discard_data(); }
+
   // From now on, only complete events are passed on.
   void make_resumable() { resumable_ = true; }
 
@@ -65,6 +68,12 @@
   // What was sent to the client or deferred, incomplete events included.
   const event_stream& events() const { return events_; }
 
+  // Bytes that are held until more of the response, or its end, is received.
+  std::size_t held_bytes() const {
+    return deferred_body_.size() + complete_events_.rest().size() +
+           events_.data().size();
+  }
+
   // The number of events of which the client may have received a part.
   std::uint64_t events_sent() const {
     return has_begun() ? events_.started_events() : 0;
--- a/include/trayrock/internal/gateway/endpoint_attempt.h
+++ b/include/trayrock/internal/gateway/endpoint_attempt.h
@@ -45,6 +45,16 @@
   void send(const http1_request& request, http1_observer observer);
   void cancel() { call_.cancel(); }
 
+  // Stops reading the response, since its client reads slowly. What the
+  // attempt takes, or that the endpoint cuts it off, says nothing about the
+  // endpoint from then on.
+  void pause_reading() {
+    was_paused_ = true;
+    call_.pause_reading();
+  }
+  void resume_reading() { call_.resume_reading(); }
+  bool was_paused() const { return was_paused_; }
+
   // The endpoint's record; nullptr if there is no endpoint.
   const endpoint* target() const {
     return endpoint_ == nullptr ? nullptr : &endpoint_->record;
@@ -100,6 +110,7 @@
   response_metadata response_;
   std::string body_;
   bool invalid_ = false;
+  bool was_paused_ = false;
 };
 
 }  // namespace trayrock
--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -109,9 +110,11 @@
   // Accounts for the start of an attempt.
   static void begin_attempt(endpoint_state& at, std::uint64_t now_ms);
   // Accounts for its end. Returns true if the endpoint goes into backoff or
-  // another instance has its address.
+  // another instance has its address. No latency: it says nothing about the
+  // endpoint.
   static bool end_attempt(endpoint_state& at, attempt_outcome outcome,
-                          double latency_ms, std::uint64_t now_ms);
+                          std::optional<double> latency_ms,
+                          std::uint64_t now_ms);
 
   // Records a failure that another gateway reported. Returns true if this puts
   // the endpoint in backoff.
--- a/include/trayrock/internal/gateway/gateway_policy.h
+++ b/include/trayrock/internal/gateway/gateway_policy.h
@@ -40,6 +40,8 @@
   bool caches_chains = true;
   // Closes idle connections to an endpoint after one of them failed.
   bool drops_connections = true;
+  // Bounds what is buffered, if the settings have a memory limit.
+  bool bounds_buffers = true;
 
   bool operator==(const gateway_policy&) const = default;
 };
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -19,6 +19,7 @@
 #include "trayrock/internal/decide/duration_estimator.h"
 #include "trayrock/internal/decide/recent_programs.h"
 #include "trayrock/internal/decide/slow_endpoint_detector.h"
+#include "trayrock/internal/gateway/buffer_limiter.h"
 #include "trayrock/internal/gateway/chain_cache.h"
 #include "trayrock/internal/gateway/configuration.h"
 #include "trayrock/internal/gateway/endpoint_directory.h"
@@ -45,6 +46,7 @@
   std::map<std::string, slow_endpoint_detector, std::less<>>&
       slow_detectors;  // by service
   recent_programs& programs;
+  buffer_limiter& buffers;
   shutdown_observers& on_shutdown;  // notified shortly before the process stops
   std::string data_centre;
   gateway_policy policy;
--- a/include/trayrock/internal/settings/service_settings.h
+++ b/include/trayrock/internal/settings/service_settings.h
@@ -46,6 +46,9 @@
   // operator has begun to empty it. Nothing: none is ever emptied, and the
   // platform is not asked.
   std::optional<milliseconds> evacuation_notice;
+  // Memory of the process, in bytes. No value: what is buffered for clients
+  // and endpoints that read slowly has no bound.
+  std::optional<std::uint64_t> memory_limit;
 };
 
 struct store_settings {
--- a/src/decide/mechanism.cc
+++ b/src/decide/mechanism.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // In the order of the enumeration.
-constexpr std::array<std::string_view, 23> names{"relays",
+constexpr std::array<std::string_view, 24> names{"relays",
                                                  "failure_news",
                                                  "superseded_news",
                                                  "revision_news",
@@ -29,6 +29,7 @@
                                                  "shared_watches",
                                                  "draws_among_equals",
                                                  "levelled_latencies",
+                                                 "buffer_budget",
                                                  "ready_learners"};
 static_assert(names.size() ==
               static_cast<std::size_t>(mechanism::ready_learners) + 1);
--- a/src/errors.cc
+++ b/src/errors.cc
@@ -47,6 +47,8 @@
     error_row{errc::workspace_limit, 429, "the workspace's limit is reached"},
     error_row{errc::workspace_limit_unknown, 503,
               "no store tells whether the workspace's limit is reached"},
+    error_row{errc::buffers_full, 503,
+              "the gateway's memory is full of unread data"},
     error_row{errc::runner_failed, 502, "runner failed"},
     error_row{errc::outcome_unknown, 502, "outcome unknown"},
     error_row{errc::runner_timeout, 504, "runner did not answer in time"},
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -1,5 +1,7 @@
 #include "trayrock/internal/gateway/endpoint_attempt.h"
 
+#include <optional>
+
 #include "trayrock/internal/gateway/endpoint_directory.h"
 #include "trayrock/internal/log.h"
 
@@ -42,6 +44,7 @@
   response_ = {};
   body_.clear();
   invalid_ = false;
+  was_paused_ = false;
   return true;
 }
 
@@ -121,15 +124,17 @@
     return;
   }
   in_flight_ = false;
-  if (outcome == attempt_outcome::broken ||
+  const bool failed_here = was_paused_ && outcome == attempt_outcome::broken;
+  if ((outcome == attempt_outcome::broken && !failed_here) ||
       outcome == attempt_outcome::unreachable) {
     drop_idle_connections();
   }
   constexpr double us_per_ms = 1000;
   const double ms =
       static_cast<double>(loop_.now_us() - sent_at_us_) / us_per_ms;
-  const bool avoided =
-      endpoint_directory::end_attempt(*endpoint_, outcome, ms, loop_.now_ms());
+  const bool avoided = endpoint_directory::end_attempt(
+      *endpoint_, failed_here ? attempt_outcome::cancelled : outcome,
+      was_paused_ ? std::nullopt : std::optional(ms), loop_.now_ms());
   if (avoided) {
     log_avoided();
   }
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -310,7 +310,8 @@
 }
 
 bool endpoint_directory::end_attempt(endpoint_state& at,
-                                     attempt_outcome outcome, double latency_ms,
+                                     attempt_outcome outcome,
+                                     std::optional<double> latency_ms,
                                      std::uint64_t now_ms) {
   at.in_flight -= at.in_flight > 0 ? 1 : 0;
   switch (outcome) {
@@ -319,8 +320,10 @@
         presume_cold(at, now_ms);
       }
       at.health.record_response(now_ms);
-      at.latency_ms = smoothed(at.latency_ms, latency_ms);
-      at.latency_at_ms = now_ms;
+      if (latency_ms) {
+        at.latency_ms = smoothed(at.latency_ms, *latency_ms);
+        at.latency_at_ms = now_ms;
+      }
       return false;
     case attempt_outcome::cancelled:
       return false;
--- a/src/gateway/error_response.cc
+++ b/src/gateway/error_response.cc
@@ -13,6 +13,8 @@
 constexpr milliseconds tokens_reserved_retry_after{200};
 // Within a second every gateway's share of a cold endpoint is free again.
 constexpr milliseconds endpoints_cold_retry_after{1000};
+// Retries reach other gateways; unread data stays here for seconds.
+constexpr milliseconds buffers_full_retry_after{250};
 constexpr milliseconds not_configured_retry_after{500};
 
 // A duration as seconds with three decimals.
@@ -38,6 +40,8 @@
       return endpoints_cold_retry_after;
     case errc::tokens_reserved:
       return tokens_reserved_retry_after;
+    case errc::buffers_full:
+      return buffers_full_retry_after;
     case errc::not_configured:
       return not_configured_retry_after;
     default:
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <csignal>
 
+#include "trayrock/internal/gateway/buffer_limiter.h"
 #include "trayrock/internal/gateway/gateway_lifecycle.h"
 #include "trayrock/internal/gateway/platform_view.h"
 #include "trayrock/internal/gateway/request_flow.h"
@@ -28,6 +29,15 @@
   return made;
 }
 
+// No value: buffers have no bound.
+std::optional<buffer_limits> buffer_limits_of(const gateway_settings& settings,
+                                              const gateway_policy& policy) {
+  if (!settings.memory_limit || !policy.bounds_buffers) {
+    return std::nullopt;
+  }
+  return buffer_limits::of_memory(*settings.memory_limit);
+}
+
 class gateway_process {
  public:
   explicit gateway_process(const gateway_settings& settings)
@@ -43,6 +53,10 @@
         endpoints_(directory_policy_of(settings, policy_)),
         chains_(policy_.caches_chains ? chain_cache_bytes : 0),
         durations_(policy_.durations),
+        buffers_(loop_, metrics_, buffer_limits_of(settings, policy_),
+                 [this](std::uint64_t connection) {
+                   client_server_.drop(connection);
+                 }),
         view_(loop_, rpc_, platform_, settings, policy_,
               {endpoints_, records_, metrics_}),
         context_{
@@ -56,6 +70,7 @@
             durations_,
             slow_detectors_,
             programs_,
+            buffers_,
             on_shutdown_,
             settings.service.data_centre,
             policy_,
@@ -84,6 +99,7 @@
         metrics_server_(
             loop_, [] { return http1_limits{}; },
             [this](const http1_request&, const http1_exchange_ptr& out) {
+              buffers_.report();
               out->respond(200, {}, metrics_.text());
             }) {}
 
@@ -125,6 +141,13 @@
                    {{"status", std::to_string(status)}});
       log_info("request_unreadable", {{"status", std::to_string(status)}});
     });
+    if (buffers_.enabled()) {
+      client_server_.on_buffered(
+          [this](std::uint64_t connection,
+                 const std::optional<http1_buffered>& held) {
+            buffers_.update(connection, held);
+          });
+    }
     pool_.on_connect([this](std::string_view) {
       metrics_.add("endpoint_connections_total");
     });
@@ -203,6 +226,7 @@
   duration_estimator durations_;
   std::map<std::string, slow_endpoint_detector, std::less<>> slow_detectors_;
   recent_programs programs_;
+  buffer_limiter buffers_;
   platform_view view_;
   gateway_context context_;
   http1_server client_server_;
--- a/src/gateway/gateway_policy.cc
+++ b/src/gateway/gateway_policy.cc
@@ -71,6 +71,9 @@
     case mechanism::levelled_latencies:
       from.endpoints.choice.ignores_latency_noise = false;
       return;
+    case mechanism::buffer_budget:
+      from.bounds_buffers = false;
+      return;
     case mechanism::ready_learners:
       return;  // of record stores
   }
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -40,11 +40,20 @@
     error = routing_.apply_time_limits(metadata_, context_.durations,
                                        context_.time_to_shutdown());
   }
+  if (!error && context_.buffers.refuses_new_requests()) {
+    context_.metrics.add("requests_refused_for_memory_total");
+    error = errc::buffers_full;
+  }
   if (error) {
     reject(*error);
     return;
   }
   record_program();
+  context_.buffers.attach(response_.exchange().connection_id(),
+                          weak_from_this(), request_.body.size());
+  if (!routing_.route().keeps_history) {
+    response_.discard_data();
+  }
   if (is_resumable()) {
     response_.make_resumable();
   }
@@ -121,13 +130,24 @@
 }
 
 void request_flow::on_client_disconnected() {
-  if (ended_) {
-    return;
+  if (!ended_) {
+    abandon("client_gone");
   }
+}
+
+void request_flow::end_for_memory() {
+  if (!ended_) {
+    abandon("ended_for_memory");
+    response_.abort();
+  }
+}
+
+// Ends the request without a response. Its endpoint has not failed.
+void request_flow::abandon(std::string_view outcome) {
   attempt_.cancel();
   attempt_.end(attempt_outcome::cancelled);
   settle_begun_events();
-  end("client_gone", attempt_.status());
+  end(outcome, attempt_.status());
 }
 
 void request_flow::on_deadline() {
@@ -226,7 +246,7 @@
   }
   report_.route = routing_.route().name;
   report_.workspace = routing_.workspace_name();
-  if (responded) {
+  if (responded && !attempt_.was_paused()) {
     context_.durations.add(routing_.route().name, run_time());
   }
 }
@@ -237,6 +257,7 @@
   shutdown_subscription_ = {};
   silence_timer_.cancel();
   stores_guard_.cancel();
+  context_.buffers.detach(response_.exchange().connection_id());
   return_unused_permit();
   report_routing(outcome == "answered");
   report_.endpoint = attempt_.endpoint_id();
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -36,7 +36,10 @@
   }
   tried_.insert(attempt_.identity());
   may_run_ = true;
-  attempt_.send(forwarded_request(), observer());
+  const http1_request forwarded = forwarded_request();
+  sending_bytes_ = forwarded.body.size();
+  update_held_bytes();
+  attempt_.send(forwarded, observer());
   guard_response_start();
 }
 
@@ -107,6 +110,12 @@
   };
   made.on_body = [self](std::string_view bytes) { self->on_body(bytes); };
   made.on_end = [self](http1_end how) { self->on_attempt_end(how); };
+  if (context_.buffers.enabled()) {
+    made.on_sent = [self] {
+      self->sending_bytes_ = 0;
+      self->update_held_bytes();
+    };
+  }
   return made;
 }
 
@@ -167,6 +176,9 @@
   slow_detector().record_first_byte(attempt_.age());
   attempt_.accept_head(head, std::move(response));
   report_.head_us = elapsed_us();
+  if (reading_paused_) {
+    pause_reading();
+  }
   guard_event_gaps();
   return true;
 }
@@ -175,8 +187,36 @@
   return routing_.is_resumable() && context_.policy.resumes_streams;
 }
 
+// An endpoint that is slow to begin its response is noticed while reading is
+// paused, too; the silence of one whose response is not read says nothing.
+void request_flow::pause_reading() {
+  reading_paused_ = true;
+  if (attempt_.status() != 0) {
+    attempt_.pause_reading();
+    silence_timer_.cancel();
+  }
+}
+
+void request_flow::resume_reading() {
+  reading_paused_ = false;
+  attempt_.resume_reading();
+  if (attempt_.in_flight() && attempt_.status() != 0) {
+    guard_event_gaps();
+  }
+}
+
+void request_flow::update_held_bytes() {
+  if (context_.buffers.enabled() && !ended_) {
+    context_.buffers.set_request_bytes(response_.exchange().connection_id(),
+                                       request_.body.size() + sending_bytes_ +
+                                           attempt_.body().size() +
+                                           response_.held_bytes());
+  }
+}
+
 void request_flow::guard_event_gaps() {
-  if (is_resumable() && may_abandon_slow_endpoint(resend_state())) {
+  if (!reading_paused_ && is_resumable() &&
+      may_abandon_slow_endpoint(resend_state())) {
     const route& from = routing_.route();
     arm_silence_timer(slow_detector().first_byte_timeout(
         std::max(from.max_event_gap, from.latency_objective)));
@@ -193,10 +233,13 @@
   }
   if (!passes_through()) {
     attempt_.buffer(bytes);
+    update_held_bytes();
     return;
   }
   begin_response();
-  if (!response_.pass(bytes)) {
+  const bool continues = response_.pass(bytes);
+  update_held_bytes();
+  if (!continues) {
     log_warn("stream_repeated", {{"request", metadata_.attempt},
                                  {"endpoint", attempt_.endpoint_id()}});
     abandon_endpoint();
@@ -221,6 +264,7 @@
   }
   const attempt_outcome outcome = attempt_.outcome_of(how);
   attempt_.end(outcome);
+  sending_bytes_ = 0;
   switch (outcome) {
     case attempt_outcome::responded:
       ++report_.sends;
@@ -242,7 +286,9 @@
     case attempt_outcome::broken:
       ++report_.sends;
       may_have_run_ = true;
-      context_.endpoint_failed(attempt_.identity());
+      if (!attempt_.was_paused()) {
+        context_.endpoint_failed(attempt_.identity());
+      }
       on_response_broken();
       return;
     case attempt_outcome::cancelled:
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -19,13 +19,18 @@
 
 namespace trayrock::internal {
 
-class request_flow : public std::enable_shared_from_this<request_flow> {
+class request_flow : public buffering_request,
+                     public std::enable_shared_from_this<request_flow> {
  public:
   request_flow(const gateway_context& context, http1_request request,
                http1_exchange_ptr out);
 
   void start();
 
+  void pause_reading() override;
+  void resume_reading() override;
+  void end_for_memory() override;
+
  private:
   // ---- Start, deadline and end --------------------------------------------
 
@@ -33,6 +38,7 @@
 
   milliseconds time_left() const;
   void on_client_disconnected();
+  void abandon(std::string_view outcome);
   void on_deadline();
 
   // Called shortly before the process stops, for requests that began before the
@@ -137,6 +143,9 @@
   // exceeds the time in which nearly all streams begin.
   void guard_event_gaps();
 
+  // Tells the limiter what this request holds.
+  void update_held_bytes();
+
   // Whether the stream may be resumed at another endpoint.
   bool is_resumable() const;
 
@@ -170,7 +179,9 @@
   bool may_have_run_ = false;  // a send ended without a response
   std::optional<permit> permit_;
   milliseconds limit_retry_after_{0};
-  bool storing_turn_ = false;  // the stream is complete, the turn not durable
+  bool storing_turn_ = false;    // the stream is complete, the turn not durable
+  bool reading_paused_ = false;  // since the client reads slowly
+  std::size_t sending_bytes_ = 0;  // of the request, not all sent yet
   bool ended_ = false;
   timer deadline_;
   shutdown_observers::subscription shutdown_subscription_;
--- a/src/settings/service_settings.cc
+++ b/src/settings/service_settings.cc
@@ -12,6 +12,8 @@
 constexpr double least_notice_ms = 100;
 constexpr double longest_notice_ms = 60000;
 constexpr number_range losses_range{0, 16};
+// Below 16 MB a gateway has no room for the process itself.
+constexpr number_range memory_limit_mb_range{16, 1U << 20};
 constexpr double least_window_s = 0.1;
 constexpr double longest_window_s = 3600;
 constexpr double most_overshoot = 1;
@@ -106,6 +108,11 @@
     made.evacuation_notice =
         notice_or(top, "evacuation_notice_ms", milliseconds(0));
   }
+  if (top.has("memory_limit_mb")) {
+    constexpr std::uint64_t bytes_per_mb = 1U << 20;
+    made.memory_limit =
+        top.number("memory_limit_mb", memory_limit_mb_range) * bytes_per_mb;
+  }
   top.close();
   return made;
 }
--- a/test/documents_test.cc
+++ b/test/documents_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(settings_in_the_docs_are_accepted);
   CPPUNIT_TEST(gateway_and_store_settings_in_the_docs_are_accepted);
   CPPUNIT_TEST(stop_limit_may_be_a_fraction_of_seconds);
+  CPPUNIT_TEST(memory_limit_is_optional_and_whole);
   CPPUNIT_TEST(every_fault_of_a_settings_file_is_listed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -70,6 +71,31 @@
                          static_cast<long>(read.service.stop_limit.count()));
   }
 
+  // Guards against a bound on buffers that nobody asked for, and against a
+  // limit that leaves no room for the process.
+  void memory_limit_is_optional_and_whole() {
+    const std::string text =
+        block(read_document("SETTINGS.md"), "gateway and store");
+    const std::string given = "\"memory_limit_mb\": 88,";
+    const auto read_with = [&](const std::string& instead) {
+      std::string changed = text;
+      changed.replace(changed.find(given), given.size(), instead);
+      fault_list faults;
+      const gateway_settings read = read_gateway_settings(changed, faults);
+      return std::pair(read.memory_limit, faults.size());
+    };
+    constexpr std::uint64_t mb = 1U << 20;
+    CPPUNIT_ASSERT(
+        read_with(given) ==
+        std::pair(std::optional<std::uint64_t>(88 * mb), std::size_t{0}));
+    CPPUNIT_ASSERT(read_with("") ==
+                   std::pair(std::optional<std::uint64_t>(), std::size_t{0}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         read_with("\"memory_limit_mb\": 8,").second);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         read_with("\"memory_limit_mb\": 88.5,").second);
+  }
+
   void every_fault_of_a_settings_file_is_listed() {
     fault_list faults;
     read_node_settings(R"({
