--- a/test/deployment.cc
+++ b/test/deployment.cc
@@ -64,6 +64,8 @@
   return out;
 }
 
+}  // namespace
+
 http_answer parse_answer(const std::string& bytes) {
   http_answer answer;
   const std::size_t head_end = bytes.find("\r\n\r\n");
@@ -101,8 +103,6 @@
   return answer;
 }
 
-}  // namespace
-
 pid_t spawn_process(const std::vector<std::string>& command,
                     const std::string& log) {
   std::vector<char*> arguments;
--- a/test/deployment.h
+++ b/test/deployment.h
@@ -135,6 +135,9 @@
 // Sends raw bytes and gives what came back before the peer closed.
 std::string send_raw(int port, const std::string& bytes, int seconds);
 
+// A response from its raw bytes, with its chunks joined.
+http_answer parse_answer(const std::string& bytes);
+
 // Ports that are free now, all different.
 std::vector<int> free_ports(std::size_t count);
 
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -18,15 +18,21 @@
   int runners = 2;
   int runner_events = 3;
   int runner_pause_ms = 5;
+  int runner_padding = 0;  // bytes, behind events on paths with "padded"
+  int runner_unread_limit_ms = 0;  // then runners cut responses off; 0: never
   int max_endpoints = 2;
   int timeout_ms = 8000;
   double stop_limit_s = 8;         // of the gateways
   bool gateways_together = false;  // all in one data centre
   bool links = false;  // calls between processes go through fault proxies
   json workspaces;     // of the first configuration; null: none
-  int revocation_limit_ms = 0;   // 0: no such promise
-  int evacuation_notice_ms = 0;  // 0: no data centre is ever emptied
-  double limit_window_s = 1;     // in which limits of workspaces are counted
+  json more_routes;    // of the first configuration
+  int revocation_limit_ms = 0;             // 0: no such promise
+  int evacuation_notice_ms = 0;            // 0: no data centre is ever emptied
+  int idle_timeout_ms = 4000;              // of clients' connections
+  int memory_limit_mb = 0;                 // of the gateways; 0: none
+  std::vector<std::string> trial_without;  // of the gateways
+  double limit_window_s = 1;  // in which limits of workspaces are counted
 };
 
 class service_deployment {
@@ -101,6 +107,14 @@
   double metric(const std::string& process, const std::string& name);
 
   int port(const std::string& name) const;
+
+  // How many lines of a process's log hold the text.
+  std::size_t log_lines(const std::string& name, const std::string& text) const;
+
+  // Of a running process, for its entries in /proc.
+  pid_t process_id(const std::string& name) const {
+    return processes_.at(name).id;
+  }
   json group();  // as the platform holds it
 
  private:
