--- a/include/trayrock/internal/decide/mechanism.h
+++ b/include/trayrock/internal/decide/mechanism.h
@@ -42,6 +42,7 @@
   levelled_latencies,   // small latency differences are ignored
   prompt_placement,     // turns go where the gateway sent their prompts
   engine_pace,          // first turns avoid engines that write slowly
+  buffer_budget,        // a gateway bounds what it buffers for slow readers
   ready_learners        // more stores are learners than there are vacancies
 };
 
--- a/include/trayrock/internal/gateway/gateway_policy.h
+++ b/include/trayrock/internal/gateway/gateway_policy.h
@@ -43,6 +43,8 @@
   bool places_by_prompt = true;
   // Closes idle connections to an endpoint after one of them failed.
   bool drops_connections = true;
+  // Bounds what is buffered, if the settings have a memory limit.
+  bool bounds_buffers = true;
 
   bool operator==(const gateway_policy&) const = default;
 };
--- a/src/decide/mechanism.cc
+++ b/src/decide/mechanism.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // In the order of the enumeration.
-constexpr std::array<std::string_view, 25> names{"relays",
+constexpr std::array<std::string_view, 26> names{"relays",
                                                  "failure_news",
                                                  "superseded_news",
                                                  "revision_news",
@@ -31,6 +31,7 @@
                                                  "levelled_latencies",
                                                  "prompt_placement",
                                                  "engine_pace",
+                                                 "buffer_budget",
                                                  "ready_learners"};
 static_assert(names.size() ==
               static_cast<std::size_t>(mechanism::ready_learners) + 1);
--- a/src/gateway/gateway_policy.cc
+++ b/src/gateway/gateway_policy.cc
@@ -77,6 +77,9 @@
     case mechanism::engine_pace:
       from.endpoints.choice.weighs_engine_pace = false;
       return;
+    case mechanism::buffer_budget:
+      from.bounds_buffers = false;
+      return;
     case mechanism::ready_learners:
       return;  // of record stores
   }
