A revision that the platform never reaches is asked for once

Review: the check whether a watch was answered ran on after the answer, and began a new check each 350 ms as long as a process had named a revision that the platform does not have: some six paid calls a second without end. The new test counts the watches.

--- a/test/collection_watcher_test.cc
+++ b/test/collection_watcher_test.cc
@@ -99,6 +99,7 @@
   CPPUNIT_TEST(watcher_that_is_told_of_a_change_detects_a_silent_platform);
   CPPUNIT_TEST(watcher_is_behind_before_its_probe_has_timed_out);
   CPPUNIT_TEST(watcher_with_a_response_is_not_behind);
+  CPPUNIT_TEST(revision_that_never_comes_is_asked_for_once);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -298,6 +299,29 @@
     CPPUNIT_ASSERT(!was_behind);
   }
 
+  // Guards against calls without end for a revision that the platform never
+  // reaches, since another process has named it by mistake.
+  void revision_that_never_comes_is_asked_for_once() {
+    event_loop loop;
+    metrics_registry metrics;
+    silenceable_platform platform(loop);
+    platform.set_silent(false);
+    platform::object_store store(loop, platform.where(), metrics);
+    platform::collection_watcher watcher(
+        loop, store, "things", {milliseconds(9000), milliseconds(10)});
+    watcher.on_snapshot([](const platform::object_listing&, bool) {});
+    watcher.start();
+    const timer told =
+        loop.after(milliseconds(100), [&] { watcher.expect(100); });
+    const timer limit = loop.after(milliseconds(2500), [&] { loop.stop(); });
+    loop.run();
+    // The first watch, the one for the revision, and the regular one after it.
+    constexpr int max_watches = 3;
+    TRAYROCK_CHECK(platform.watches("things") <= max_watches,
+                   "expected at most " << max_watches << " watches, seen "
+                                       << platform.watches("things"));
+  }
+
  private:
   static platform::watch_pace quick_pace() {
     return {milliseconds(100), milliseconds(10)};
