A pause excuses an endpoint's failure only while it lasts and a second after

Review: one short pause hid every later failure of the attempt, and the idle connections of a dead endpoint stayed in use. Idle connections are dropped in any case, and an invalid response is never excused. The event that has begun counts as buffered; without its data it is no longer kept.

--- a/include/trayrock/internal/decide/event_stream.h
+++ b/include/trayrock/internal/decide/event_stream.h
@@ -23,6 +23,11 @@
   // Events are only counted from now on, and data() stays as it is.
   void discard_data() { keeps_data_ = false; }
 
+  // Bytes of the event that has begun.
+  std::size_t pending_bytes() const {
+    return line_.size() + event_data_.size();
+  }
+
   // The number of complete events.
   std::uint64_t complete_events() const { return complete_events_; }
 
--- a/include/trayrock/internal/gateway/client_response.h
+++ b/include/trayrock/internal/gateway/client_response.h
@@ -71,7 +71,7 @@
   // Bytes that are held until more of the response, or its end, is received.
   std::size_t held_bytes() const {
     return deferred_body_.size() + complete_events_.rest().size() +
-           events_.data().size();
+           events_.data().size() + events_.pending_bytes();
   }
 
   // The number of events of which the client may have received a part.
--- a/include/trayrock/internal/gateway/endpoint_attempt.h
+++ b/include/trayrock/internal/gateway/endpoint_attempt.h
@@ -50,9 +50,14 @@
   // endpoint from then on.
   void pause_reading() {
     was_paused_ = true;
+    paused_ = true;
     call_.pause_reading();
   }
-  void resume_reading() { call_.resume_reading(); }
+  void resume_reading() {
+    paused_ = false;
+    resumed_at_us_ = loop_.now_us();
+    call_.resume_reading();
+  }
   bool was_paused() const { return was_paused_; }
 
   // The endpoint's record; nullptr if there is no endpoint.
@@ -98,6 +103,7 @@
   void end(attempt_outcome outcome);
 
  private:
+  bool was_paused_lately() const;
   void log_avoided() const;
   void log_failed(attempt_outcome outcome, double ms) const;
   void drop_idle_connections();
@@ -116,6 +122,8 @@
   std::string body_;
   bool invalid_ = false;
   bool was_paused_ = false;
+  bool paused_ = false;
+  std::uint64_t resumed_at_us_ = 0;
 };
 
 }  // namespace trayrock
--- a/src/decide/event_stream.cc
+++ b/src/decide/event_stream.cc
@@ -44,10 +44,12 @@
     if (value.starts_with(' ')) {
       value.remove_prefix(1);
     }
-    if (has_data_) {
+    if (has_data_ && keeps_data_) {
       event_data_.push_back('\n');
     }
-    event_data_.append(value);
+    if (keeps_data_) {
+      event_data_.append(value);
+    }
     has_data_ = true;
   }
   line_.clear();
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -45,6 +45,7 @@
   body_.clear();
   invalid_ = false;
   was_paused_ = false;
+  paused_ = false;
   return true;
 }
 
@@ -130,13 +131,22 @@
                                 {"by", "own requests"}});
 }
 
+// The endpoint may have cut the response off while it was not read, which shows
+// once reading goes on.
+bool endpoint_attempt::was_paused_lately() const {
+  constexpr std::uint64_t notice_us = 1000000;
+  return paused_ ||
+         (was_paused_ && loop_.now_us() < resumed_at_us_ + notice_us);
+}
+
 void endpoint_attempt::end(attempt_outcome outcome) {
   if (!in_flight_) {
     return;
   }
   in_flight_ = false;
-  const bool failed_here = was_paused_ && outcome == attempt_outcome::broken;
-  if ((outcome == attempt_outcome::broken && !failed_here) ||
+  const bool excused_by_pause =
+      outcome == attempt_outcome::broken && !invalid_ && was_paused_lately();
+  if (outcome == attempt_outcome::broken ||
       outcome == attempt_outcome::unreachable) {
     drop_idle_connections();
   }
@@ -144,7 +154,7 @@
   const double ms =
       static_cast<double>(loop_.now_us() - sent_at_us_) / us_per_ms;
   const bool avoided = endpoint_directory::end_attempt(
-      *endpoint_, failed_here ? attempt_outcome::cancelled : outcome,
+      *endpoint_, excused_by_pause ? attempt_outcome::cancelled : outcome,
       was_paused_ ? std::nullopt : std::optional(ms), loop_.now_ms());
   if (avoided) {
     log_avoided();
