Refused first requests stay first requests; placements name engines that read the prompt

Review of placement and admission, by reading: - A first request that was refused a permit counted as a turn of its program, so that its retry passed as one of a program under way. Attempts that settled without tokens no longer count. - A settlement named an engine that had refused the turn or was not reached. It now names the one before. - The stores' answer for another line of the program came before what the gateway itself knew of the line. The reply says whether the line is known. - Each request refused at the limit cost two records. A gateway that knows of the refusal of all stores makes no reservation. - The mean number of requests of a program was lost in a pause of one window, and with it the bound on starts. It is kept for 60 windows. - Lines of a program were kept without bound, and programs of the same name in different workspaces shared their placements in a gateway.

--- a/include/trayrock/internal/decide/endpoint_choice.h
+++ b/include/trayrock/internal/decide/endpoint_choice.h
@@ -75,7 +75,7 @@
 enum class choice_reason {
   load,           // the least loaded one
   previous_turn,  // it ran the previous turn, by the turn's record
-  cached,         // it holds the prompt, by this gateway's own placements
+  cached,         // it holds the prompt, by the stores or recent placements
   hash            // it ranks first for the program
 };
 
--- a/include/trayrock/internal/decide/permit_limiter.h
+++ b/include/trayrock/internal/decide/permit_limiter.h
@@ -109,6 +109,9 @@
   // A request was refused a permit.
   void on_refusal(std::uint64_t slot, permit_use use);
 
+  // Whether the mean may still be of use.
+  bool is_needed(std::uint64_t slot) const;
+
   // The number of slots until a program may start. `share` is the number of
   // permits of a window.
   std::uint64_t slots_until_allowed(std::uint64_t slot, std::uint64_t share);
@@ -122,7 +125,7 @@
   std::uint64_t window_begin_ = 0;
   std::uint32_t window_requests_ = 0;
   std::uint32_t window_starts_ = 0;
-  bool window_complete_ = false;     // no request was refused
+  bool window_without_refusal_ = false;
   std::uint64_t limited_until_ = 0;  // slot
 };
 
--- a/include/trayrock/internal/decide/recent_placements.h
+++ b/include/trayrock/internal/decide/recent_placements.h
@@ -2,15 +2,15 @@
 // passes the time.
 //
 // A client that sends the whole conversation with each turn doesn't name the
-// previous turn, so this table is the only record of the engine whose cache
-// holds the prompt. It also counts the lines of turns that each engine has:
-// between two turns a line has no request in flight, and an engine with many
-// such lines would look idle.
+// previous turn. The record stores tell the engine of the line's last turn once
+// that has settled; this table knows it at once, and without the stores. It
+// also counts the lines of turns that each engine has: between two turns a line
+// has no request in flight, and an engine with many such lines would look idle.
 //
 // Example:
 //   recent_placements recent;
 //   recent.record({program, session}, engine, now);
-//   if (const auto held_by = recent.find({program, session}, now)) {
+//   if (const auto held_by = recent.find_line({program, session}, now)) {
 //     prefer(*held_by);
 //   }
 #pragma once
@@ -30,17 +30,23 @@
 struct turn_line {
   std::string_view program;
   std::string_view session;
+  std::string_view workspace = {};  // empty: none
 };
 
+std::uint64_t hash_of_program(const turn_line& line);
+// Never 0.
+std::uint64_t hash_of_line(const turn_line& line);
+
 class recent_placements {
  public:
   void record(const turn_line& line, const endpoint_identity& endpoint,
               std::uint64_t now_ms);
 
-  // Where the line's last turn was sent. A line without one begins with the
-  // prompt of its program, so the program's last endpoint is returned instead.
-  std::optional<endpoint_identity> find(const turn_line& line,
-                                        std::uint64_t now_ms) const;
+  // Where the last turn of the line, or of any line of its program, was sent.
+  std::optional<endpoint_identity> find_line(const turn_line& line,
+                                             std::uint64_t now_ms) const;
+  std::optional<endpoint_identity> find_program(const turn_line& line,
+                                                std::uint64_t now_ms) const;
 
   // The number of lines that had a turn at the endpoint within the last
   // `active_ms`.
@@ -67,7 +73,8 @@
            std::uint64_t now_ms, bool is_line);
   void deactivate(entry& from);
   void remove_expired(std::uint64_t now_ms);
-  const entry* recent_entry(std::uint64_t key, std::uint64_t now_ms) const;
+  std::optional<endpoint_identity> find(std::uint64_t key,
+                                        std::uint64_t now_ms) const;
 
   std::unordered_map<std::uint64_t, entry> by_key_;  // by hash
   std::unordered_map<endpoint_identity, std::uint32_t, endpoint_identity_hash>
--- a/include/trayrock/internal/decide/token_budget.h
+++ b/include/trayrock/internal/decide/token_budget.h
@@ -41,10 +41,9 @@
   budget_verdict decide(std::string_view attempt, std::uint64_t max_tokens,
                         std::uint64_t budget) const;
 
-  // Whether no other attempt is known.
-  bool is_only(std::string_view attempt) const {
-    return turns_.empty() || (turns_.size() == 1 && turns_.contains(attempt));
-  }
+  // Whether another attempt may have run. Those that settled without tokens
+  // were refused or failed at their start.
+  bool has_other_turns(std::string_view attempt) const;
 
   std::uint64_t used() const;  // tokens of settled turns
   std::uint64_t open() const;  // tokens reserved by open turns
--- a/include/trayrock/internal/decide/turn_placement.h
+++ b/include/trayrock/internal/decide/turn_placement.h
@@ -1,10 +1,10 @@
 // Input of the choice of an engine for a turn whose prompt an engine may hold
-// in its cache.
+// in its cache (place_turn() in decide/endpoint_choice.h).
 //
 // Example:
 //   turn_criteria turn;
-//   turn.held_by = recent.find(line, now);
-//   turn.program_hash = hash_of_program(program);
+//   turn.held_by = recent.find_line(line, now);
+//   turn.program_hash = hash_of_program(line);
 //   turn.active_lines = [&](const endpoint_identity& at) {
 //     return recent.active_lines(at, now);
 //   };
@@ -21,7 +21,8 @@
 namespace trayrock {
 
 struct turn_criteria {
-  // The engine that ran the line's previous turn.
+  // The engine expected to hold the prompt: that of the line's last turn, or of
+  // another line of its program.
   std::optional<endpoint_identity> held_by;
   // The program's first turn: no engine holds its prompt.
   bool is_first = false;
@@ -30,11 +31,6 @@
   std::function<std::uint32_t(const endpoint_identity&)> active_lines;
 };
 
-std::uint64_t hash_of_program(std::string_view program);
-
-// Never 0.
-std::uint64_t hash_of_line(const turn_line& line);
-
 // The rank of an endpoint for a program, by rendezvous hashing: all gateways
 // agree on the highest one. Changes of the list of endpoints move only the
 // programs of those that come or go.
--- a/include/trayrock/internal/gateway/turn_history.h
+++ b/include/trayrock/internal/gateway/turn_history.h
@@ -71,15 +71,17 @@
 
   // The turn is placed by its prompt: its line is recorded, so that the next
   // turn's gateway learns the endpoint. Must precede reserve().
-  void track_line(std::uint64_t line) { line_ = line; }
+  void track_line(std::uint64_t line_hash) { line_ = line_hash; }
 
-  // The endpoint of the line's last turn, from the stores; empty: unknown.
+  // The endpoint of the line's last turn, or else of its program's, from the
+  // stores; empty: unknown.
   const std::string& last_endpoint() const { return last_endpoint_; }
+  bool is_last_of_line() const { return last_of_line_; }
 
-  // True if the stores replied that no turn of the program came before.
+  // True if the stores replied that no other turn of the program has run.
   bool is_first_turn() const { return first_turn_; }
 
-  // The endpoint that the turn was sent to.
+  // The endpoint that holds the turn's prompt from now on.
   void set_endpoint(std::string endpoint) { endpoint_ = std::move(endpoint); }
 
   // Releases the reserved tokens beyond those handed out. Only the first call
@@ -112,6 +114,7 @@
   std::uint64_t line_ = 0;       // 0: not tracked
   std::string endpoint_;
   std::string last_endpoint_;
+  bool last_of_line_ = false;
   bool first_turn_ = false;
   bool reserved_ = false;
   bool settled_ = false;
--- a/include/trayrock/internal/records/permit_client.h
+++ b/include/trayrock/internal/records/permit_client.h
@@ -16,8 +16,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -62,6 +64,11 @@
   void acquire(permit_request request, milliseconds limit,
                acquire_callback done);
 
+  // Nothing unless acquire() would report that the limit is reached without
+  // asking a store.
+  std::optional<limit_reached> known_limit(std::string_view workspace,
+                                           permit_use use);
+
   // Returns a permit whose request was not run and will not be. It is sent to
   // the store with the next request for the workspace.
   void give_back(const permit& unused);
--- a/include/trayrock/internal/records/record_client.h
+++ b/include/trayrock/internal/records/record_client.h
@@ -36,6 +36,7 @@
   // Of the last settled turn of the reservation's line, or of its program;
   // empty: unknown.
   std::string last_endpoint;
+  bool last_of_line = false;  // last_endpoint is the line's
 };
 
 class record_client {
--- a/include/trayrock/internal/records/record_index.h
+++ b/include/trayrock/internal/records/record_index.h
@@ -47,6 +47,7 @@
 struct last_placement {
   std::string_view endpoint;  // empty: unknown
   std::uint32_t turns = 0;    // of the program whose endpoint is known
+  bool of_line = false;       // else of another line of the program
 };
 
 class record_index {
--- a/src/decide/permit_limiter.cc
+++ b/src/decide/permit_limiter.cc
@@ -20,6 +20,9 @@
 // The programs that start in a window may need this share of the permits; the
 // rest covers programs that need more than the mean.
 constexpr double start_share = 0.9;
+// How long the mean of a workspace without requests is kept, in windows: an
+// overload often follows a pause.
+constexpr std::uint64_t kept_windows = 60;
 // How long programs that start are limited after a program under way was
 // refused a permit, in windows. At other times the limit has room for them.
 constexpr std::uint64_t limited_windows = 3;
@@ -113,7 +116,7 @@
 
 void program_starts::on_refusal(std::uint64_t slot, permit_use use) {
   end_window(slot);
-  window_complete_ = false;
+  window_without_refusal_ = false;
   if (use == permit_use::regular) {
     limited_until_ = slot + limited_windows * permit_window::slots;
   }
@@ -125,14 +128,19 @@
   if (slot < window_begin_ + permit_window::slots) {
     return;
   }
-  if (window_complete_ && window_starts_ > 0) {
+  if (window_without_refusal_ && window_starts_ > 0) {
     mean_requests_ += window_weight * (window_requests_ - mean_requests_);
     mean_starts_ += window_weight * (window_starts_ - mean_starts_);
   }
   window_begin_ = slot;
   window_requests_ = 0;
   window_starts_ = 0;
-  window_complete_ = true;
+  window_without_refusal_ = true;
+}
+
+bool program_starts::is_needed(std::uint64_t slot) const {
+  return mean_starts_ > 0 &&
+         slot < window_begin_ + kept_windows * permit_window::slots;
 }
 
 std::uint64_t program_starts::slots_until_allowed(std::uint64_t slot,
@@ -144,8 +152,9 @@
       std::max(mean_requests_ / mean_starts_, 1.0);
   const double allowed =
       static_cast<double>(share) * start_share / requests_of_program;
-  return starts_.slots_until_below(
+  const std::uint64_t wait = starts_.slots_until_below(
       slot, std::max<std::uint64_t>(1, static_cast<std::uint64_t>(allowed)));
+  return std::min(wait, limited_until_ - slot);
 }
 
 // ---- All workspaces --------------------------------------------------------
@@ -311,7 +320,8 @@
   std::vector<std::string> dropped;
   const std::uint64_t now = slot_of(now_ms);
   for (auto each = workspaces_.begin(); each != workspaces_.end();) {
-    if (each->second.window.count(now) > 0) {
+    if (each->second.window.count(now) > 0 ||
+        each->second.starts.is_needed(now)) {
       ++each;
       continue;
     }
--- a/src/decide/recent_placements.cc
+++ b/src/decide/recent_placements.cc
@@ -10,32 +10,36 @@
 // Bounds the memory of the table; some 200 bytes for each entry.
 constexpr std::size_t max_entries = 20000;
 
-std::uint64_t program_key(std::string_view program) {
-  return XXH3_64bits(program.data(), program.size());
+}  // namespace
+
+std::uint64_t hash_of_program(const turn_line& line) {
+  return XXH3_64bits_withSeed(
+      line.program.data(), line.program.size(),
+      XXH3_64bits(line.workspace.data(), line.workspace.size()));
 }
 
-std::uint64_t line_key(const turn_line& line) {
+std::uint64_t hash_of_line(const turn_line& line) {
   return XXH3_64bits_withSeed(line.session.data(), line.session.size(),
-                              program_key(line.program));
+                              hash_of_program(line)) |
+         1U;
 }
 
-}  // namespace
-
 void recent_placements::record(const turn_line& line,
                                const endpoint_identity& endpoint,
                                std::uint64_t now_ms) {
   remove_expired(now_ms);
-  put(program_key(line.program), endpoint, now_ms, false);
-  put(line_key(line), endpoint, now_ms, true);
+  put(hash_of_program(line), endpoint, now_ms, false);
+  put(hash_of_line(line), endpoint, now_ms, true);
 }
 
-std::optional<endpoint_identity> recent_placements::find(
+std::optional<endpoint_identity> recent_placements::find_line(
     const turn_line& line, std::uint64_t now_ms) const {
-  const entry* found = recent_entry(line_key(line), now_ms);
-  if (found == nullptr) {
-    found = recent_entry(program_key(line.program), now_ms);
-  }
-  return found == nullptr ? std::nullopt : std::optional(found->endpoint);
+  return find(hash_of_line(line), now_ms);
+}
+
+std::optional<endpoint_identity> recent_placements::find_program(
+    const turn_line& line, std::uint64_t now_ms) const {
+  return find(hash_of_program(line), now_ms);
 }
 
 std::uint32_t recent_placements::active_lines(const endpoint_identity& endpoint,
@@ -90,12 +94,12 @@
   }
 }
 
-const recent_placements::entry* recent_placements::recent_entry(
+std::optional<endpoint_identity> recent_placements::find(
     std::uint64_t key, std::uint64_t now_ms) const {
   const auto found = by_key_.find(key);
   const bool recent =
       found != by_key_.end() && found->second.at_ms + max_age_ms >= now_ms;
-  return recent ? &found->second : nullptr;
+  return recent ? std::optional(found->second.endpoint) : std::nullopt;
 }
 
 }  // namespace trayrock
--- a/src/decide/token_budget.cc
+++ b/src/decide/token_budget.cc
@@ -46,4 +46,11 @@
              : budget_verdict::fits;
 }
 
+bool program_usage::has_other_turns(std::string_view attempt) const {
+  return std::any_of(turns_.begin(), turns_.end(), [&](const auto& each) {
+    const turn_usage& turn = each.second;
+    return each.first != attempt && (!turn.settled || turn.used > 0);
+  });
+}
+
 }  // namespace trayrock
--- a/src/decide/turn_placement.cc
+++ b/src/decide/turn_placement.cc
@@ -69,7 +69,7 @@
            cost_factor(at, criteria_, policy_, now_ms_);
   }
 
-  std::uint64_t rank_of(std::size_t index) const {
+  std::uint64_t hash_rank(std::size_t index) const {
     return rendezvous_rank(criteria_.turn->program_hash,
                            candidates_[index]->record.identity);
   }
@@ -116,7 +116,7 @@
           candidates_[i]->record.data_centre == criteria_.data_centre &&
           may_take(i, max_requests);
       if (eligible &&
-          (first == candidates_.size() || rank_of(i) > rank_of(first))) {
+          (first == candidates_.size() || hash_rank(i) > hash_rank(first))) {
         first = i;
       }
     }
@@ -131,7 +131,7 @@
     for (std::size_t i = 1; i < candidates_.size(); ++i) {
       const double load = load_of(i);
       if (load < least_load ||
-          (load == least_load && rank_of(i) > rank_of(least))) {
+          (load == least_load && hash_rank(i) > hash_rank(least))) {
         least = i;
         least_load = load;
       }
@@ -149,16 +149,6 @@
 
 }  // namespace
 
-std::uint64_t hash_of_program(std::string_view program) {
-  return XXH3_64bits(program.data(), program.size());
-}
-
-std::uint64_t hash_of_line(const turn_line& line) {
-  return XXH3_64bits_withSeed(line.session.data(), line.session.size(),
-                              hash_of_program(line.program)) |
-         1U;
-}
-
 endpoint_choice place_turn(std::span<const endpoint_state_ptr> candidates,
                            const endpoint_criteria& criteria,
                            const choice_policy& policy, std::uint64_t now_ms) {
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -72,6 +72,10 @@
     reject(errc::cut_off);
   } else if (needs_permit() && !reserves_before_permit()) {
     acquire_permit();
+  } else if (const auto known = known_limit()) {
+    // Saves the stores a reservation and its settlement.
+    limit_retry_after_ = retry_after_at_limit(known->next);
+    reject(errc::workspace_limit);
   } else {
     reserve_or_send();
   }
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -72,6 +72,11 @@
   return made;
 }
 
+// The endpoint has not read the prompt.
+void request_flow::keep_previous_placement() {
+  history_.set_endpoint(history_.last_endpoint());
+}
+
 bool request_flow::is_placed_by_prompt() const {
   return context_.policy.places_by_prompt && routing_.places_by_prompt() &&
          !metadata_.program.empty();
@@ -83,18 +88,31 @@
   }
   const std::uint64_t now = context_.loop.now_ms();
   turn_criteria made;
-  made.held_by =
-      history_.last_endpoint().empty()
-          ? context_.placements.find(line(), now)
-          : std::optional(endpoint_identity::parse(history_.last_endpoint()));
+  made.held_by = engine_with_prompt();
   made.is_first = !made.held_by && history_.is_first_turn();
-  made.program_hash = hash_of_program(metadata_.program);
+  made.program_hash = hash_of_program(line());
   made.active_lines = [this, now](const endpoint_identity& at) {
     return context_.placements.active_lines(at, now);
   };
   return made;
 }
 
+std::optional<endpoint_identity> request_flow::engine_with_prompt() const {
+  const std::uint64_t now = context_.loop.now_ms();
+  std::optional<endpoint_identity> told;
+  if (!history_.last_endpoint().empty()) {
+    told = endpoint_identity::parse(history_.last_endpoint());
+  }
+  if (told && history_.is_last_of_line()) {
+    return told;
+  }
+  const auto own = context_.placements.find_line(line(), now);
+  if (own) {
+    return own;
+  }
+  return told ? told : context_.placements.find_program(line(), now);
+}
+
 void request_flow::count_placement() {
   if (is_placed_by_prompt()) {
     context_.metrics.add("turn_placements_total",
@@ -111,7 +129,7 @@
 }
 
 turn_line request_flow::line() const {
-  return {metadata_.program, metadata_.session};
+  return {metadata_.program, metadata_.session, routing_.workspace_name()};
 }
 
 // Only model engines use it.
@@ -360,6 +378,7 @@
 
 void request_flow::on_unreachable() {
   may_run_ = may_have_run_;
+  keep_previous_placement();
   if (report_.unreachable < max_unreachable) {
     send_next();
   } else {
@@ -369,6 +388,7 @@
 
 void request_flow::on_refused() {
   may_run_ = may_have_run_;
+  keep_previous_placement();
   if (has_sends_left()) {
     send_next();
   } else {
--- a/src/gateway/request_flow_permit.cc
+++ b/src/gateway/request_flow_permit.cc
@@ -19,6 +19,14 @@
          !routing_.route().keeps_history;
 }
 
+std::optional<limit_reached> request_flow::known_limit() const {
+  if (!needs_permit()) {
+    return std::nullopt;
+  }
+  return context_.permits.known_limit(routing_.owner()->name,
+                                      permit_use::regular);
+}
+
 permit_use request_flow::use_of_permit() const {
   const bool first_of_history = routing_.route().keeps_history &&
                                 !metadata_.program.empty() &&
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -82,6 +82,9 @@
   // previous one, only the stores know whether a turn starts its program.
   bool reserves_before_permit() const;
 
+  // Of a request that needs a permit: all stores have refused one lately.
+  std::optional<limit_reached> known_limit() const;
+
   permit_use use_of_permit() const;
   void acquire_permit();
   void on_permit(const permit& given);
@@ -131,10 +134,14 @@
   bool is_placed_by_prompt() const;
   turn_line line() const;
 
+  // By the stores, or by what this gateway sent; nothing: not known.
+  std::optional<endpoint_identity> engine_with_prompt() const;
+
   void count_placement();
 
   // Records where the turn's prompt is held from now on.
   void record_placement();
+  void keep_previous_placement();
 
   http1_request forwarded_request() const;
   http1_observer observer();
--- a/src/gateway/turn_history.cc
+++ b/src/gateway/turn_history.cc
@@ -58,8 +58,9 @@
     return errc::history_unavailable;
   }
   last_endpoint_ = reserved.value().last_endpoint;
-  first_turn_ =
-      reserved_ && reserved.value().usage.is_only(bytes_of(id_of(attempt_)));
+  last_of_line_ = reserved.value().last_of_line;
+  first_turn_ = reserved_ && !reserved.value().usage.has_other_turns(
+                                 bytes_of(id_of(attempt_)));
   if (!requested_chain_.empty()) {
     if (!reserved.value().chain_found) {
       settle(0);
--- a/src/records/permit_client.cc
+++ b/src/records/permit_client.cc
@@ -323,6 +323,14 @@
   made->step();
 }
 
+std::optional<limit_reached> permit_client::known_limit(
+    std::string_view workspace, permit_use use) {
+  adopt_group();
+  const permit_source next = sources_.next(workspace, use, {}, loop_.now_ms());
+  const auto* reached = std::get_if<limit_reached>(&next);
+  return reached == nullptr ? std::nullopt : std::optional(*reached);
+}
+
 void permit_client::cancel_permit(const std::string& store,
                                   const records::CancelPermitRequest& message) {
   const std::uint64_t call = message.call();
--- a/src/records/record_client.cc
+++ b/src/records/record_client.cc
@@ -45,6 +45,7 @@
   bool done = false;
   program_usage usage;
   std::string last_endpoint;
+  bool last_of_line = false;
   std::uint32_t placed_turns = 0;  // of the reply with last_endpoint
   std::shared_ptr<store_calls> calls;
   std::map<std::string, rpc_call> group_updates;  // newer group, by store
@@ -237,6 +238,7 @@
     if (reply.placed_turns() > placed_turns) {
       placed_turns = reply.placed_turns();
       last_endpoint = reply.last_endpoint();
+      last_of_line = reply.last_of_line();
     }
   }
 
@@ -300,6 +302,7 @@
     made.chain_found = chain.complete();
     made.endpoint = chain.endpoint();
     made.last_endpoint = std::move(last_endpoint);
+    made.last_of_line = last_of_line;
     if (made.chain_found) {
       made.text = chain.release_text();
     }
--- a/src/records/record_index.cc
+++ b/src/records/record_index.cc
@@ -15,6 +15,9 @@
 constexpr std::uint64_t ms_per_second = 1000;
 // Bounds a chain in case a damaged record forms a cycle.
 constexpr std::size_t max_chain_turns = 4096;
+// Bounds the lines of a program whose endpoints are known: more than run at the
+// same time. The least recently used one is dropped.
+constexpr std::size_t max_lines = 64;
 
 // Identifies a record.
 struct record_name {
@@ -127,6 +130,9 @@
   std::erase_if(program.lines, [&](const line_placement& each) {
     return each.line == made.line();
   });
+  if (program.lines.size() == max_lines) {
+    program.lines.erase(program.lines.begin());
+  }
   program.lines.push_back({made.line(), number_of(made.endpoint())});
   ++program.placed_turns;
 }
@@ -208,8 +214,9 @@
   const auto same =
       std::find_if(lines.begin(), lines.end(),
                    [line](const auto& each) { return each.line == line; });
-  const line_placement& found = same == lines.end() ? lines.back() : *same;
-  return {endpoints_[found.endpoint], known->second.placed_turns};
+  const bool of_line = same != lines.end();
+  const line_placement& found = of_line ? *same : lines.back();
+  return {endpoints_[found.endpoint], known->second.placed_turns, of_line};
 }
 
 void record_index::visit_after(std::uint64_t position,
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -317,6 +317,7 @@
   if (!last.endpoint.empty()) {
     message.set_last_endpoint(std::string(last.endpoint));
     message.set_placed_turns(last.turns);
+    message.set_last_of_line(last.of_line);
   }
 }
 
--- a/test/engine_load_simulation.cc
+++ b/test/engine_load_simulation.cc
@@ -213,10 +213,13 @@
     };
     if (turn) {
       if (!turn->held_by) {
-        turn->held_by = recent_.find(line, now_ms);
+        turn->held_by = recent_.find_line(line, now_ms);
+        if (!turn->held_by) {
+          turn->held_by = recent_.find_program(line, now_ms);
+        }
       }
       turn->is_first = turn->is_first && !turn->held_by;
-      turn->program_hash = hash_of_program(line.program);
+      turn->program_hash = hash_of_program(line);
       turn->active_lines = [this, now_ms](const endpoint_identity& at) {
         return recent_.active_lines(at, now_ms);
       };
--- a/test/gateway_unit_test.cc
+++ b/test/gateway_unit_test.cc
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(malformed_documents_are_rejected);
   CPPUNIT_TEST(resumable_routes_are_decoded);
   CPPUNIT_TEST(out_of_range_durations_of_a_route_are_bounded);
+  CPPUNIT_TEST(refused_attempts_are_no_turns_of_a_program);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -108,6 +109,17 @@
     CPPUNIT_ASSERT(usage.decide("own", 30, 49) == budget_verdict::spent);
   }
 
+  // Guards against first requests that count as part of a program under way
+  // once they were refused and are tried again.
+  void refused_attempts_are_no_turns_of_a_program() {
+    program_usage usage;
+    usage.add({"refused", 30, true, 0});
+    usage.add({"own", 30, false, 0});
+    CPPUNIT_ASSERT(!usage.has_other_turns("own"));
+    usage.add({"open", 30, false, 0});
+    CPPUNIT_ASSERT(usage.has_other_turns("own"));
+  }
+
   void turn_prefers_the_previous_endpoint() {
     endpoint_directory directory;
     directory.replace({endpoint_of("a", "x"), endpoint_of("b", "x")}, false,
--- a/test/program_admission_load_test.cc
+++ b/test/program_admission_load_test.cc
@@ -114,6 +114,7 @@
   CPPUNIT_TEST_SUITE(program_admission_load_test);
   CPPUNIT_TEST(programs_within_the_limit_are_not_refused);
   CPPUNIT_TEST(started_programs_complete_under_overload);
+  CPPUNIT_TEST(mean_of_a_workspace_outlasts_a_pause);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -125,6 +126,18 @@
     }
   }
 
+  // Guards against an overload behind a pause in which any number of programs
+  // starts.
+  void mean_of_a_workspace_outlasts_a_pause() {
+    permit_limiter limiter{limit_terms{}};
+    limiter.begin({"store"}, "store");
+    limiter.acquire("w", limit, permit_use::starts_program, 1000);
+    limiter.acquire("w", limit, permit_use::regular, 1000);
+    limiter.acquire("w", limit, permit_use::regular, 7000);
+    CPPUNIT_ASSERT(limiter.drop_unused(60000).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, limiter.drop_unused(600000).size());
+  }
+
   // Aim: at most a tenth of the permits go to programs that fail.
   void started_programs_complete_under_overload() {
     for (const double load : {2.0, 4.0, 7.5}) {
--- a/test/record_index_test.cc
+++ b/test/record_index_test.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(last_endpoint_of_an_unknown_line_is_that_of_the_program);
   CPPUNIT_TEST(settlement_without_an_endpoint_changes_no_last_endpoint);
   CPPUNIT_TEST(last_endpoints_expire_with_their_program);
+  CPPUNIT_TEST(least_recently_used_line_of_many_is_forgotten);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -75,6 +76,8 @@
     index_.add(settlement("a", 1, "e1"), 0);
     CPPUNIT_ASSERT_EQUAL(std::string_view("e1"),
                          index_.last_endpoint("p", 9).endpoint);
+    CPPUNIT_ASSERT(!index_.last_endpoint("p", 9).of_line);
+    CPPUNIT_ASSERT(index_.last_endpoint("p", 1).of_line);
     CPPUNIT_ASSERT(index_.last_endpoint("q", 1).endpoint.empty());
   }
 
@@ -86,6 +89,16 @@
     CPPUNIT_ASSERT_EQUAL(1U, index_.last_endpoint("p", 1).turns);
   }
 
+  // Guards against a program that opens sessions for ever.
+  void least_recently_used_line_of_many_is_forgotten() {
+    constexpr std::uint64_t lines = 100;
+    for (std::uint64_t line = 1; line <= lines; ++line) {
+      index_.add(settlement("a" + std::to_string(line), line, "e1"), 0);
+    }
+    CPPUNIT_ASSERT(index_.last_endpoint("p", lines).of_line);
+    CPPUNIT_ASSERT(!index_.last_endpoint("p", 1).of_line);
+  }
+
   void last_endpoints_expire_with_their_program() {
     index_.add(turn("t", "", "in", "out"), 0);  // sets the retention
     index_.add(settlement("a", 1, "e1"), 0);
--- a/test/turn_placement_test.cc
+++ b/test/turn_placement_test.cc
@@ -115,7 +115,8 @@
 
   void gateways_agree_on_an_unknown_line() {
     for (std::uint64_t program = 0; program < 50; ++program) {
-      criteria_.turn->program_hash = hash_of_program(std::to_string(program));
+      criteria_.turn->program_hash =
+          hash_of_program({std::to_string(program), ""});
       criteria_.draw = 1;
       by_id("n2")->in_flight = 0;
       const std::string one = choose();
@@ -127,7 +128,8 @@
 
   void unknown_line_stays_in_the_data_centre() {
     for (std::uint64_t program = 0; program < 50; ++program) {
-      criteria_.turn->program_hash = hash_of_program(std::to_string(program));
+      criteria_.turn->program_hash =
+          hash_of_program({std::to_string(program), ""});
       CPPUNIT_ASSERT(choose().starts_with("n"));
     }
   }
@@ -151,12 +153,14 @@
     constexpr std::uint64_t programs = 200;
     std::vector<std::string> before;
     for (std::uint64_t program = 0; program < programs; ++program) {
-      criteria_.turn->program_hash = hash_of_program(std::to_string(program));
+      criteria_.turn->program_hash =
+          hash_of_program({std::to_string(program), ""});
       before.push_back(choose());
     }
     std::erase(engines_, by_id("n1"));
     for (std::uint64_t program = 0; program < programs; ++program) {
-      criteria_.turn->program_hash = hash_of_program(std::to_string(program));
+      criteria_.turn->program_hash =
+          hash_of_program({std::to_string(program), ""});
       const std::string after = choose();
       CPPUNIT_ASSERT(before[program] == "n1 hash" || before[program] == after);
     }
