--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -106,7 +106,7 @@
   if (told && history_.is_last_of_line()) {
     return told;
   }
-  const auto own = context_.placements.find_line(line(), now);
+  auto own = context_.placements.find_line(line(), now);
   if (own) {
     return own;
   }
