--- a/include/trayrock/internal/decide/endpoint_choice.h
+++ b/include/trayrock/internal/decide/endpoint_choice.h
@@ -2,7 +2,8 @@
 // No I/O; the caller passes the time.
 //
 // A turn goes to the endpoint of the previous turn, whose cache holds its
-// prompt, unless that endpoint has much more load than others. Otherwise the
+// prompt, unless that endpoint has much more load than others
+// (decide/turn_placement.h where no record names that endpoint). Otherwise the
 // least loaded endpoint is chosen, weighted by distance and open connections.
 // Each gateway counts only its own requests, so most endpoints look alike to
 // it: ties are broken randomly and small latency differences are ignored, or
--- a/include/trayrock/internal/decide/mechanism.h
+++ b/include/trayrock/internal/decide/mechanism.h
@@ -40,7 +40,7 @@
   shared_watches,       // few gateways watch the platform for all
   draws_among_equals,   // ties between endpoints are broken randomly
   levelled_latencies,   // small latency differences are ignored
-  prompt_placement,     // turns go where the gateway sent their prompts
+  prompt_placement,     // turns go to the engine that holds their prompt
   engine_pace,          // first turns avoid engines that write slowly
   buffer_budget,        // a gateway bounds what it buffers for slow readers
   ready_learners        // more stores are learners than there are vacancies
--- a/include/trayrock/internal/gateway/buffer_limiter.h
+++ b/include/trayrock/internal/gateway/buffer_limiter.h
@@ -25,8 +25,8 @@
 
 namespace trayrock {
 
-// A request that is being served. Its connection may be paused and resumed by
-// calls that it makes itself, such as writes to its client.
+// A request that is being served. Reading of its response may be paused and
+// resumed from within its own writes to the client.
 class buffering_request {
  public:
   virtual ~buffering_request() = default;
@@ -78,6 +78,7 @@
   void report();
 
  private:
+  // Of a connection. It retains received + request_bytes.
   struct client {
     std::weak_ptr<buffering_request> request;
     std::uint64_t received = 0;
--- a/include/trayrock/internal/gateway/watch_server.h
+++ b/include/trayrock/internal/gateway/watch_server.h
@@ -4,9 +4,9 @@
 // gateway that doesn't watch the platform, or can't reach it, replies at once
 // that it doesn't, so that callers poll another one. One that has just started
 // and may be about to watch lets callers wait: else they would take it for one
-// that has lost the platform, and watch in its place for a second or more. It
-// still sends its configuration with the proof of it and, to a gateway that has
-// just started, all that it has.
+// that has lost the platform, and watch in its place for a second or more. A
+// gateway that doesn't watch still sends its configuration with the proof of it
+// and, to a gateway that has just started, all that it has.
 //
 // Example:
 //   watch_server server(loop, log, status, on_peer, add_proof);
--- a/src/gateway/error_response.cc
+++ b/src/gateway/error_response.cc
@@ -13,7 +13,8 @@
 constexpr milliseconds tokens_reserved_retry_after{200};
 // Within a second every gateway's share of a cold endpoint is free again.
 constexpr milliseconds endpoints_cold_retry_after{1000};
-// Retries reach other gateways; unread data stays here for seconds.
+// Unread data stays for seconds; retries on new connections reach other
+// gateways.
 constexpr milliseconds buffers_full_retry_after{250};
 constexpr milliseconds not_configured_retry_after{500};
 
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -108,7 +108,7 @@
   stores_guard_ = context_.loop.after(wait, [weak = weak_from_this(), why] {
     const auto flow = weak.lock();
     if (flow != nullptr && !flow->ended_) {
-      flow->reject_unsent(why);
+      flow->release_reservation_and_reject(why);
     }
   });
 }
@@ -198,7 +198,7 @@
   response_.abort();
 }
 
-void request_flow::reject_unsent(errc why) {
+void request_flow::release_reservation_and_reject(errc why) {
   if (reserves_before_permit()) {
     history_.settle(0);
   }
--- a/src/gateway/request_flow_permit.cc
+++ b/src/gateway/request_flow_permit.cc
@@ -69,13 +69,13 @@
 void request_flow::on_permit(const limit_reached& reached) {
   if (!ended_) {
     limit_retry_after_ = retry_after_at_limit(reached.next);
-    reject_unsent(errc::workspace_limit);
+    release_reservation_and_reject(errc::workspace_limit);
   }
 }
 
 void request_flow::on_permit(const permit_unknown&) {
   if (!ended_) {
-    reject_unsent(errc::workspace_limit_unknown);
+    release_reservation_and_reject(errc::workspace_limit_unknown);
   }
 }
 
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -59,8 +59,9 @@
   // aborted, so that it doesn't look complete.
   void fail(errc why);
 
-  // Rejects a request that still waits for the stores.
-  void reject_unsent(errc why);
+  // Rejects a request that was not sent. Its reservation is settled if it may
+  // have been made before the permit; reject() alone settles none.
+  void release_reservation_and_reject(errc why);
   void reject(errc why);
   milliseconds retry_after(errc why) const;
   milliseconds elapsed_ms() const;
