Requests log how their response was framed and whether it ended in an event

Two turns of the incident reached their callers as complete with a part of the stream missing. Their request_done lines say outcome answered, one event, turn stored in 5 ms: the gateway took the response for complete. They do not say whether the endpoint sent a length, chunks or neither, nor whether bytes followed the last complete event, so that a broken connection that passes for an end can't be told from an endpoint that ends a broken stream properly.

The line now has framing (length, chunks, connection) and events_begun, which is one more than events when the stream ended inside an event.

--- a/include/trayrock/internal/gateway/endpoint_attempt.h
+++ b/include/trayrock/internal/gateway/endpoint_attempt.h
@@ -82,6 +82,8 @@
 
   const http1_answer_head& head() const { return head_; }
   int status() const { return head_.status; }  // 0: no head yet
+  // Name of the body's framing in the log; empty: no head yet.
+  std::string_view framing() const;
   bool succeeded() const;
   bool not_executed() const { return response_.not_executed; }
   const std::string& body() const { return body_; }
--- a/include/trayrock/internal/gateway/request_report.h
+++ b/include/trayrock/internal/gateway/request_report.h
@@ -30,7 +30,9 @@
   std::uint64_t head_us = 0;     // until the head of the response
   std::uint64_t keep_us = 0;     // duration of storing the turn
   std::uint64_t total_us = 0;
-  std::uint64_t events = 0;
+  std::uint64_t events = 0;        // complete ones
+  std::uint64_t events_begun = 0;  // more than `events`: ended inside an event
+  std::string framing;             // of the response's body; empty: no response
   int status = 0;
   std::string outcome;
 };
--- a/include/trayrock/internal/net/http1_client.h
+++ b/include/trayrock/internal/net/http1_client.h
@@ -25,10 +25,17 @@
 
 namespace trayrock {
 
+// How a body says where it ends.
+enum class body_framing {
+  length,
+  chunks,
+  connection,  // neither: at the end of its connection
+};
+
 struct http1_answer_head {
   int status = 0;
   header_list headers;
-  bool has_length = false;  // by a length or by chunks
+  body_framing framing = body_framing::length;
 };
 
 enum class http1_end {
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -90,6 +90,21 @@
   invalid_ = body_.size() > max_buffered_bytes;
 }
 
+std::string_view endpoint_attempt::framing() const {
+  if (status() == 0) {
+    return {};
+  }
+  switch (head_.framing) {
+    case body_framing::length:
+      return "length";
+    case body_framing::chunks:
+      return "chunks";
+    case body_framing::connection:
+      break;
+  }
+  return "connection";
+}
+
 bool endpoint_attempt::succeeded() const {
   return head_.status >= first_success && head_.status < first_redirect;
 }
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -271,6 +271,8 @@
   report_.epoch = context_.records.group().epoch();
   report_.total_us = elapsed_us();
   report_.events = response_.events().complete_events();
+  report_.events_begun = response_.events().started_events();
+  report_.framing = attempt_.framing();
   report_.status = status;
   report_.outcome = outcome;
   report_request(context_.metrics, metadata_, report_);
--- a/src/gateway/request_report.cc
+++ b/src/gateway/request_report.cc
@@ -39,6 +39,8 @@
             {"keep_ms", whole_ms(ended.keep_us)},
             {"total_ms", whole_ms(ended.total_us)},
             {"events", std::to_string(ended.events)},
+            {"events_begun", std::to_string(ended.events_begun)},
+            {"framing", ended.framing},
             {"status", std::to_string(ended.status)},
             {"outcome", ended.outcome}});
 }
--- a/src/net/http1_client_connection.cc
+++ b/src/net/http1_client_connection.cc
@@ -55,6 +55,14 @@
   return milliseconds(static_cast<long>(seconds * ms_per_second * idle_share));
 }
 
+body_framing framing_of(const http_parser& parser, const header_list& headers) {
+  if ((parser.flags & F_CHUNKED) != 0) {
+    return body_framing::chunks;
+  }
+  return headers.has("Content-Length") ? body_framing::length
+                                       : body_framing::connection;
+}
+
 }  // namespace
 
 bool http1_client_connection::open(const address& peer) {
@@ -191,8 +199,7 @@
   if (me.interim_) {
     return 0;
   }
-  me.head_.has_length = (parser->flags & F_CHUNKED) != 0 ||
-                        me.head_.headers.has("Content-Length");
+  me.head_.framing = framing_of(*parser, me.head_.headers);
   if (me.head_.headers.has("Transfer-Encoding") &&
       me.head_.headers.has("Content-Length")) {
     return -1;
