Streams that end inside an event count as broken

Cause: an endpoint may send a stream with neither a length nor chunks, which ends with its connection. The gateway took every close of such a connection for the end of the message; a crash closes it, too. Evidence: request_done of both requests says outcome answered, one event, turn stored in 5 ms, while the engine had ended the run as crashed; stream_without_length_test fails with such a stream cut after each byte of its second event.

Now the events decide (decide/stream_end.h): a stream that ends inside an event is broken however its body is framed, and so is one without a length that has no event in this run. The decision is made before the outcome of the send is recorded, so that storing the turn, settling its tokens, the engine's pace, the endpoint's health, resuming and the client's response all follow it.

On the former code (the check disabled) cases fail that now pass: stored turn, stream without events, chunks that end inside an event, resumed elsewhere, resumed stream without events. gateway_unit_test, resumed_stream_test, gateway_path_test, gateway_stopping_test, slow_readers_test pass.

--- a/include/trayrock/internal/decide/event_stream.h
+++ b/include/trayrock/internal/decide/event_stream.h
@@ -36,6 +36,9 @@
     return complete_events_ + (in_event_ ? 1 : 0);
   }
 
+  // Whether bytes follow the last complete event.
+  bool in_event() const { return in_event_; }
+
   const std::string& data() const { return data_; }
 
  private:
--- a/include/trayrock/internal/gateway/client_response.h
+++ b/include/trayrock/internal/gateway/client_response.h
@@ -54,7 +54,20 @@
 
   // The next bytes are of another run, which resumes after the last complete
   // event.
-  void begin_run() { complete_events_.begin_run(); }
+  void begin_run() {
+    complete_events_.begin_run();
+    events_of_earlier_runs_ = events_.complete_events();
+  }
+
+  // Whether the endpoint's bytes so far end inside an event.
+  bool ends_inside_event() const {
+    return resumable_ ? !complete_events_.rest().empty() : events_.in_event();
+  }
+
+  // Complete events of the current run.
+  std::uint64_t events_of_run() const {
+    return events_.complete_events() - events_of_earlier_runs_;
+  }
 
   // The id of the last event sent to the client; nothing if no run can resume
   // after it.
@@ -94,6 +107,7 @@
   std::string deferred_body_;
   complete_event_buffer complete_events_;
   event_stream events_;
+  std::uint64_t events_of_earlier_runs_ = 0;
 };
 
 }  // namespace trayrock
--- a/include/trayrock/internal/gateway/endpoint_attempt.h
+++ b/include/trayrock/internal/gateway/endpoint_attempt.h
@@ -85,6 +85,8 @@
   // Name of the body's framing in the log; empty: no head yet.
   std::string_view framing() const;
   bool succeeded() const;
+  // Whether the body is a stream of events; so is one of no stated type.
+  bool is_event_stream() const;
   bool not_executed() const { return response_.not_executed; }
   const std::string& body() const { return body_; }
 
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -109,6 +109,13 @@
   return head_.status >= first_success && head_.status < first_redirect;
 }
 
+bool endpoint_attempt::is_event_stream() const {
+  constexpr std::string_view event_stream_type = "text/event-stream";
+  const std::string_view type = head_.headers.find("Content-Type");
+  return type.empty() ||
+         same_name(type.substr(0, event_stream_type.size()), event_stream_type);
+}
+
 attempt_outcome endpoint_attempt::outcome_of(http1_end how) const {
   if (how == http1_end::never_sent) {
     return attempt_outcome::unreachable;
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -5,6 +5,7 @@
 
 #include "platform/messages.h"
 #include "request_flow_state.h"
+#include "trayrock/internal/decide/stream_end.h"
 #include "trayrock/internal/decide/urgency.h"
 #include "trayrock/internal/log.h"
 
@@ -322,12 +323,38 @@
   on_attempt_end(http1_end::broken);
 }
 
+bool request_flow::is_interrupted_stream() const {
+  if (!passes_through() || !attempt_.is_event_stream()) {
+    return false;
+  }
+  stream_end seen;
+  seen.inside_event = response_.ends_inside_event();
+  seen.with_connection = attempt_.head().framing == body_framing::connection;
+  seen.events = response_.events_of_run();
+  return !is_complete(seen);
+}
+
+attempt_outcome request_flow::outcome_of(http1_end how) {
+  const attempt_outcome made = attempt_.outcome_of(how);
+  if (made != attempt_outcome::responded || !is_interrupted_stream()) {
+    return made;
+  }
+  context_.metrics.add("streams_interrupted_total",
+                       {{"framing", std::string(attempt_.framing())}});
+  log_warn("stream_interrupted",
+           {{"request", metadata_.attempt},
+            {"endpoint", attempt_.endpoint_id()},
+            {"framing", std::string(attempt_.framing())},
+            {"events", std::to_string(response_.events_of_run())}});
+  return attempt_outcome::broken;
+}
+
 void request_flow::on_attempt_end(http1_end how) {
   silence_timer_.cancel();
   if (ended_) {
     return;
   }
-  const attempt_outcome outcome = attempt_.outcome_of(how);
+  const attempt_outcome outcome = outcome_of(how);
   attempt_.end(outcome);
   sending_bytes_ = 0;
   switch (outcome) {
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -181,6 +181,10 @@
   // Cancels the attempt; the request may be sent to another endpoint.
   void abandon_endpoint();
 
+  // Whether the response, which ended without an error, is a stream that its
+  // endpoint did not finish.
+  bool is_interrupted_stream() const;
+  attempt_outcome outcome_of(http1_end how);
   void on_attempt_end(http1_end how);
   bool has_sends_left() const;
   resend_view resend_state() const;
--- a/test/stream_without_length_test.cc
+++ b/test/stream_without_length_test.cc
@@ -1,5 +1,10 @@
 // Tests what becomes of an endpoint's response that has neither a length nor
 // chunks and ends with its connection.
+#include <memory>
+#include <mutex>
+#include <sstream>
+#include <vector>
+
 #include "scripted_endpoint.h"
 #include "service_deployment.h"
 #include "test_support.h"
@@ -22,44 +27,48 @@
   return made;
 }
 
-std::string head_without_length(const std::string& attempt,
-                                const std::string& type) {
+// Without a length or chunks, unless `more` says so.
+std::string head(const std::string& attempt, const std::string& more = "",
+                 const std::string& type = "text/event-stream") {
   return "HTTP/1.1 200 OK\r\nTrayrock-Attempt-Id: " + attempt +
          "\r\nTrayrock-Response-Seal: seal." + attempt +
-         "\r\nContent-Type: " + type + "\r\n\r\n";
+         "\r\nContent-Type: " + type + "\r\n" + more + "\r\n";
+}
+
+std::string in_one_chunk(const std::string& bytes) {
+  std::ostringstream size;
+  size << std::hex << bytes.size();
+  return size.str() + "\r\n" + bytes + "\r\n";
 }
 
 std::string attempt_of(const std::string& request) {
   return header_of(request, "Trayrock-Attempt-Id");
 }
 
-// One gateway, whose only endpoint answers as the script says.
+// One gateway, whose endpoints answer as the script says.
 class scripted_deployment {
  public:
-  explicit scripted_deployment(scripted_endpoint::script respond)
-      : endpoint_(std::move(respond)), system_(one_of_each()) {
+  scripted_deployment(const scripted_endpoint::script& respond, int endpoints)
+      : system_(one_of_each()) {
     system_.start_all();
-    system_.put_object(
-        "servers", "scripted",
-        service_deployment::endpoint_entry(endpoint_.address(), "ready"));
+    for (int i = 0; i < endpoints; ++i) {
+      endpoints_.push_back(std::make_unique<scripted_endpoint>(respond));
+      system_.put_object("servers", "scripted-" + std::to_string(i),
+                         service_deployment::endpoint_entry(
+                             endpoints_.back()->address(), "ready"));
+    }
+    wait_until("the gateway has the endpoints", [&] {
+      return system_.metric("gateway-1", "endpoints_known") == endpoints + 1;
+    });
     system_.remove_object("servers", "runner-1");
-    wait_until("the gateway uses no other endpoint", [&] {
-      int own = 0;
-      for (int i = 0; i < probes_in_a_row; ++i) {
-        const std::string attempt = "r" + std::to_string(++probes_);
-        own += system_.request("gateway-1", "/unsafe/ready", attempt).body ==
-               "ready";
-      }
-      return own == probes_in_a_row;
+    wait_until("the gateway uses these endpoints alone", [&] {
+      return system_.log_lines("gateway-1", "\"removed\":\"runner-1\"") == 1;
     });
   }
 
   service_deployment& system() { return system_; }
-  scripted_endpoint& endpoint() { return endpoint_; }
 
  private:
-  static constexpr int probes_in_a_row = 5;
-
   // A gateway without endpoints is not ready: a runner is there at its start.
   static service_options one_of_each() {
     service_options options;
@@ -68,19 +77,10 @@
     return options;
   }
 
-  scripted_endpoint endpoint_;
+  std::vector<std::unique_ptr<scripted_endpoint>> endpoints_;
   service_deployment system_;
-  int probes_ = 0;
 };
 
-bool is_probe(const std::string& request) {
-  return request.find("/unsafe/ready") != std::string::npos;
-}
-
-scripted_response answer_probe(const std::string& request) {
-  return {head_without_length(attempt_of(request), "text/plain") + "ready"};
-}
-
 class stream_without_length_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(stream_without_length_test);
   CPPUNIT_TEST(stream_without_length_cut_inside_an_event_is_not_complete);
@@ -88,6 +88,11 @@
   CPPUNIT_TEST(stream_without_length_cut_inside_an_event_is_no_stored_turn);
   CPPUNIT_TEST(stream_without_length_and_without_events_is_not_complete);
   CPPUNIT_TEST(stream_without_length_that_is_reset_is_not_complete);
+  CPPUNIT_TEST(stream_in_chunks_that_ends_inside_an_event_is_not_complete);
+  CPPUNIT_TEST(stream_without_length_cut_inside_an_event_resumes_elsewhere);
+  CPPUNIT_TEST(resumed_stream_without_length_and_events_is_not_complete);
+  CPPUNIT_TEST(tokens_of_an_interrupted_stream_are_counted);
+  CPPUNIT_TEST(body_of_another_type_is_complete_by_its_framing);
   CPPUNIT_TEST(body_without_length_is_complete_at_its_close);
   CPPUNIT_TEST_SUITE_END();
 
@@ -135,6 +140,72 @@
     CPPUNIT_ASSERT(!seen.complete);
   }
 
+  void stream_in_chunks_that_ends_inside_an_event_is_not_complete() {
+    deploy([](const std::string& request) {
+      return scripted_response{
+          head(attempt_of(request), "Transfer-Encoding: chunked\r\n") +
+          in_one_chunk("id: 1\ndata: a\n\nid: 2\ndata") + "0\r\n\r\n"};
+    });
+    const http_answer seen = deployed().turn("gateway-1", "t1", "", "one");
+    CPPUNIT_ASSERT(!seen.complete);
+  }
+
+  void stream_without_length_cut_inside_an_event_resumes_elsewhere() {
+    constexpr int endpoints = 2;
+    deploy(
+        [](const std::string& request) {
+          const std::string attempt = attempt_of(request);
+          const std::string rest = event(attempt, 2) + event(attempt, 3);
+          const bool resumed = header_of(request, "Last-Event-Id") == "1";
+          return scripted_response{
+              head(attempt) +
+              (resumed ? rest : event(attempt, 1) + rest.substr(0, 9))};
+        },
+        endpoints);
+    const http_answer seen =
+        deployed().request("gateway-1", "/resumable-stream/a", "s1");
+    CPPUNIT_ASSERT_EQUAL(200, seen.status);
+    CPPUNIT_ASSERT(seen.complete);
+    CPPUNIT_ASSERT_EQUAL(events("s1", 3), seen.body);
+  }
+
+  void resumed_stream_without_length_and_events_is_not_complete() {
+    constexpr int endpoints = 2;
+    deploy(
+        [](const std::string& request) {
+          const bool resumed = header_of(request, "Last-Event-Id") == "1";
+          return scripted_response{head(attempt_of(request)) +
+                                   (resumed ? "" : "id: 1\ndata: a\n\nid: 2")};
+        },
+        endpoints);
+    const http_answer seen =
+        deployed().request("gateway-1", "/resumable-stream/a", "s1");
+    TRAYROCK_CHECK(!seen.complete, "expected an incomplete stream, seen "
+                                       << seen.status << " with " << seen.body);
+  }
+
+  void tokens_of_an_interrupted_stream_are_counted() {
+    constexpr std::uint64_t budget = 15;
+    // Four events of two tokens have begun; a turn may make ten.
+    turn_of_stream(events("t1", 3) + "id: 4\nda");
+    const http_answer next =
+        deployed().turn("gateway-1", "t2", "", "two", budget);
+    CPPUNIT_ASSERT_EQUAL(402, next.status);
+  }
+
+  void body_of_another_type_is_complete_by_its_framing() {
+    deploy([](const std::string& request) {
+      return scripted_response{
+          "HTTP/1.1 200 OK\r\nTrayrock-Attempt-Id: " + attempt_of(request) +
+          "\r\nTrayrock-Response-Seal: s\r\nContent-Type: application/json"
+          "\r\nContent-Length: 2\r\n\r\n{}"};
+    });
+    const http_answer seen = deployed().turn("gateway-1", "t1", "", "one");
+    CPPUNIT_ASSERT_EQUAL(200, seen.status);
+    CPPUNIT_ASSERT(seen.complete);
+    CPPUNIT_ASSERT_EQUAL(std::string("{}"), seen.body);
+  }
+
   void body_without_length_is_complete_at_its_close() {
     turn_of_stream(events("t1", 1));
     const http_answer seen = deployed().request("gateway-1", "/unsafe/a", "u1");
@@ -157,23 +228,22 @@
       end_ = end;
     }
     if (made_ == nullptr) {
-      made_ = std::make_unique<scripted_deployment>(
-          [this](const std::string& request) { return respond(request); });
+      deploy([this](const std::string& request) { return respond(request); });
     }
     return deployed().turn("gateway-1", attempt, "", "one");
   }
 
+  void deploy(const scripted_endpoint::script& respond, int endpoints = 1) {
+    made_ = std::make_unique<scripted_deployment>(respond, endpoints);
+  }
+
   scripted_response respond(const std::string& request) {
-    if (is_probe(request)) {
-      return answer_probe(request);
-    }
     const std::string attempt = attempt_of(request);
     if (request.find("stream/") == std::string::npos) {
-      return {head_without_length(attempt, "text/plain") + "answer to " +
-              attempt};
+      return {head(attempt, "", "text/plain") + "answer to " + attempt};
     }
     const std::scoped_lock lock(guard_);
-    return {head_without_length(attempt, "text/event-stream") + stream_, end_};
+    return {head(attempt) + stream_, end_};
   }
 
   service_deployment& deployed() { return made_->system(); }
