--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -2,8 +2,12 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <atomic>
+#include <cerrno>
+#include <functional>
 #include <optional>
 #include <thread>
 
@@ -120,6 +124,11 @@
   CPPUNIT_TEST(dropped_connection_is_told_and_incomplete);
   CPPUNIT_TEST(paused_response_is_read_after_resuming);
   CPPUNIT_TEST(paused_connection_is_used_again);
+  CPPUNIT_TEST(finished_response_to_http_1_0_ends_with_a_close);
+  CPPUNIT_TEST(request_that_is_cut_anywhere_is_not_served);
+  CPPUNIT_TEST(response_that_is_cut_anywhere_is_broken);
+  CPPUNIT_TEST(interim_response_is_not_the_response);
+  CPPUNIT_TEST(response_reset_while_reading_is_paused_is_broken);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -129,6 +138,8 @@
   }
 
   void tearDown() override {
+    later_.cancel();
+    server_.reset();
     pool_.reset();
     loop_.reset();
   }
@@ -426,7 +437,211 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peer.connections());
   }
 
+  void finished_response_to_http_1_0_ends_with_a_close() {
+    const std::string body(4U << 20, 'x');
+    const connection_bytes seen =
+        respond_to_http_1_0([&body](const http1_exchange_ptr& out) {
+          out->begin(200, {});
+          out->write(body);
+          out->finish();
+        });
+    CPPUNIT_ASSERT_EQUAL(0, seen.error);
+    CPPUNIT_ASSERT(seen.bytes.ends_with("\r\n\r\n" + body));
+    CPPUNIT_ASSERT(seen.bytes.find("chunked") == std::string::npos);
+  }
+
+  void request_that_is_cut_anywhere_is_not_served() {
+    for (const std::string& whole :
+         {std::string("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+                      "\r\nfour"),
+          std::string("POST /a HTTP/1.1\r\nHost: a\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n"
+                      "0\r\n\r\n")}) {
+      check_cut_requests(whole);
+    }
+  }
+
+  void response_that_is_cut_anywhere_is_broken() {
+    for (const std::string& whole :
+         {std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour"),
+          std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "4\r\nfour\r\n0\r\n\r\n")}) {
+      for (std::size_t cut = 1; cut < whole.size(); ++cut) {
+        const seen_answer seen =
+            ask(whole.substr(0, cut), scripted_peer::ending::close);
+        TRAYROCK_CHECK(seen.end == http1_end::broken,
+                       "expected a broken response, cut after " << cut);
+      }
+      CPPUNIT_ASSERT(ask(whole, scripted_peer::ending::close).end ==
+                     http1_end::complete);
+    }
+  }
+
+  void interim_response_is_not_the_response() {
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    CPPUNIT_ASSERT(ask(interim, scripted_peer::ending::close).end ==
+                   http1_end::broken);
+    const seen_answer seen =
+        ask(interim + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour",
+            scripted_peer::ending::close);
+    CPPUNIT_ASSERT(seen.end == http1_end::complete);
+    CPPUNIT_ASSERT_EQUAL(std::string("four"), seen.body);
+    CPPUNIT_ASSERT_EQUAL(1, seen.heads);
+  }
+
+  void response_reset_while_reading_is_paused_is_broken() {
+    const scripted_peer peer(*loop_, port_, "HTTP/1.1 200 OK\r\n\r\npart of it",
+                             scripted_peer::ending::reset);
+    pool_ = std::make_unique<http1_pool>(*loop_);
+    http1_call call;
+    std::optional<http1_end> end;
+    http1_observer observer;
+    observer.on_head = [](const http1_answer_head&) { return true; };
+    observer.on_body = [&](std::string_view) { call.pause_reading(); };
+    observer.on_end = [&](http1_end how) {
+      end = how;
+      loop_->stop();
+    };
+    call = start(observer);
+    const timer later =
+        loop_->after(milliseconds(300), [&] { call.resume_reading(); });
+    run_briefly();
+    CPPUNIT_ASSERT(end == http1_end::broken);
+  }
+
  private:
+  struct connection_bytes {
+    std::string bytes;
+    int error = 0;  // of the connection's end; 0: it was closed
+  };
+
+  // Sends bytes, and reads until the connection ends or a time has passed.
+  static connection_bytes exchange_bytes(int port, const std::string& bytes) {
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    const timeval longest{answer_seconds, 0};
+    setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &longest, sizeof(longest));
+    const sockaddr_in where = loopback(port);
+    connect(socket, reinterpret_cast<const sockaddr*>(&where), sizeof(where));
+    ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    connection_bytes seen;
+    std::array<char, 65536> piece{};
+    ssize_t got = 0;
+    while ((got = recv(socket, piece.data(), piece.size(), 0)) > 0) {
+      seen.bytes.append(piece.data(), static_cast<std::size_t>(got));
+    }
+    seen.error = got < 0 ? errno : 0;
+    close(socket);
+    return seen;
+  }
+
+  connection_bytes respond_to_http_1_0(
+      const std::function<void(const http1_exchange_ptr&)>& respond) {
+    server_ = std::make_unique<http1_server>(
+        *loop_, [] { return http1_limits(); },
+        [&respond](const http1_request&, const http1_exchange_ptr& out) {
+          respond(out);
+        });
+    CPPUNIT_ASSERT(server_->listen(local(port_)));
+    connection_bytes seen;
+    std::atomic<bool> done = false;
+    std::jthread client([&] {
+      seen = exchange_bytes(port_, "GET /a HTTP/1.0\r\n\r\n");
+      done = true;
+    });
+    const timer watching = loop_->every(milliseconds(10), [&] {
+      if (done) {
+        loop_->stop();
+      }
+    });
+    run_briefly();
+    client.join();
+    server_.reset();
+    return seen;
+  }
+
+  // Two requests on a connection: what follows the first response's head has
+  // to be the second response.
+  void check_without_body(const std::string& method, int status) {
+    http1_server server(
+        *loop_, [] { return http1_limits(); },
+        [status](const http1_request& request, const http1_exchange_ptr& out) {
+          if (request.target == "/second") {
+            out->respond(200, {}, "second");
+            return;
+          }
+          out->begin(status, {});
+          out->write("body");
+          out->finish();
+        });
+    CPPUNIT_ASSERT(server.listen(local(port_)));
+    std::string seen;
+    std::atomic<bool> done = false;
+    std::jthread client([&] {
+      seen = send_raw(port_,
+                      method +
+                          " /first HTTP/1.1\r\nHost: a\r\n\r\n"
+                          "GET /second HTTP/1.1\r\nHost: a\r\n"
+                          "Connection: close\r\n\r\n",
+                      answer_seconds);
+      done = true;
+    });
+    const timer watching = loop_->every(milliseconds(10), [&] {
+      if (done) {
+        loop_->stop();
+      }
+    });
+    run_briefly();
+    client.join();
+    const std::size_t head = seen.find("\r\n\r\n");
+    TRAYROCK_CHECK(head != std::string::npos &&
+                       seen.substr(head + 4).starts_with("HTTP/1.1 200"),
+                   "expected two responses, seen " << seen);
+    TRAYROCK_CHECK(
+        seen.substr(0, head).find("Transfer-Encoding") == std::string::npos,
+        "expected no body, seen " << seen);
+  }
+
+  // The client closes its half after each possible part of the request.
+  void check_cut_requests(const std::string& whole) {
+    served_ = 0;
+    http1_server server(
+        *loop_, [] { return http1_limits(); },
+        [this](const http1_request&, const http1_exchange_ptr& out) {
+          ++served_;
+          out->respond(200, {}, "");
+        });
+    CPPUNIT_ASSERT(server.listen(local(port_)));
+    std::atomic<bool> done = false;
+    std::jthread client([&] {
+      for (std::size_t cut = 1; cut < whole.size(); ++cut) {
+        send_and_end(whole.substr(0, cut));
+      }
+      done = true;
+    });
+    const timer watching = loop_->every(milliseconds(10), [&] {
+      if (done) {
+        loop_->stop();
+      }
+    });
+    run_briefly();
+    client.join();
+    CPPUNIT_ASSERT(done);
+    CPPUNIT_ASSERT_EQUAL(0, served_);
+  }
+
+  // Returns once the server has ended the connection.
+  void send_and_end(const std::string& bytes) const {
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in where = loopback(port_);
+    connect(socket, reinterpret_cast<const sockaddr*>(&where), sizeof(where));
+    ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    shutdown(socket, SHUT_WR);
+    char rest = 0;
+    while (recv(socket, &rest, 1, 0) > 0) {
+    }
+    close(socket);
+  }
+
   // Until the loop is stopped, or for the longest time that a test may take.
   void run_briefly() {
     const timer guard = loop_->after(longest_run, [this] { loop_->stop(); });
@@ -517,6 +732,8 @@
   }
 
   std::unique_ptr<event_loop> loop_;
+  std::unique_ptr<http1_server> server_;
+  timer later_;
   std::unique_ptr<http1_pool> pool_;
   int port_ = 0;
   int served_ = 0;
--- a/test/object_entries_test.cc
+++ b/test/object_entries_test.cc
@@ -1,5 +1,6 @@
 // Invalid entries of other writers: guards against a gateway that receives no
 // updates at all because of one invalid entry in a response.
+#include <algorithm>
 #include <optional>
 
 #include "local_server.h"
@@ -144,6 +145,26 @@
   return made;
 }
 
+// A listing whose pages the platform sends one after another.
+result<platform::object_listing> list_in_pages(
+    const std::vector<std::string>& pages) {
+  event_loop loop;
+  metrics_registry metrics;
+  std::size_t next = 0;
+  local_server platform(
+      loop, [&](const http1_request&, const http1_exchange_ptr& out) {
+        out->respond(200, {}, pages.at(next++));
+      });
+  platform::object_store store(loop, platform.where(), metrics);
+  std::optional<result<platform::object_listing>> seen;
+  store.list("servers", [&](result<platform::object_listing> made) {
+    seen = std::move(made);
+    loop.stop();
+  });
+  loop.run();
+  return std::move(*seen);
+}
+
 class object_entries_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(object_entries_test);
   CPPUNIT_TEST(entry_as_it_should_be_is_used);
@@ -151,6 +172,8 @@
   CPPUNIT_TEST(bad_entry_of_a_watch_leaves_the_others);
   CPPUNIT_TEST(entry_without_a_name_is_passed_over);
   CPPUNIT_TEST(answer_of_another_shape_is_garbled);
+  CPPUNIT_TEST(answer_that_is_cut_anywhere_is_garbled);
+  CPPUNIT_TEST(listing_whose_next_page_fails_is_none);
   CPPUNIT_TEST(configuration_that_cannot_be_read_is_none);
   CPPUNIT_TEST_SUITE_END();
 
@@ -215,6 +238,36 @@
     }
   }
 
+  // The bodies may come without a length.
+  void answer_that_is_cut_anywhere_is_garbled() {
+    const std::string page = R"({"items":[)" + entry("a", valid_spec) + "," +
+                             entry("b", valid_spec) +
+                             R"(],"truncated":false,"asOf":9})";
+    const std::string changes =
+        R"({"events":[)" + event(entry("a", valid_spec)) + R"(],"asOf":9})";
+    const std::string object = entry("a", valid_spec);
+    for (std::size_t cut = 0; cut < page.size(); ++cut) {
+      CPPUNIT_ASSERT(!platform::read_page(page.substr(0, cut)));
+      CPPUNIT_ASSERT(!platform::read_changes(
+          changes.substr(0, std::min(cut, changes.size() - 1))));
+      CPPUNIT_ASSERT(!platform::read_object(
+          object.substr(0, std::min(cut, object.size() - 1))));
+    }
+  }
+
+  void listing_whose_next_page_fails_is_none() {
+    const auto seen = list_in_pages({R"({"items":[)" + entry("a", valid_spec) +
+                                         R"(],"truncated":true,"asOf":9})",
+                                     R"({"items":[)" + entry("b", valid_spec)});
+    CPPUNIT_ASSERT(!seen);
+    const auto whole = list_in_pages({R"({"items":[)" + entry("a", valid_spec) +
+                                          R"(],"truncated":true,"asOf":9})",
+                                      R"({"items":[)" + entry("b", valid_spec) +
+                                          R"(],"truncated":false,"asOf":11})"});
+    CPPUNIT_ASSERT_EQUAL(std::string("ab"), usable(whole.value().objects));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, whole.value().revision);
+  }
+
   void configuration_that_cannot_be_read_is_none() {
     for (const char* spec :
          {R"({"version":-1,"routes":[],"services":[]})",
