A cut response to an HTTP/1.0 client ends with a reset

HTTP/1.0 clients get streams with neither a length nor chunks, so that the end of the connection is the end of the response. A gateway that cut such a response (its endpoint broke off, the turn could not be stored, the client's buffers were over their limit) closed the socket, and the client took the part for the whole. The same happened to a finished response whose rest was dropped unsent, and whenever the process ended in the middle of one.

From its head on, the socket of such a response is now set to be closed with a reset (SO_LINGER 0), which also holds for a killed process, since the kernel closes the socket then. The option is taken back once all bytes have been handed to the kernel, before the connection is shut down for writing.

On the code before, http1_test gave for both new tests aborted_response_to_http_1_0_ends_with_a_reset unsent_response_to_http_1_0_ends_with_a_reset_at_a_drop - Expected: 104 - Actual : 0 (ECONNRESET expected, a plain close seen). With the change both pass.

--- a/src/net/http1_server_connection.cc
+++ b/src/net/http1_server_connection.cc
@@ -20,6 +20,11 @@
 constexpr int status_too_large = 413;
 constexpr int status_header_too_large = 431;
 
+void set_reset_on_close(evutil_socket_t socket, bool resets) {
+  const linger option{resets ? 1 : 0, 0};
+  setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 }  // namespace
 
 void http1_server_connection::open(evutil_socket_t socket) {
@@ -248,12 +253,28 @@
   closing_ = true;
   arm(linger_limit);
   if (evbuffer_get_length(bufferevent_get_output(bev_)) == 0) {
-    shutdown(bufferevent_getfd(bev_), SHUT_WR);
+    end_output();
   }
   evbuffer* input = bufferevent_get_input(bev_);
   evbuffer_drain(input, evbuffer_get_length(input));
 }
 
+void http1_server_connection::reset_if_cut() {
+  resets_if_cut_ = true;
+  set_reset_on_close(bufferevent_getfd(bev_), true);
+}
+
+// All bytes have been handed to the kernel, which sends them before the end of
+// the connection.
+void http1_server_connection::end_output() {
+  const evutil_socket_t socket = bufferevent_getfd(bev_);
+  if (resets_if_cut_) {
+    resets_if_cut_ = false;
+    set_reset_on_close(socket, false);
+  }
+  shutdown(socket, SHUT_WR);
+}
+
 void http1_server_connection::drop() {
   const auto keep = shared_from_this();
   server_.connections.erase(this);
@@ -285,10 +306,10 @@
   self(context).read();
 }
 
-void http1_server_connection::on_written(bufferevent* bev, void* context) {
+void http1_server_connection::on_written(bufferevent*, void* context) {
   http1_server_connection& me = self(context);
   if (me.closing_) {
-    shutdown(bufferevent_getfd(bev), SHUT_WR);
+    me.end_output();
   }
 }
 
--- a/src/net/http1_server_connection.h
+++ b/src/net/http1_server_connection.h
@@ -97,6 +97,11 @@
   // The answer is complete: go on with the next request, or close.
   void answered();
 
+  // For a response that has neither a length nor chunks: until all of it has
+  // been sent, the socket is closed with a reset, also by the end of the
+  // process.
+  void reset_if_cut();
+
   // Closes at once; an incomplete answer stays visibly incomplete.
   void drop();
 
@@ -119,6 +124,7 @@
     guard_ = server_.loop.after(delay, [this] { timed_out(); });
   }
   void timed_out();
+  void end_output();
   void read();
   void begin_request();
   void refuse(int status);
@@ -156,6 +162,7 @@
   bool keep_alive_ = true;
   bool old_client_ = false;
   bool head_request_ = false;
+  bool resets_if_cut_ = false;
   int refusal_ = 0;
   timer guard_;
   std::shared_ptr<http1_server_exchange> exchange_;
--- a/src/net/http1_server_exchange.cc
+++ b/src/net/http1_server_exchange.cc
@@ -46,6 +46,9 @@
   }
   begun_ = true;
   chunked_ = !to->old_client();
+  if (!chunked_) {
+    to->reset_if_cut();
+  }
   std::string out =
       head(status, headers, to->closes_after_answer() || !chunked_);
   out += chunked_ ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -124,6 +124,8 @@
   CPPUNIT_TEST(dropped_connection_is_told_and_incomplete);
   CPPUNIT_TEST(paused_response_is_read_after_resuming);
   CPPUNIT_TEST(paused_connection_is_used_again);
+  CPPUNIT_TEST(aborted_response_to_http_1_0_ends_with_a_reset);
+  CPPUNIT_TEST(unsent_response_to_http_1_0_ends_with_a_reset_at_a_drop);
   CPPUNIT_TEST(finished_response_to_http_1_0_ends_with_a_close);
   CPPUNIT_TEST(request_that_is_cut_anywhere_is_not_served);
   CPPUNIT_TEST(response_that_is_cut_anywhere_is_broken);
@@ -437,6 +439,30 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peer.connections());
   }
 
+  // Without a length or chunks, a close would end the response as complete.
+  void aborted_response_to_http_1_0_ends_with_a_reset() {
+    const connection_bytes seen =
+        respond_to_http_1_0([this](const http1_exchange_ptr& out) {
+          out->begin(200, {});
+          out->write("part");
+          later_ = loop_->after(milliseconds(50), [out] { out->abort(); });
+        });
+    CPPUNIT_ASSERT_EQUAL(ECONNRESET, seen.error);
+  }
+
+  // Guards against a finished response whose unsent rest is lost unnoticed.
+  void unsent_response_to_http_1_0_ends_with_a_reset_at_a_drop() {
+    const connection_bytes seen =
+        respond_to_http_1_0([this](const http1_exchange_ptr& out) {
+          out->begin(200, {});
+          out->write(std::string(16U << 20, 'x'));  // more than sockets hold
+          out->finish();
+          const std::uint64_t id = out->connection_id();
+          loop_->post([this, id] { server_->drop(id); });
+        });
+    CPPUNIT_ASSERT_EQUAL(ECONNRESET, seen.error);
+  }
+
   void finished_response_to_http_1_0_ends_with_a_close() {
     const std::string body(4U << 20, 'x');
     const connection_bytes seen =
