Responses that have no body end with their head

A response to HEAD, or one with status 204 or 304, ends with its head. On streaming routes the gateway sent chunks behind such a head, if only the last, empty one. A client on a kept connection reads these bytes as the start of the response to its next request, which is then malformed.

begin() now sets the framing from the request's method and the status; without a body, nothing follows the head. respond() leaves out the body by the same rule.

With the change all pass.

--- a/src/net/http1_server_connection.h
+++ b/src/net/http1_server_connection.h
@@ -91,8 +91,7 @@
   bool closes_after_answer() const { return !keep_alive_ || server_.closing; }
   // One that knows no chunks (HTTP/1.0).
   bool old_client() const { return old_client_; }
-  // The answer to a HEAD request ends with its head.
-  bool without_body() const { return head_request_; }
+  bool is_head_request() const { return head_request_; }
 
   // The answer is complete: go on with the next request, or close.
   void answered();
--- a/src/net/http1_server_exchange.cc
+++ b/src/net/http1_server_exchange.cc
@@ -21,6 +21,14 @@
   return out;
 }
 
+// A response to HEAD, or with one of these statuses, ends with its head
+// (RFC 9112, 6.3).
+bool has_body(int status, bool to_head_request) {
+  constexpr int no_content = 204;
+  constexpr int not_modified = 304;
+  return !to_head_request && status != no_content && status != not_modified;
+}
+
 }  // namespace
 
 void http1_server_exchange::respond(int status, const header_list& headers,
@@ -32,7 +40,7 @@
   begun_ = true;
   std::string out = head(status, headers, to->closes_after_answer());
   out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-  if (!to->without_body()) {
+  if (has_body(status, to->is_head_request())) {
     out += body;
   }
   to->send(out);
@@ -45,22 +53,28 @@
     return;
   }
   begun_ = true;
-  chunked_ = !to->old_client();
-  if (!chunked_) {
+  if (has_body(status, to->is_head_request())) {
+    framing_ = to->old_client() ? response_framing::connection
+                                : response_framing::chunks;
+  }
+  const bool ends_connection = framing_ == response_framing::connection;
+  if (ends_connection) {
     to->reset_if_cut();
   }
   std::string out =
-      head(status, headers, to->closes_after_answer() || !chunked_);
-  out += chunked_ ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
-  to->send(out);
+      head(status, headers, to->closes_after_answer() || ends_connection);
+  if (framing_ == response_framing::chunks) {
+    out += "Transfer-Encoding: chunked\r\n";
+  }
+  to->send(out + "\r\n");
 }
 
 void http1_server_exchange::write(std::string_view bytes) {
   const auto to = connection();
-  if (to == nullptr || bytes.empty()) {
+  if (to == nullptr || bytes.empty() || framing_ == response_framing::none) {
     return;
   }
-  if (!chunked_) {
+  if (framing_ == response_framing::connection) {
     to->send(bytes);
     return;
   }
@@ -77,7 +91,7 @@
   if (to == nullptr) {
     return;
   }
-  if (chunked_) {
+  if (framing_ == response_framing::chunks) {
     to->send("0\r\n\r\n");
   }
   end(*to);
--- a/src/net/http1_server_exchange.h
+++ b/src/net/http1_server_exchange.h
@@ -17,6 +17,13 @@
 
 namespace trayrock::internal {
 
+// How the end of a response's body is marked.
+enum class response_framing {
+  none,  // there is no body: the response ends with its head
+  chunks,
+  connection,  // at the end of the connection
+};
+
 class http1_server_exchange final : public http1_exchange {
  public:
   http1_server_exchange(std::weak_ptr<http1_server_connection> connection,
@@ -49,7 +56,7 @@
   std::uint64_t connection_id_;
   std::function<void()> gone_;
   bool begun_ = false;
-  bool chunked_ = false;
+  response_framing framing_ = response_framing::none;
 };
 
 }  // namespace trayrock::internal
--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -127,6 +127,8 @@
   CPPUNIT_TEST(aborted_response_to_http_1_0_ends_with_a_reset);
   CPPUNIT_TEST(unsent_response_to_http_1_0_ends_with_a_reset_at_a_drop);
   CPPUNIT_TEST(finished_response_to_http_1_0_ends_with_a_close);
+  CPPUNIT_TEST(response_to_head_ends_with_its_head);
+  CPPUNIT_TEST(response_without_content_ends_with_its_head);
   CPPUNIT_TEST(request_that_is_cut_anywhere_is_not_served);
   CPPUNIT_TEST(response_that_is_cut_anywhere_is_broken);
   CPPUNIT_TEST(interim_response_is_not_the_response);
@@ -476,6 +478,16 @@
     CPPUNIT_ASSERT(seen.bytes.find("chunked") == std::string::npos);
   }
 
+  // A body here would be read as the response to the next request.
+  void response_to_head_ends_with_its_head() {
+    check_without_body("HEAD", 200);
+  }
+
+  void response_without_content_ends_with_its_head() {
+    check_without_body("GET", 204);
+    check_without_body("GET", 304);
+  }
+
   void request_that_is_cut_anywhere_is_not_served() {
     for (const std::string& whole :
          {std::string("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
