An endpoint's response with an unknown transfer coding is broken

A response with a Transfer-Encoding other than chunks was read up to the end of its connection, or as chunks if that was the last of several codings, and passed on without the header: the client got coded bytes as if they were the endpoint's body, and a cut was taken for the end.

The client of endpoints decodes chunks only. It now ends any other response as broken, one with repeated Transfer-Encoding fields as well.

--- a/include/trayrock/internal/net/header_list.h
+++ b/include/trayrock/internal/net/header_list.h
@@ -40,6 +40,10 @@
   // How many fields of the name there are.
   std::size_t count(std::string_view name) const;
 
+  // True unless a Transfer-Encoding other than chunks is there. Bodies with
+  // further codings can't be passed on as they are.
+  bool has_only_chunked_coding() const;
+
   // Removes the fields that concern one connection only, and those that the
   // Connection header names.
   void remove_hop_by_hop();
--- a/src/net/header_list.cc
+++ b/src/net/header_list.cc
@@ -57,6 +57,12 @@
       [name](const header_field& each) { return same_name(each.name, name); }));
 }
 
+bool header_list::has_only_chunked_coding() const {
+  constexpr std::string_view name = "Transfer-Encoding";
+  return !has(name) ||
+         (count(name) == 1 && same_name(trim(find(name)), "chunked"));
+}
+
 void header_list::remove_hop_by_hop() {
   std::vector<std::string> named;
   for (const header_field& each : fields_) {
--- a/src/net/http1_client_connection.cc
+++ b/src/net/http1_client_connection.cc
@@ -200,8 +200,9 @@
     return 0;
   }
   me.head_.framing = framing_of(*parser, me.head_.headers);
-  if (me.head_.headers.has("Transfer-Encoding") &&
-      me.head_.headers.has("Content-Length")) {
+  if (!me.head_.headers.has_only_chunked_coding() ||
+      (me.head_.headers.has("Transfer-Encoding") &&
+       me.head_.headers.has("Content-Length"))) {
     return -1;
   }
   const bool bodyless = me.call_->head_request;
--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -130,6 +130,7 @@
   CPPUNIT_TEST(response_to_head_ends_with_its_head);
   CPPUNIT_TEST(response_without_content_ends_with_its_head);
   CPPUNIT_TEST(request_that_is_cut_anywhere_is_not_served);
+  CPPUNIT_TEST(response_with_another_transfer_coding_is_broken);
   CPPUNIT_TEST(response_that_is_cut_anywhere_is_broken);
   CPPUNIT_TEST(interim_response_is_not_the_response);
   CPPUNIT_TEST(response_reset_while_reading_is_paused_is_broken);
@@ -499,6 +500,22 @@
     }
   }
 
+  // Its body would be passed on without the coding, as if it were complete.
+  void response_with_another_transfer_coding_is_broken() {
+    for (const std::string& coding :
+         {std::string("gzip"), std::string("gzip, chunked"),
+          std::string("chunked\r\nTransfer-Encoding: chunked"),
+          std::string("chunked\r\nTransfer-Encoding: identity")}) {
+      const seen_answer seen =
+          ask("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                  "\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+              scripted_peer::ending::close);
+      TRAYROCK_CHECK(seen.end == http1_end::broken,
+                     "Transfer-Encoding: " << coding << ", expected a broken "
+                                           << "response, seen " << seen.body);
+    }
+  }
+
   void response_that_is_cut_anywhere_is_broken() {
     for (const std::string& whole :
          {std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour"),
