A request with a further transfer coding is refused

A request with "Transfer-Encoding: gzip, chunked" was read as chunks and forwarded with a length and without the coding: an endpoint would have run it with bytes that the client did not mean as its body.

Requests whose body can't be read safely get 400 already; this is one more of them.

On the code before, http1_test gave for request_with_another_transfer_coding_is_refused - expected 400, seen HTTP/1.1 200 OK With the change it passes.

--- a/src/net/http1_server_connection.cc
+++ b/src/net/http1_server_connection.cc
@@ -109,7 +109,8 @@
   me.head_request_ = parser->method == HTTP_HEAD;
   const bool chunked = me.request_.headers.has("Transfer-Encoding");
   const bool sized = me.request_.headers.has("Content-Length");
-  if (parser->upgrade != 0 || (chunked && sized)) {
+  if (parser->upgrade != 0 || (chunked && sized) ||
+      !me.request_.headers.has_only_chunked_coding()) {
     me.refusal_ = status_bad_request;
     return -1;
   }
--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -130,6 +130,7 @@
   CPPUNIT_TEST(response_to_head_ends_with_its_head);
   CPPUNIT_TEST(response_without_content_ends_with_its_head);
   CPPUNIT_TEST(request_that_is_cut_anywhere_is_not_served);
+  CPPUNIT_TEST(request_with_another_transfer_coding_is_refused);
   CPPUNIT_TEST(response_with_another_transfer_coding_is_broken);
   CPPUNIT_TEST(response_that_is_cut_anywhere_is_broken);
   CPPUNIT_TEST(interim_response_is_not_the_response);
@@ -500,6 +501,17 @@
     }
   }
 
+  void request_with_another_transfer_coding_is_refused() {
+    check_refused(
+        "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n"
+        "\r\n4\r\nfour\r\n0\r\n\r\n",
+        400);
+    check_refused(
+        "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n"
+        "\r\n4\r\nfour\r\n0\r\n\r\n",
+        400);
+  }
+
   // Its body would be passed on without the coding, as if it were complete.
   void response_with_another_transfer_coding_is_broken() {
     for (const std::string& coding :
