A platform's list whose end is unclear is not complete

A list comes in pages, and `truncated` says that there are more. Anything but a boolean there was read as false, and a truncated page without a usable object, after which the next page could be asked for, was the last one. Either list was taken as complete, and the endpoints that it lacked as gone.

--- a/test/object_entries_test.cc
+++ b/test/object_entries_test.cc
@@ -173,6 +173,7 @@
   CPPUNIT_TEST(entry_without_a_name_is_passed_over);
   CPPUNIT_TEST(answer_of_another_shape_is_garbled);
   CPPUNIT_TEST(answer_that_is_cut_anywhere_is_garbled);
+  CPPUNIT_TEST(listing_with_an_unclear_end_is_garbled);
   CPPUNIT_TEST(listing_whose_next_page_fails_is_none);
   CPPUNIT_TEST(configuration_that_cannot_be_read_is_none);
   CPPUNIT_TEST_SUITE_END();
@@ -255,6 +256,28 @@
     }
   }
 
+  // Guards against endpoints that are given up since a list lacks them.
+  void listing_with_an_unclear_end_is_garbled() {
+    for (const std::string& end :
+         {std::string(R"(],"truncated":7,"asOf":9})"),
+          std::string(R"(],"truncated":null,"asOf":9})"),
+          std::string(R"(],"truncated":"true","asOf":9})")}) {
+      CPPUNIT_ASSERT_MESSAGE(
+          end,
+          !platform::read_page(R"({"items":[)" + entry("a", valid_spec) + end));
+    }
+    for (const std::string& items : {std::string(), std::string("7")}) {
+      const auto seen = answer_to<platform::object_listing>(
+          R"({"items":[)" + items + R"(],"truncated":true,"asOf":9})",
+          [](platform::object_store& store, auto done) {
+            store.list("servers", done);
+          });
+      TRAYROCK_CHECK(!seen, "items '" << items << "', more to come: expected "
+                                      << "no listing, seen one of "
+                                      << seen.value().objects.size());
+    }
+  }
+
   void listing_whose_next_page_fails_is_none() {
     const auto seen = list_in_pages({R"({"items":[)" + entry("a", valid_spec) +
                                          R"(],"truncated":true,"asOf":9})",
