An object of the platform without a length is not complete

evhttp takes the end of the connection for the end of a body that has neither a length nor chunks.

The platform's answers have to say where they end; one that does not is an error, after which the caller asks again, as after a lost connection.

On the code before, message_end_test gave for object_without_a_length_is_not_taken_as_complete - expected an error, seen an object of 13 of 17 bytes With the change it passes.

--- a/include/trayrock/internal/net/http_client.h
+++ b/include/trayrock/internal/net/http_client.h
@@ -34,6 +34,10 @@
   std::map<std::string, std::string, std::less<>> headers;  // lower case
   std::string body;
 
+  // True if the body has a length or chunks. Otherwise it ended with its
+  // connection, and may have been cut.
+  bool is_framed() const;
+
   std::string_view header(std::string_view lower_case_name) const;
 };
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -49,6 +49,11 @@
   return found == headers.end() ? std::string_view() : found->second;
 }
 
+bool http_reply::is_framed() const {
+  return headers.contains("content-length") ||
+         headers.contains("transfer-encoding");
+}
+
 struct http_client::impl {
   explicit impl(event_loop& loop_in) : loop(loop_in) {}
   impl(const impl&) = delete;
--- a/src/platform/platform_client.cc
+++ b/src/platform/platform_client.cc
@@ -35,6 +35,10 @@
   if (reply.value().status != ok) {
     return error_of(reply.value());
   }
+  // A stored message that is cut between two fields parses as a shorter one.
+  if (!reply.value().is_framed()) {
+    return make_error_code(errc::platform_unavailable);
+  }
   return reply;
 }
 
--- a/test/message_end_test.cc
+++ b/test/message_end_test.cc
@@ -8,6 +8,7 @@
 #include "deployment.h"
 #include "scripted_endpoint.h"
 #include "test_support.h"
+#include "trayrock.pb.h"
 #include "trayrock/internal/platform/platform_client.h"
 
 namespace trayrock::testing {
@@ -55,6 +56,7 @@
 
 class message_end_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(message_end_test);
+  CPPUNIT_TEST(object_without_a_length_is_not_taken_as_complete);
   CPPUNIT_TEST(object_with_a_length_is_read);
   CPPUNIT_TEST(object_that_falls_short_of_its_length_is_not_read);
   CPPUNIT_TEST(service_answer_without_a_length_is_an_answer);
@@ -63,6 +65,21 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // A journal's segment that is cut between two records parses as a shorter
+  // one.
+  void object_without_a_length_is_not_taken_as_complete() {
+    wire::Segment segment;
+    segment.set_writer("journal");
+    segment.add_records()->set_sequence(1);
+    const std::size_t cut = segment.ByteSizeLong();
+    segment.add_records()->set_sequence(2);
+    const result<stored_object> seen =
+        get(head_without_length + segment.SerializeAsString().substr(0, cut));
+    TRAYROCK_CHECK(!seen, "expected an error, seen an object of "
+                              << seen.value().bytes.size() << " of "
+                              << segment.ByteSizeLong() << " bytes");
+  }
+
   void object_with_a_length_is_read() {
     const result<stored_object> seen = get(with_length("bytes"));
     CPPUNIT_ASSERT(seen.has_value());
