A platform's answer without its list is not an empty list

A missing revision was read as 0, from which the next watch went on.

Both are now errors, after which the caller asks again.

On the code before, message_end_test gave for listing_without_its_items_is_not_an_empty_one - Expression: !seen - {} With the change it passes.

--- a/src/platform/platform_client.cc
+++ b/src/platform/platform_client.cc
@@ -49,19 +49,34 @@
   return version;
 }
 
-// The reply's JSON object, or the error that stands for its missing_cause.
-result<nlohmann::json> json_of(const result<http_reply>& reply) {
+// The reply's JSON object, or the error that stands for its cause. Without the
+// list, it is no answer: an empty list would mean that everything is gone.
+result<nlohmann::json> json_with_list(const result<http_reply>& reply,
+                                      const char* list) {
   if (!reply) {
     return reply.error();
   }
   nlohmann::json body =
       nlohmann::json::parse(reply.value().body, nullptr, false);
-  if (!body.is_object()) {
+  const bool usable =
+      body.is_object() && body.contains(list) && body[list].is_array();
+  if (!usable) {
     return make_error_code(errc::platform_unavailable);
   }
   return result<nlohmann::json>(std::move(body));
 }
 
+// As above, with the revision that the list is from.
+result<nlohmann::json> json_with_revised_list(const result<http_reply>& reply,
+                                              const char* list) {
+  result<nlohmann::json> read = json_with_list(reply, list);
+  if (read && !(read.value().contains("revision") &&
+                read.value()["revision"].is_number_unsigned())) {
+    return make_error_code(errc::platform_unavailable);
+  }
+  return read;
+}
+
 box_state state_of(const std::string& text) {
   if (text == "live") {
     return box_state::live;
@@ -175,23 +190,23 @@
 
 void platform_client::list(const std::string& prefix, callback<listing> done) {
   http_message message{"GET", "/v1/list?prefix=" + prefix, "", {}};
-  submit(
-      std::move(message), timeout_,
-      [done = std::move(done)](const result<http_reply>& reply) {
-        const result<nlohmann::json> read = json_of(reply);
-        if (!read) {
-          done(read.error());
-          return;
-        }
-        const nlohmann::json& body = read.value();
-        listing made;
-        made.revision = body.value("revision", std::uint64_t{0});
-        for (const auto& each : body.value("items", nlohmann::json::array())) {
-          made.items.push_back(
-              {each.value("key", ""), each.value("version", std::uint64_t{0})});
-        }
-        done(std::move(made));
-      });
+  submit(std::move(message), timeout_,
+         [done = std::move(done)](const result<http_reply>& reply) {
+           const result<nlohmann::json> read =
+               json_with_revised_list(reply, "items");
+           if (!read) {
+             done(read.error());
+             return;
+           }
+           const nlohmann::json& body = read.value();
+           listing made;
+           made.revision = body["revision"].get<std::uint64_t>();
+           for (const auto& each : body["items"]) {
+             made.items.push_back({each.value("key", ""),
+                                   each.value("version", std::uint64_t{0})});
+           }
+           done(std::move(made));
+         });
 }
 
 void platform_client::watch(const std::string& prefix, std::uint64_t since,
@@ -202,43 +217,42 @@
                            "&wait_ms=" + std::to_string(longest.count()),
                        "",
                        {}};
-  submit(
-      std::move(message), longest + timeout_,
-      [done = std::move(done)](const result<http_reply>& reply) {
-        const result<nlohmann::json> read = json_of(reply);
-        if (!read) {
-          done(read.error());
-          return;
-        }
-        const nlohmann::json& body = read.value();
-        watch_result made;
-        made.revision = body.value("revision", std::uint64_t{0});
-        for (const auto& each : body.value("events", nlohmann::json::array())) {
-          made.events.push_back({each.value("key", ""),
-                                 each.value("version", std::uint64_t{0}),
-                                 each.value("deleted", false)});
-        }
-        done(std::move(made));
-      });
+  submit(std::move(message), longest + timeout_,
+         [done = std::move(done)](const result<http_reply>& reply) {
+           const result<nlohmann::json> read =
+               json_with_revised_list(reply, "events");
+           if (!read) {
+             done(read.error());
+             return;
+           }
+           const nlohmann::json& body = read.value();
+           watch_result made;
+           made.revision = body["revision"].get<std::uint64_t>();
+           for (const auto& each : body["events"]) {
+             made.events.push_back({each.value("key", ""),
+                                    each.value("version", std::uint64_t{0}),
+                                    each.value("deleted", false)});
+           }
+           done(std::move(made));
+         });
 }
 
 void platform_client::boxes(callback<std::vector<box>> done) {
-  submit(
-      {"GET", "/v1/boxes", "", {}}, timeout_,
-      [done = std::move(done)](const result<http_reply>& reply) {
-        const result<nlohmann::json> read = json_of(reply);
-        if (!read) {
-          done(read.error());
-          return;
-        }
-        const nlohmann::json& body = read.value();
-        std::vector<box> made;
-        for (const auto& each : body.value("boxes", nlohmann::json::array())) {
-          made.push_back({each.value("name", ""), each.value("place", ""),
-                          state_of(each.value("state", "gone"))});
-        }
-        done(std::move(made));
-      });
+  submit({"GET", "/v1/boxes", "", {}}, timeout_,
+         [done = std::move(done)](const result<http_reply>& reply) {
+           const result<nlohmann::json> read = json_with_list(reply, "boxes");
+           if (!read) {
+             done(read.error());
+             return;
+           }
+           const nlohmann::json& body = read.value();
+           std::vector<box> made;
+           for (const auto& each : body["boxes"]) {
+             made.push_back({each.value("name", ""), each.value("place", ""),
+                             state_of(each.value("state", "gone"))});
+           }
+           done(std::move(made));
+         });
 }
 
 }  // namespace trayrock
--- a/test/message_end_test.cc
+++ b/test/message_end_test.cc
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(object_without_a_length_is_not_taken_as_complete);
   CPPUNIT_TEST(object_with_a_length_is_read);
   CPPUNIT_TEST(object_that_falls_short_of_its_length_is_not_read);
+  CPPUNIT_TEST(listing_without_its_items_is_not_an_empty_one);
   CPPUNIT_TEST(service_answer_without_a_length_is_an_answer);
   CPPUNIT_TEST(engine_stream_with_its_end_is_an_answer);
   CPPUNIT_TEST(engine_stream_without_its_end_is_not_an_answer);
@@ -94,6 +95,29 @@
     CPPUNIT_ASSERT(!get(answer));
   }
 
+  void listing_without_its_items_is_not_an_empty_one() {
+    for (const char* body : {"{}", R"({"revision":4})", R"({"items":[]})",
+                             R"({"items":7,"revision":4})"}) {
+      const auto seen = from_platform<listing>(
+          with_length(body), [](platform_client& platform, auto done) {
+            platform.list("j/", std::move(done));
+          });
+      CPPUNIT_ASSERT_MESSAGE(body, !seen);
+    }
+    for (const char* body : {"{}", R"({"revision":4})", R"({"events":[]})"}) {
+      const auto seen = from_platform<watch_result>(
+          with_length(body), [](platform_client& platform, auto done) {
+            platform.watch("c/", 3, milliseconds(10), std::move(done));
+          });
+      CPPUNIT_ASSERT_MESSAGE(body, !seen);
+    }
+    const auto seen = from_platform<std::vector<box>>(
+        with_length("{}"), [](platform_client& platform, auto done) {
+          platform.boxes(std::move(done));
+        });
+    CPPUNIT_ASSERT(!seen);
+  }
+
   void service_answer_without_a_length_is_an_answer() {
     scripted_runners system([](const std::string&) {
       return scripted_response{head_without_length + R"({"answer":"done"})"};
