A plain service's answer that can't be read is no answer

A service may answer with neither a length nor chunks. A wrong type of `answer` threw in a callback.

The answer now has to be an object with a text. Otherwise the call ends as after a cut connection: its outcome is unknown if it may not be repeated.

On the code before, message_end_test gave for service_answer_that_is_cut_is_not_an_empty_answer - cut after 0 bytes, seen 200 with {"answer":"","attempts":1,...} With the change it passes, for a cut after each byte.

--- a/src/node/runner_gate.cc
+++ b/src/node/runner_gate.cc
@@ -1,6 +1,7 @@
 #include "trayrock/internal/node/runner_gate.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "trayrock/internal/failure.h"
@@ -42,6 +43,16 @@
   return request.program() + "/" + std::to_string(request.sequence());
 }
 
+// The answer of a plain service; nothing if its body is incomplete.
+std::optional<std::string> read_answer(const std::string& body) {
+  const json read = json::parse(body, nullptr, false);
+  if (!read.is_object() || !read.contains("answer") ||
+      !read["answer"].is_string()) {
+    return std::nullopt;
+  }
+  return read["answer"].get<std::string>();
+}
+
 queue_order order_by_name(std::string_view name) {
   if (name == "arrival") {
     return arrival_order{};
@@ -396,10 +407,12 @@
   if (found == executions_.end()) {
     return;
   }
-  if (reply && reply.value().status == ok) {
-    const json body = json::parse(reply.value().body, nullptr, false);
+  const std::optional<std::string> answer =
+      reply && reply.value().status == ok ? read_answer(reply.value().body)
+                                          : std::nullopt;
+  if (answer) {
     wire::ExecuteDone done;
-    done.set_text(body.is_object() ? body.value("answer", "") : "");
+    done.set_text(*answer);
     done.mutable_usage()->set_queue_ms(found->second->started_ms -
                                        found->second->arrived_ms);
     finish(key, std::move(done));
--- a/test/message_end_test.cc
+++ b/test/message_end_test.cc
@@ -14,6 +14,8 @@
 namespace trayrock::testing {
 namespace {
 
+constexpr int code_unknown = 1402;
+
 // A head that gives neither a length nor chunks.
 const std::string head_without_length =
     "HTTP/1.1 200 OK\r\nX-Version: 3\r\n\r\n";
@@ -60,6 +62,7 @@
   CPPUNIT_TEST(object_with_a_length_is_read);
   CPPUNIT_TEST(object_that_falls_short_of_its_length_is_not_read);
   CPPUNIT_TEST(listing_without_its_items_is_not_an_empty_one);
+  CPPUNIT_TEST(service_answer_that_is_cut_is_not_an_empty_answer);
   CPPUNIT_TEST(service_answer_without_a_length_is_an_answer);
   CPPUNIT_TEST(engine_stream_with_its_end_is_an_answer);
   CPPUNIT_TEST(engine_stream_without_its_end_is_not_an_answer);
@@ -118,6 +121,20 @@
     CPPUNIT_ASSERT(!seen);
   }
 
+  void service_answer_that_is_cut_is_not_an_empty_answer() {
+    const std::string whole = R"({"answer":"done"})";
+    std::atomic<std::size_t> cut = 0;
+    scripted_runners system([&](const std::string&) {
+      return scripted_response{head_without_length + whole.substr(0, cut)};
+    });
+    for (; cut < whole.size(); ++cut) {
+      const http_answer seen = system.call(cut + 1, "core-banking");
+      TRAYROCK_CHECK(seen.error_code() == code_unknown,
+                     "cut after " << cut << " bytes, seen " << seen.status
+                                  << " with " << seen.body);
+    }
+  }
+
   void service_answer_without_a_length_is_an_answer() {
     scripted_runners system([](const std::string&) {
       return scripted_response{head_without_length + R"({"answer":"done"})"};
