An engine's stream with an unreadable event is not an answer

The node skipped events that are no JSON.

Such a stream now ends as one that was cut, and is run again where the call may be repeated.

On the code before, message_end_test gave for engine_stream_with_a_torn_event_is_not_an_answer - stream: ... data: {"choices":[{" ... data: [DONE] seen 200 with {"answer":"one ","attempts":1,...} With the change it passes.

--- a/src/node/runner_gate.cc
+++ b/src/node/runner_gate.cc
@@ -82,6 +82,7 @@
   std::string text;
   wire::Usage usage;
   bool whole = false;
+  bool garbled = false;  // an event of the stream is unreadable
 };
 
 runner_gate::runner_gate(event_loop& loop, cluster& shared, rpc_server& server,
@@ -338,6 +339,7 @@
   }
   const json event = json::parse(line, nullptr, false);
   if (!event.is_object()) {
+    what.garbled = true;
     return;
   }
   if (event.contains("usage")) {
@@ -366,7 +368,7 @@
     return;
   }
   execution& what = *found->second;
-  if (reply && reply.value().status == ok && what.whole) {
+  if (reply && reply.value().status == ok && what.whole && !what.garbled) {
     wire::ExecuteDone done;
     done.set_text(what.text);
     *done.mutable_usage() = what.usage;
--- a/test/message_end_test.cc
+++ b/test/message_end_test.cc
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(service_answer_without_a_length_is_an_answer);
   CPPUNIT_TEST(engine_stream_with_its_end_is_an_answer);
   CPPUNIT_TEST(engine_stream_without_its_end_is_not_an_answer);
+  CPPUNIT_TEST(engine_stream_with_a_torn_event_is_not_an_answer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -167,6 +168,11 @@
     }
   }
 
+  void engine_stream_with_a_torn_event_is_not_an_answer() {
+    check_engine_stream(chunk_event("one ") + chunk_event("two").substr(0, 20) +
+                        "\n\ndata: [DONE]\n\n");
+  }
+
  private:
   static void check_engine_stream(const std::string& stream) {
     scripted_runners system([&](const std::string&) {
