A chain over the limit of turns of one reply is not complete

A store reads at most 4096 turns of a chain. Behind the limit it named no gap, so that the chain passed as complete, and the engine got a prompt without its oldest turns, under a success.

The reply now names the next turn as its gap, and the gateway goes on from there, as for a chain whose older turns another store has.

On the code before, record_index_test gave for chain_over_the_limit_of_turns_is_not_complete - expected the turn from which on the chain is missing, seen a complete chain of 28576 bytes of 33890 With the change it passes.

--- a/src/records/record_index.cc
+++ b/src/records/record_index.cc
@@ -13,7 +13,7 @@
 // before its end, and since the clocks of stores start at different times.
 constexpr std::uint64_t expiry_margin_ms = 60000;
 constexpr std::uint64_t ms_per_second = 1000;
-// Bounds a chain in case a damaged record forms a cycle.
+// Bounds the turns of one reply; the next ones are read from its gap on.
 constexpr std::size_t max_chain_turns = 4096;
 // Bounds the lines of a program whose endpoints are known: more than run at the
 // same time. The least recently used one is dropped.
@@ -169,10 +169,11 @@
   std::vector<records::Record> turns;
   turn_chain made;
   std::string next(attempt);
-  while (!next.empty() && turns.size() < max_chain_turns) {
+  while (!next.empty()) {
     std::optional<records::Record> record =
         find(key_of(turn_kind, id_of(next)));
-    if (!record || record->turn().attempt() != next) {
+    if (!record || record->turn().attempt() != next ||
+        turns.size() == max_chain_turns) {
       made.gap = next;
       break;
     }
--- a/test/record_index_test.cc
+++ b/test/record_index_test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(record_is_added_once);
   CPPUNIT_TEST(chain_is_joined_from_the_oldest_turn);
   CPPUNIT_TEST(chain_with_a_gap_names_the_missing_turn);
+  CPPUNIT_TEST(chain_over_the_limit_of_turns_is_not_complete);
   CPPUNIT_TEST(texts_are_read_from_the_disk_once_durable);
   CPPUNIT_TEST(record_from_the_disk_keeps_no_text_in_memory);
   CPPUNIT_TEST(turn_settles_its_reservation);
@@ -135,6 +136,27 @@
     CPPUNIT_ASSERT(!missing.found);
   }
 
+  // Guards against prompts that lack their oldest turns.
+  void chain_over_the_limit_of_turns_is_not_complete() {
+    constexpr int turns = 5000;
+    std::string previous;
+    std::string text;
+    for (int i = 0; i < turns; ++i) {
+      const std::string attempt = "t" + std::to_string(i);
+      index_.add(turn(attempt, previous, attempt + " ", "\n"), 0);
+      text += attempt + " \n";
+      previous = attempt;
+    }
+    const turn_chain newest = index_.chain(previous);
+    TRAYROCK_CHECK(!newest.gap.empty(),
+                   "expected the turn from which on the chain is missing, seen "
+                   "a complete chain of "
+                       << newest.text.size() << " bytes of " << text.size());
+    const turn_chain oldest = index_.chain(newest.gap);
+    CPPUNIT_ASSERT_EQUAL(std::string(), oldest.gap);
+    CPPUNIT_ASSERT_EQUAL(text, oldest.text + newest.text);
+  }
+
   void texts_are_read_from_the_disk_once_durable() {
     const records::Record record = turn("a", "", "one ", "1\n");
     index_.add(record, 0);
