What a caller is due before a cut is sent

A caller whose stream was cut in the moment in which its events came got none of them, not even the head: abort() closed the connection with the events still in the process. A client that resumes behind the last event it has then repeats more of the stream than needed.

abort() now sends what was written of a response in chunks, without the last chunk, and then ends the connection (for at most a second, as after any last response). Responses without chunks are closed at once as before, with a reset where a close would end them. A request that is ended to free memory drops what its client has not read, by the new discard().

In gateway_stopping_test one case failed once beside a load of 28 (stopping_gateway_finishes_its_streams: the turn did not run within 60 s).

--- a/include/trayrock/internal/gateway/client_response.h
+++ b/include/trayrock/internal/gateway/client_response.h
@@ -77,6 +77,8 @@
 
   void finish();
   void abort() { out_->abort(); }
+  // Cuts the response and drops what the client has not received.
+  void discard() { out_->discard(); }
 
   // What was sent to the client or deferred, incomplete events included.
   const event_stream& events() const { return events_; }
--- a/include/trayrock/internal/net/http1_server.h
+++ b/include/trayrock/internal/net/http1_server.h
@@ -67,9 +67,13 @@
   virtual void write(std::string_view bytes) = 0;
   virtual void finish() = 0;
 
-  // Closes the connection; what was begun stays incomplete.
+  // Ends the connection; what was begun stays incomplete. What was written of
+  // a response in chunks is sent first.
   virtual void abort() = 0;
 
+  // As abort(), but at once: what is not sent yet is dropped.
+  virtual void discard() = 0;
+
   // Called at most once, if the client goes before the answer has ended.
   virtual void on_gone(std::function<void()> callback) = 0;
 
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -145,7 +145,7 @@
 void request_flow::end_for_memory() {
   if (!ended_) {
     abandon("ended_for_memory");
-    response_.abort();
+    response_.discard();
   }
 }
 
--- a/src/net/http1_server_connection.cc
+++ b/src/net/http1_server_connection.cc
@@ -276,6 +276,13 @@
   shutdown(socket, SHUT_WR);
 }
 
+void http1_server_connection::cut() {
+  serving_ = false;
+  --server_.open;
+  exchange_.reset();
+  close_gently();
+}
+
 void http1_server_connection::drop() {
   const auto keep = shared_from_this();
   server_.connections.erase(this);
--- a/src/net/http1_server_connection.h
+++ b/src/net/http1_server_connection.h
@@ -101,6 +101,9 @@
   // process.
   void reset_if_cut();
 
+  // Sends what is left of an answer that is cut, then closes.
+  void cut();
+
   // Closes at once; an incomplete answer stays visibly incomplete.
   void drop();
 
--- a/src/net/http1_server_exchange.cc
+++ b/src/net/http1_server_exchange.cc
@@ -98,6 +98,20 @@
 }
 
 void http1_server_exchange::abort() {
+  const auto to = connection();
+  if (to == nullptr) {
+    return;
+  }
+  if (framing_ != response_framing::chunks) {
+    discard();
+    return;
+  }
+  gone_ = nullptr;
+  connection_.reset();
+  to->cut();
+}
+
+void http1_server_exchange::discard() {
   const auto to = connection();
   if (to != nullptr) {
     gone_ = nullptr;
--- a/src/net/http1_server_exchange.h
+++ b/src/net/http1_server_exchange.h
@@ -36,6 +36,7 @@
   void write(std::string_view bytes) override;
   void finish() override;
   void abort() override;
+  void discard() override;
   void on_gone(std::function<void()> callback) override {
     gone_ = std::move(callback);
   }
