A request between processes with bytes behind its message is not run

A call's request is one message with its length before it. The server ran the message although bytes followed it on the stream that were no whole message, so that a request whose second part was cut would have run as its first one. No process of ours sends such a request; the client has always refused such replies.

--- a/src/net/rpc_server.cc
+++ b/src/net/rpc_server.cc
@@ -143,7 +143,8 @@
   void dispatch(const std::shared_ptr<server_stream>& stream) {
     ++counters.calls_in;
     const auto found = handlers->find(stream->method);
-    if (found == handlers->end() || !stream->has_body) {
+    if (found == handlers->end() || !stream->has_body ||
+        !stream->cutter.at_boundary()) {
       ++counters.garbled;
       stream->finish();
       return;
