--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -4,7 +4,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <array>
 #include <atomic>
 #include <cerrno>
 #include <functional>
@@ -13,6 +12,7 @@
 
 #include "deployment.h"
 #include "loopback.h"
+#include "raw_exchange.h"
 #include "test_support.h"
 #include "trayrock/internal/net/http1_client.h"
 #include "trayrock/internal/net/http1_server.h"
@@ -445,7 +445,7 @@
 
   // Without a length or chunks, a close would end the response as complete.
   void aborted_response_to_http_1_0_ends_with_a_reset() {
-    const connection_bytes seen =
+    const raw_exchange seen =
         respond_to_http_1_0([this](const http1_exchange_ptr& out) {
           out->begin(200, {});
           out->write("part");
@@ -456,7 +456,7 @@
 
   // Guards against a finished response whose unsent rest is lost unnoticed.
   void unsent_response_to_http_1_0_ends_with_a_reset_at_a_drop() {
-    const connection_bytes seen =
+    const raw_exchange seen =
         respond_to_http_1_0([this](const http1_exchange_ptr& out) {
           out->begin(200, {});
           out->write(std::string(16U << 20, 'x'));  // more than sockets hold
@@ -469,7 +469,7 @@
 
   void finished_response_to_http_1_0_ends_with_a_close() {
     const std::string body(4U << 20, 'x');
-    const connection_bytes seen =
+    const raw_exchange seen =
         respond_to_http_1_0([&body](const http1_exchange_ptr& out) {
           out->begin(200, {});
           out->write(body);
@@ -577,31 +577,7 @@
   }
 
  private:
-  struct connection_bytes {
-    std::string bytes;
-    int error = 0;  // of the connection's end; 0: it was closed
-  };
-
-  // Sends bytes, and reads until the connection ends or a time has passed.
-  static connection_bytes exchange_bytes(int port, const std::string& bytes) {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    const timeval longest{answer_seconds, 0};
-    setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &longest, sizeof(longest));
-    const sockaddr_in where = loopback(port);
-    connect(socket, reinterpret_cast<const sockaddr*>(&where), sizeof(where));
-    ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    connection_bytes seen;
-    std::array<char, 65536> piece{};
-    ssize_t got = 0;
-    while ((got = recv(socket, piece.data(), piece.size(), 0)) > 0) {
-      seen.bytes.append(piece.data(), static_cast<std::size_t>(got));
-    }
-    seen.error = got < 0 ? errno : 0;
-    close(socket);
-    return seen;
-  }
-
-  connection_bytes respond_to_http_1_0(
+  raw_exchange respond_to_http_1_0(
       const std::function<void(const http1_exchange_ptr&)>& respond) {
     server_ = std::make_unique<http1_server>(
         *loop_, [] { return http1_limits(); },
@@ -609,10 +585,10 @@
           respond(out);
         });
     CPPUNIT_ASSERT(server_->listen(local(port_)));
-    connection_bytes seen;
+    raw_exchange seen;
     std::atomic<bool> done = false;
     std::jthread client([&] {
-      seen = exchange_bytes(port_, "GET /a HTTP/1.0\r\n\r\n");
+      seen = exchange_raw(port_, "GET /a HTTP/1.0\r\n\r\n", answer_seconds);
       done = true;
     });
     const timer watching = loop_->every(milliseconds(10), [&] {
