The last response of a connection is sent to slow readers, too

After the last response of a connection (the client asked for its close, or the gateway is stopping) the gateway reads on for a second, so that a reset doesn't discard the response. The second began before the response had left the process: a client that did not read for as long lost the rest, although the endpoint had finished.

The second now begins once all bytes have been handed to the kernel. Until then the idle time-out of clients' connections applies. The bytes stay counted as buffered and as an open request.

--- a/src/net/http1_server_connection.cc
+++ b/src/net/http1_server_connection.cc
@@ -252,9 +252,10 @@
     return;
   }
   closing_ = true;
-  arm(linger_limit);
   if (evbuffer_get_length(bufferevent_get_output(bev_)) == 0) {
     end_output();
+  } else {
+    arm(server_.limits().idle_timeout);
   }
   evbuffer* input = bufferevent_get_input(bev_);
   evbuffer_drain(input, evbuffer_get_length(input));
@@ -274,6 +275,7 @@
     set_reset_on_close(socket, false);
   }
   shutdown(socket, SHUT_WR);
+  arm(linger_limit);
 }
 
 void http1_server_connection::cut() {
--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <thread>
+#include <utility>
 
 #include "deployment.h"
 #include "loopback.h"
@@ -127,6 +128,7 @@
   CPPUNIT_TEST(aborted_response_to_http_1_0_ends_with_a_reset);
   CPPUNIT_TEST(unsent_response_to_http_1_0_ends_with_a_reset_at_a_drop);
   CPPUNIT_TEST(finished_response_to_http_1_0_ends_with_a_close);
+  CPPUNIT_TEST(last_response_of_a_connection_is_sent_to_a_slow_reader);
   CPPUNIT_TEST(response_to_head_ends_with_its_head);
   CPPUNIT_TEST(response_without_content_ends_with_its_head);
   CPPUNIT_TEST(request_that_is_cut_anywhere_is_not_served);
@@ -480,6 +482,38 @@
     CPPUNIT_ASSERT(seen.bytes.find("chunked") == std::string::npos);
   }
 
+  // Guards against a response that is cut since its client pauses at its end.
+  void last_response_of_a_connection_is_sent_to_a_slow_reader() {
+    constexpr std::size_t length = 16U << 20;  // more than sockets hold
+    http1_server server(
+        *loop_, [] { return http1_limits(); },
+        [](const http1_request&, const http1_exchange_ptr& out) {
+          out->respond(200, {}, std::string(length, 'x'));
+        });
+    CPPUNIT_ASSERT(server.listen(local(port_)));
+    raw_exchange seen;
+    std::atomic<bool> done = false;
+    bool paused = false;
+    std::jthread client([&] {
+      seen = exchange_raw(
+          port_, "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+          answer_seconds, [&paused] {
+            if (!std::exchange(paused, true)) {
+              std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+            }
+          });
+      done = true;
+    });
+    const timer watching = loop_->every(milliseconds(10), [&] {
+      if (done) {
+        loop_->stop();
+      }
+    });
+    run_briefly();
+    client.join();
+    CPPUNIT_ASSERT_EQUAL(length, seen.bytes.size() - seen.bytes.find("xx"));
+  }
+
   // A body here would be read as the response to the next request.
   void response_to_head_ends_with_its_head() {
     check_without_body("HEAD", 200);
