A record that is neither stored nor failed in a test names what it waited for

store_reader_test voter_counts_once_its_listed_records_are_on_disk failed once: its first turn was neither stored nor failed within 10 s. An operation fails after 5 s unless two of three stores report that they are still writing, so lost replies, a store's failed disk and another test's store at the port all end as a failure. Three hypotheses are left: 1. The disk needed 10 s. Each store syncs three times in a row before the turn is on disk, and creating or appending to a file may wait too. 2. A sync ended, and its store went on reporting a pending write. 3. The loop was late by seconds: reports count in attended time, and the fixture's 10 s are not.

The longest sync of each store can't tell these apart: three syncs of 4.2 s each suffice for the first. The message now has the delay of the loop, and for each store the state of the record, the writes received, the reports sent, and the durations of creating, appending and syncing, a pending one included. The check and its bound are as before.

--- a/test/record_store_fixture.h
+++ b/test/record_store_fixture.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -148,20 +149,36 @@
     });
     run();
     TRAYROCK_CHECK(stored.has_value(),
-                   "neither stored nor failed; " << syncs_text());
+                   "neither stored nor failed; " << waits_text(record));
     return *stored;
   }
 
-  // The longest sync of each store's disk: a machine with a slow disk may need
-  // longer than max_test_duration.
-  std::string syncs_text() const {
-    std::string text = "longest syncs in ms:";
+  // What an operation that has not ended may have waited for: a late loop, a
+  // disk, or a store that has not acknowledged a record on its disk. Disks that
+  // are slow need longer than max_test_duration.
+  std::string waits_text(const records::Record& record) const {
+    std::ostringstream text;
+    text << "loop late by up to " << loop_->delay().take_max_ms() << " ms";
     for (const auto& each : stores_) {
-      text += each == nullptr
-                  ? " none"
-                  : ' ' + std::to_string(each->syncs.longest_sync_ms());
+      text << "; store: ";
+      if (each == nullptr) {
+        text << "none";
+        continue;
+      }
+      text << state_text(*each, record_key(record)) << ", "
+           << each->writes_received() << " writes, "
+           << each->metrics.value("progress_reports_total", {{"call", "write"}})
+           << " reports, disk: " << each->syncs.times_text();
+    }
+    return text.str();
+  }
+
+  static std::string state_text(store& at, const std::string& key) {
+    if (!at.server.index().has(key)) {
+      return "lacks the record";
     }
-    return text;
+    return at.server.index().is_pending(key) ? "is writing the record"
+                                             : "has the record on disk";
   }
 
   result<reserved_turn> reserve(const records::Reservation& made,
--- a/test/slow_files.h
+++ b/test/slow_files.h
@@ -11,8 +11,11 @@
 #include <algorithm>
 #include <chrono>
 #include <condition_variable>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -20,6 +23,48 @@
 
 namespace trayrock::testing {
 
+// The operations of files that may wait for the disk.
+enum class disk_operation { create, append, sync };
+
+// Durations of one kind of operation, of which one at a time is pending.
+class operation_times {
+ public:
+  void begin() { began_ = clock::now(); }
+
+  void end() {
+    const long ms = pending_ms();
+    ++ended_;
+    total_ms_ += ms;
+    longest_ms_ = std::max(longest_ms_, ms);
+    began_.reset();
+  }
+
+  friend std::ostream& operator<<(std::ostream& out,
+                                  const operation_times& times) {
+    out << times.total_ms_ << " ms (" << times.ended_ << " times, longest "
+        << times.longest_ms_ << " ms";
+    if (times.began_) {
+      out << ", pending for " << times.pending_ms() << " ms";
+    }
+    return out << ')';
+  }
+
+ private:
+  using clock = std::chrono::steady_clock;
+
+  long pending_ms() const {
+    return static_cast<long>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            clock::now() - began_.value_or(clock::now()))
+            .count());
+  }
+
+  std::optional<clock::time_point> began_;
+  int ended_ = 0;
+  long total_ms_ = 0;
+  long longest_ms_ = 0;
+};
+
 // Open at first. Must be opened before the disk that uses it is destroyed.
 class sync_gate {
  public:
@@ -50,21 +95,27 @@
     return waiting_ > 0;
   }
 
-  // The longest sync of the real files, pending ones included, in ms.
-  long longest_sync_ms() {
-    const std::scoped_lock lock(guard_);
-    return std::max(longest_sync_ms_, pending_sync_ms());
-  }
-
-  void on_sync_begun() {
+  // What the real files needed, a pending operation included. Without the time
+  // that syncs waited for the gate.
+  std::string times_text() {
     const std::scoped_lock lock(guard_);
-    sync_began_ = clock::now();
+    std::ostringstream text;
+    text << times_[disk_operation::create] << " creating, "
+         << times_[disk_operation::append] << " appending, "
+         << times_[disk_operation::sync] << " syncing";
+    if (waiting_ > 0) {
+      text << ", a sync waits for the gate";
+    }
+    return text.str();
   }
 
-  void on_sync_ended() {
-    const std::scoped_lock lock(guard_);
-    longest_sync_ms_ = std::max(longest_sync_ms_, pending_sync_ms());
-    sync_began_ = {};
+  // Runs an operation of a real file on the writer's thread.
+  template <typename Operation>
+  auto timed(disk_operation kind, Operation run) {
+    set_pending(kind, true);
+    auto made = run();
+    set_pending(kind, false);
+    return made;
   }
 
   // Waits; returns false if the sync is to fail.
@@ -87,16 +138,9 @@
     changed_.notify_all();
   }
 
-  using clock = std::chrono::steady_clock;
-
-  long pending_sync_ms() const {
-    if (sync_began_ == clock::time_point()) {
-      return 0;
-    }
-    return static_cast<long>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() -
-                                                              sync_began_)
-            .count());
+  void set_pending(disk_operation kind, bool pending) {
+    const std::scoped_lock lock(guard_);
+    pending ? times_[kind].begin() : times_[kind].end();
   }
 
   std::mutex guard_;
@@ -105,8 +149,7 @@
   bool failing_ = false;
   int admitted_ = 0;
   int waiting_ = 0;
-  clock::time_point sync_began_;  // of the pending sync of a real file
-  long longest_sync_ms_ = 0;
+  std::map<disk_operation, operation_times> times_;
 };
 
 class slow_file final : public disk_file {
@@ -115,16 +158,14 @@
       : file_(std::move(file)), gate_(gate) {}
 
   std::error_code append(std::string_view bytes) override {
-    return file_->append(bytes);
+    return gate_.timed(disk_operation::append,
+                       [&] { return file_->append(bytes); });
   }
   std::error_code sync() override {
     if (!gate_.pass()) {
       return std::make_error_code(std::errc::io_error);
     }
-    gate_.on_sync_begun();
-    const std::error_code failed = file_->sync();
-    gate_.on_sync_ended();
-    return failed;
+    return gate_.timed(disk_operation::sync, [&] { return file_->sync(); });
   }
   result<std::string> read(std::uint64_t offset,
                            std::size_t length) const override {
@@ -146,7 +187,8 @@
     return files_.names();
   }
   result<std::unique_ptr<disk_file>> create(const std::string& name) override {
-    return slow(files_.create(name));
+    return slow(gate_.timed(disk_operation::create,
+                            [&] { return files_.create(name); }));
   }
   result<std::unique_ptr<disk_file>> open(
       const std::string& name) const override {
