--- a/test/record_store_fixture.h
+++ b/test/record_store_fixture.h
@@ -154,8 +154,7 @@
   }
 
   // What an operation that has not ended may have waited for: a late loop, a
-  // disk, or a store that has not acknowledged a record on its disk. Disks that
-  // are slow need longer than max_test_duration.
+  // disk, or a store that has not acknowledged a record on its disk.
   std::string waits_text(const records::Record& record) const {
     std::ostringstream text;
     text << "loop late by up to " << loop_->delay().take_max_ms() << " ms";
