Stand-in of endpoints frames, cuts and extends its responses

The stand-in answered through the product's http1_server, which always sends a length or chunks: it could not end a response with its connection, fall short of a length, answer before it has read a body or send bytes behind a response.

raw_http_server reads requests and leaves the bytes of responses to its user. response_plan frames a response and breaks it off at a byte, by a close or a reset. response_faults takes the new faults from POST /fault, each for so many of the next requests: complete, cut or reset responses without length and chunks, cut chunks, short lengths, surplus bytes and surplus responses, early refusals and early responses whose connection is kept or closed. GET /counts also tells whether a run's body was received in full, and what came of bodies that were refused before they were read.

--- a/fakes/fake_runner.cc
+++ b/fakes/fake_runner.cc
@@ -4,25 +4,36 @@
 // A request on a path that holds "stream" is answered with events, others
 // with one body. On one that holds "padded", events are long (--padding). Every
 // run is counted by its attempt id, with the body that came; GET /counts tells
-// them. Faults come by POST /fault (see switches).
+// them, and what came of bodies that were refused before they were read. Faults
+// come by POST /fault (see switches and response_faults.h).
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <cstdio>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <set>
+#include <utility>
+#include <vector>
 
-#include "trayrock/internal/net/http1_server.h"
+#include "raw_http_server.h"
+#include "response_faults.h"
+#include "response_plan.h"
 
 namespace {
 
 using nlohmann::json;
 using trayrock::event_loop;
-using trayrock::header_list;
-using trayrock::http1_exchange_ptr;
-using trayrock::http1_request;
 using trayrock::milliseconds;
+using trayrock::fakes::early_response;
+using trayrock::fakes::raw_connection_ptr;
+using trayrock::fakes::raw_request;
+using trayrock::fakes::respond;
+using trayrock::fakes::response_content;
+using trayrock::fakes::response_end;
+using trayrock::fakes::response_faults;
+using trayrock::fakes::response_plan;
+using trayrock::fakes::response_writer;
 
 constexpr int status_ok = 200;
 constexpr int status_misdirected = 421;
@@ -41,6 +52,15 @@
   int hang = 0;  // run, and never answered
 };
 
+// What is known of the runs of one attempt.
+struct run_record {
+  int runs = 0;
+  std::string body;
+  bool body_complete = true;
+  json workspaces = json::array();  // as told
+  bool saw_key = false;
+};
+
 class fake_runner {
  public:
   fake_runner(event_loop& loop, std::string id, int events, milliseconds pause,
@@ -51,17 +71,23 @@
         pause_(pause),
         padding_(padding, 'x') {}
 
-  void serve(const http1_request& request, const http1_exchange_ptr& out) {
+  void serve(const raw_request& request, const raw_connection_ptr& out) {
     if (request.target == "/fault") {
       set(json::parse(request.body, nullptr, false));
-      out->respond(status_ok, {}, "{}");
+      respond(loop_, out, status_ok, "{}");
     } else if (request.target == "/counts") {
-      out->respond(status_ok, {}, counts().dump());
+      respond(loop_, out, status_ok, counts().dump());
     } else {
       answer(request, out);
     }
   }
 
+  // To be called before serve(), with the request's head.
+  bool serves_early(const raw_request& request) {
+    early_ = faults_of_responses_.next_early(request.length);
+    return early_.has_value();
+  }
+
  private:
   void set(const json& body) {
     faults_.refuse = body.value("refuse", faults_.refuse);
@@ -74,17 +100,21 @@
     faults_.cut_at_byte = body.value("cut_at_byte", faults_.cut_at_byte);
     faults_.ignore_last_event =
         body.value("ignore_last_event", faults_.ignore_last_event);
+    faults_of_responses_.set(body);
   }
 
   json counts() const {
     json runs = json::object();
-    for (const auto& [attempt, body] : bodies_) {
-      runs[attempt] = {{"runs", runs_.at(attempt)},
-                       {"body", body},
-                       {"workspaces", workspaces_.at(attempt)},
-                       {"saw_key", saw_key_.contains(attempt)}};
+    for (const auto& [attempt, run] : runs_) {
+      runs[attempt] = {{"runs", run.runs},
+                       {"body", run.body},
+                       {"body_complete", run.body_complete},
+                       {"workspaces", run.workspaces},
+                       {"saw_key", run.saw_key}};
     }
-    return {{"runs", runs}, {"cancelled", cancelled_}};
+    return {{"runs", runs},
+            {"refused_early", refused_early_},
+            {"cancelled", cancelled_}};
   }
 
   static bool take(int& left) {
@@ -95,64 +125,98 @@
     return true;
   }
 
-  void answer(const http1_request& request, const http1_exchange_ptr& out) {
+  void answer(const raw_request& request, const raw_connection_ptr& out) {
+    const std::optional<early_response> early = std::exchange(early_, {});
     const std::string attempt(request.headers.find("Trayrock-Attempt-Id"));
     const std::string_view meant =
         request.headers.find("Trayrock-Expect-Instance");
     if (!meant.empty() && meant != id_) {
-      out->respond(status_misdirected, {}, "");
+      respond(loop_, out, status_misdirected, "");
       return;
     }
-    if (take(faults_.refuse)) {
-      header_list headers;
-      headers.add("Trayrock-Not-Executed", "1");
-      out->respond(status_unavailable, headers, "");
+    if ((early && early->refused) || take(faults_.refuse)) {
+      refuse(out, attempt, early);
       return;
     }
-    ++runs_[attempt];
-    bodies_[attempt] = request.body;
-    workspaces_[attempt] = json::array();
-    for (const trayrock::header_field& each : request.headers.fields()) {
-      if (trayrock::same_name(each.name, "Trayrock-Tenant")) {
-        workspaces_[attempt].push_back(each.value);
-      }
-    }
-    if (request.headers.has("Authorization")) {
-      saw_key_.insert(attempt);
+    record_run(request, attempt);
+    if (early) {
+      out->on_body_ended([this, attempt](const raw_request& ended) {
+        runs_[attempt].body = ended.body;
+        runs_[attempt].body_complete = ended.complete();
+      });
     }
     if (take(faults_.hang)) {
-      hung_.push_back(out);
       out->on_gone([this] { ++cancelled_; });
       return;
     }
     if (take(faults_.cut_unanswered)) {
-      out->abort();
+      out->drop();
       return;
     }
-    header_list headers;
-    headers.add("Trayrock-Attempt-Id", attempt);
+    send_response(request, out, attempt, early && early->closes);
+  }
+
+  void refuse(const raw_connection_ptr& out, const std::string& attempt,
+              const std::optional<early_response>& early) {
+    response_content content;
+    content.status = status_unavailable;
+    content.headers.add("Trayrock-Not-Executed", "1");
+    response_plan plan;
+    if (early) {
+      plan.last_of_connection = early->closes;
+      out->on_body_ended([this, attempt](const raw_request& ended) {
+        refused_early_[attempt].push_back(ended.body);
+      });
+    }
+    response_writer::start(loop_, out, std::move(content), std::move(plan));
+  }
+
+  void record_run(const raw_request& request, const std::string& attempt) {
+    run_record& run = runs_[attempt];
+    ++run.runs;
+    run.body = request.body;
+    run.body_complete = request.complete();
+    run.workspaces = json::array();
+    for (const trayrock::header_field& each : request.headers.fields()) {
+      if (trayrock::same_name(each.name, "Trayrock-Tenant")) {
+        run.workspaces.push_back(each.value);
+      }
+    }
+    run.saw_key = run.saw_key || request.headers.has("Authorization");
+  }
+
+  void send_response(const raw_request& request, const raw_connection_ptr& out,
+                     const std::string& attempt, bool closes) {
+    response_content content;
+    content.status = status_ok;
+    content.pause = pause_;
+    content.without_body = request.method == "HEAD";
+    content.headers.add("Trayrock-Attempt-Id", attempt);
     if (!take(faults_.without_seal)) {
-      headers.add("Trayrock-Response-Seal", "seal." + id_ + "." + attempt);
+      content.headers.add("Trayrock-Response-Seal",
+                          "seal." + id_ + "." + attempt);
     }
+    response_plan plan;
     if (request.target.find("stream") == std::string::npos) {
-      out->respond(status_ok, headers, "answer to " + attempt);
-      return;
-    }
-    if (request.target.find("padded") != std::string::npos) {
-      padded_.insert(attempt);
+      content.pieces = {"answer to " + attempt};
+      plan = faults_of_responses_.next_plain(content.pieces.front(), attempt);
+    } else {
+      content.headers.add("Content-Type", "text/event-stream");
+      const bool padded = request.target.find("padded") != std::string::npos;
+      for (int i = first_event(request); i <= events_; ++i) {
+        content.pieces.push_back(event_of(attempt, i, padded));
+      }
+      plan = plan_stream(content.pieces, attempt);
     }
-    headers.add("Content-Type", "text/event-stream");
-    out->begin(status_ok, headers);
-    const int first = first_event(request);
-    if (first > events_) {
-      out->finish();
-      return;
+    plan.last_of_connection = closes;
+    if (plan.end == response_end::silent) {
+      out->on_gone([this] { ++cancelled_; });
     }
-    stream(out, attempt, first, midway_fault(attempt, first));
+    response_writer::start(loop_, out, std::move(content), std::move(plan));
   }
 
   // The number of the event that the stream starts with.
-  int first_event(const http1_request& request) {
+  int first_event(const raw_request& request) {
     const std::string last(request.headers.find("Last-Event-Id"));
     if (last.empty() || take(faults_.ignore_last_event)) {
       return 1;
@@ -160,53 +224,33 @@
     return std::stoi(last) + 1;
   }
 
-  std::string event_of(const std::string& attempt, int number) const {
+  std::string event_of(const std::string& attempt, int number,
+                       bool padded) const {
     const std::string text = std::to_string(number);
-    const auto padded = padded_.find(attempt);
     return "id: " + text + "\ndata: " + attempt + "-" + text +
-           (padded == padded_.end() ? std::string() : padding_) + "\n\n";
-  }
-
-  // What comes behind the first event in place of the others.
-  struct midway {
-    bool cut = false;
-    bool hang = false;
-    std::string half;  // of the next event, before the cut
-  };
-
-  midway midway_fault(const std::string& attempt, int first) {
-    midway made;
-    made.cut = take(faults_.cut_midway);
-    made.hang = take(faults_.hang_midway);
-    if (faults_.cut_at_byte >= 0) {
-      made.cut = true;
-      made.half = event_of(attempt, first + 1).substr(0, faults_.cut_at_byte);
-      faults_.cut_at_byte = -1;
-    }
-    return made;
+           (padded ? padding_ : std::string()) + "\n\n";
   }
 
-  void stream(const http1_exchange_ptr& out, const std::string& attempt,
-              int number, const midway& fault) {
-    out->write(event_of(attempt, number) + fault.half);
-    if (fault.hang) {
-      hung_.push_back(out);
-      out->on_gone([this] { ++cancelled_; });
-      return;
+  response_plan plan_stream(const std::vector<std::string>& events,
+                            const std::string& attempt) {
+    if (events.empty()) {
+      return faults_of_responses_.next_stream(events, attempt);
     }
-    if (fault.cut) {  // once the event is on its way
-      timers_[++next_] = loop_.after(pause_, [out] { out->abort(); });
-      return;
+    const bool hang = take(faults_.hang_midway);
+    const bool cut = take(faults_.cut_midway);
+    const int half = std::exchange(faults_.cut_at_byte, -1);
+    if (!hang && !cut && half < 0) {
+      return faults_of_responses_.next_stream(events, attempt);
     }
-    if (number == events_) {
-      out->finish();
-      return;
+    response_plan plan;
+    plan.framing = trayrock::fakes::response_framing::chunks;
+    plan.end = hang ? response_end::silent : response_end::closed;
+    plan.stop_at = events.front().size();
+    if (half > 0 && events.size() > 1) {
+      plan.stop_at +=
+          std::min(static_cast<std::size_t>(half), events[1].size());
     }
-    const std::uint64_t key = ++next_;
-    timers_[key] = loop_.after(pause_, [this, key, out, attempt, number] {
-      stream(out, attempt, number + 1, {});
-      timers_.erase(key);
-    });
+    return plan;
   }
 
   event_loop& loop_;
@@ -215,66 +259,12 @@
   milliseconds pause_;
   std::string padding_;  // behind the data of events on padded paths
   switches faults_;
+  response_faults faults_of_responses_;
+  std::optional<early_response> early_;  // of the request that is served next
   int cancelled_ = 0;
-  std::uint64_t next_ = 0;
-  std::map<std::string, int> runs_;
-  std::map<std::string, std::string> bodies_;
-  std::map<std::string, json> workspaces_;  // as told, by attempt
-  std::set<std::string> padded_;            // attempts on padded paths
-  std::set<std::string> saw_key_;           // attempts that came with a key
-  std::map<std::uint64_t, trayrock::timer> timers_;
-  std::vector<http1_exchange_ptr> hung_;
-};
-
-// Drops connections on which no byte was read for so long although some wait.
-class unread_guard {
- public:
-  unread_guard(event_loop& loop, trayrock::http1_server& server,
-               milliseconds limit)
-      : loop_(loop), server_(server), limit_(limit) {
-    if (limit.count() == 0) {
-      return;
-    }
-    server.on_buffered([this](std::uint64_t connection,
-                              std::optional<trayrock::http1_buffered> held) {
-      update(connection, held ? held->unread : 0);
-    });
-    tick_ = loop.every(limit / 4, [this] { drop_unread(); });
-  }
-
- private:
-  struct waiting {
-    std::size_t unread = 0;
-    std::uint64_t since_ms = 0;
-  };
-
-  void update(std::uint64_t connection, std::size_t unread) {
-    if (unread == 0) {
-      waiting_.erase(connection);
-      return;
-    }
-    waiting& of = waiting_[connection];
-    if (of.unread == 0 || unread < of.unread) {
-      of.since_ms = loop_.now_ms();
-    }
-    of.unread = unread;
-  }
-
-  void drop_unread() {
-    const std::uint64_t now = loop_.now_ms();
-    const std::map<std::uint64_t, waiting> seen = waiting_;
-    for (const auto& [connection, each] : seen) {
-      if (now - each.since_ms >= static_cast<std::uint64_t>(limit_.count())) {
-        server_.drop(connection);
-      }
-    }
-  }
-
-  event_loop& loop_;
-  trayrock::http1_server& server_;
-  milliseconds limit_;
-  std::map<std::uint64_t, waiting> waiting_;
-  trayrock::timer tick_;
+  std::map<std::string, run_record> runs_;  // by attempt
+  // By attempt: bodies that came behind a refusal, or parts of them.
+  std::map<std::string, std::vector<std::string>> refused_early_;
 };
 
 }  // namespace
@@ -297,12 +287,19 @@
 
   event_loop loop;
   fake_runner runner(loop, id, events, milliseconds(pause_ms), padding);
-  trayrock::http1_server server(
-      loop, [] { return trayrock::http1_limits{}; },
-      [&runner](const http1_request& request, const http1_exchange_ptr& out) {
-        runner.serve(request, out);
-      });
-  const unread_guard guard(loop, server, milliseconds(unread_limit_ms));
+  trayrock::fakes::raw_http_server server(
+      loop, {.serve =
+                 [&runner](const raw_request& request,
+                           const raw_connection_ptr& out) {
+                   runner.serve(request, out);
+                 },
+             .serves_early =
+                 [&runner](const raw_request& request) {
+                   return runner.serves_early(request);
+                 }});
+  if (unread_limit_ms > 0) {
+    server.limit_unread(milliseconds(unread_limit_ms));
+  }
   if (!server.listen(trayrock::address::parse(listen).value())) {
     std::fprintf(stderr, "cannot listen\n");
     return 1;
