--- a/test/persistent_connection.cc
+++ b/test/persistent_connection.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <cstdlib>
 
@@ -62,14 +63,20 @@
   }
 }
 
-bool persistent_connection::closed_by_peer() const {
-  char byte = 0;
-  return recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+bool persistent_connection::idle_connection_usable() {
+  std::array<char, 16384> bytes{};
+  const ssize_t got = recv(socket_, bytes.data(), bytes.size(), MSG_DONTWAIT);
+  if (got > 0) {
+    unexpected_.assign(bytes.data(), static_cast<std::size_t>(got));
+  }
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 std::string persistent_connection::exchange(const std::string& request,
                                             int seconds) {
-  if (socket_ >= 0 && closed_by_peer()) {
+  closed_ = false;
+  unexpected_.clear();
+  if (socket_ >= 0 && !idle_connection_usable()) {
     close();
   }
   if (socket_ < 0 && !open()) {
@@ -90,6 +97,7 @@
     std::array<char, 16384> bytes{};
     const ssize_t got = recv(socket_, bytes.data(), bytes.size(), 0);
     if (got <= 0) {
+      closed_ = got == 0;
       break;
     }
     response.append(bytes.data(), static_cast<std::size_t>(got));
--- a/test/persistent_connection.h
+++ b/test/persistent_connection.h
@@ -21,13 +21,22 @@
   // closed the connection.
   std::string exchange(const std::string& request, int seconds);
 
+  // Whether the server ended the last exchange by closing the connection,
+  // without an error.
+  bool closed() const { return closed_; }
+
+  // Bytes that were received before the last request was sent.
+  const std::string& unexpected() const { return unexpected_; }
+
  private:
   bool open();
   void close();
-  bool closed_by_peer() const;
+  bool idle_connection_usable();
 
   int port_;
   int socket_ = -1;
+  bool closed_ = false;
+  std::string unexpected_;
 };
 
 }  // namespace trayrock::testing
--- a/test/stalled_reader.cc
+++ b/test/stalled_reader.cc
@@ -60,6 +60,7 @@
         recv(socket_, piece.data(),
              std::min(piece.size(), bytes - received.size()), 0);
     if (got <= 0) {
+      closed_ = got == 0;
       break;
     }
     received.append(piece.data(), static_cast<std::size_t>(got));
--- a/test/stalled_reader.h
+++ b/test/stalled_reader.h
@@ -26,8 +26,12 @@
   // As read_to_end(), but only so many bytes.
   std::string read(std::size_t bytes, int seconds);
 
+  // Whether the server has closed the connection, without an error.
+  bool closed() const { return closed_; }
+
  private:
   int socket_ = -1;
+  bool closed_ = false;
 };
 
 }  // namespace trayrock::testing
