Soak draws broken and extended responses and checks what looks whole

The soak did not see turns that reached their callers as complete although their endpoint had broken them off: its endpoints always sent chunks, and it checked the events of no turn and the body of no plain response.

A third series, with its own draws, lets endpoints frame, cut and extend responses and answer long requests early; the draws of the earlier faults and the regression seeds are as they were. Every second tool call has a long body. A success has to carry its endpoint's seal and its own attempt's name. One that looks whole has to be the endpoint's body byte for byte, one that was cut the beginning of it, also in plain responses. A turn that was cut is unknown, or comes back exactly. Endpoints receive only requests that a client sent, with its body, also where they answered before they had read it.

--- a/test/fault_soak_test.cc
+++ b/test/fault_soak_test.cc
@@ -1,18 +1,22 @@
 // A randomized soak: clients run programs through real processes while
 // gateways and stores are killed, paused, stopped and replaced, the platform
-// is out, endpoints misbehave, and the ways between all of them are slowed,
-// reset, cut one way or silenced. Two series of faults run at once and overlap.
+// is out, endpoints misbehave, break their responses off or add to them, and
+// the ways between all of them are slowed, reset, cut one way or silenced.
+// Three series of faults run at once and overlap.
 //
 // Checked from what clients and endpoints see: a whole turn is known ever
-// after and its text comes back exactly; nothing runs twice; what was refused
-// as not run has not run; a program's tokens stay within its budget; endpoints
-// learn the workspace and never the key; responses of clients that read late or
-// never are whole or visibly cut; a key that is taken away is served
-// nowhere behind its bound; a workspace's limit holds in every window.
+// after and its text comes back exactly; one that was cut is unknown or comes
+// back exactly; nothing runs twice, nor a request or body that no client sent;
+// what was refused as not run has not run; a program's tokens stay within its
+// budget; endpoints learn the workspace and never the key; a response that
+// looks whole is the endpoint's, byte for byte, also to clients that read late;
+// a key that is taken away is served nowhere behind its bound; a workspace's
+// limit holds in every window.
 //
 // One seed is run in CI. By hand: TRAYROCK_SOAK_SEEDS="7 8 9" and
 // TRAYROCK_SOAK_SECONDS=30. A seed that has ever failed is kept in
 // `regression_seeds`, with a line on the cause.
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <csignal>
@@ -27,6 +31,7 @@
 
 #include "key_probes.h"
 #include "persistent_connection.h"
+#include "received_response.h"
 #include "service_deployment.h"
 #include "stalled_reader.h"
 #include "test_support.h"
@@ -51,13 +56,26 @@
 constexpr std::size_t stalled_at_once = 40;
 constexpr int padding_bytes = 100000;
 constexpr int memory_limit_mb = 16;
+constexpr int events_of_a_stream = 3;
+constexpr std::size_t shown_bytes = 60;  // of a wrong response
+// Endpoints answer some requests that are this long before they read the body.
+constexpr std::size_t long_body_bytes = 60000;
+constexpr std::array response_faults{
+    "closed_whole",         "closed_in_event",
+    "closed_before_event",  "reset",
+    "chunks_cut_in_event",  "chunks_cut_between_events",
+    "length_short",         "surplus_bytes",
+    "surplus_response",     "early_refusal",
+    "early_refusal_closed", "early_response",
+    "early_response_closed"};
 
 // One request as its client saw it.
 struct seen_request {
   std::string attempt;
-  int status = 0;      // 0: no answer
-  bool whole = false;  // the answer's end was seen
-  std::string body;
+  received_response response;
+
+  bool succeeded() const { return response.status == 200; }
+  bool whole() const { return succeeded() && response.complete; }
 };
 
 std::size_t count_of(const std::string& text, const std::string& part) {
@@ -69,20 +87,51 @@
   return count;
 }
 
-seen_request parse(const std::string& attempt, const std::string& bytes) {
-  seen_request seen;
-  seen.attempt = attempt;
-  constexpr std::size_t status_at = 9;
-  const std::size_t head = bytes.find("\r\n\r\n");
-  if (head == std::string::npos || bytes.size() < status_at) {
-    return seen;
+// The events that endpoints make for an attempt.
+std::string events_of(const std::string& attempt,
+                      const std::string& padding = "") {
+  std::string made;
+  for (int i = 1; i <= events_of_a_stream; ++i) {
+    const std::string number = std::to_string(i);
+    made.append("id: ").append(number).append("\ndata: ").append(attempt);
+    made.append("-").append(number).append(padding).append("\n\n");
+  }
+  return made;
+}
+
+// Their data, as the next turn's body has it.
+std::string text_of(const std::string& attempt) {
+  std::string made;
+  for (int i = 1; i <= events_of_a_stream; ++i) {
+    made += attempt + "-" + std::to_string(i) + "\n";
+  }
+  return made;
+}
+
+// An incomplete text has to be the beginning of the expected one.
+bool matches(const std::string& text, const std::string& expected,
+             bool complete) {
+  return complete ? text == expected : expected.starts_with(text);
+}
+
+std::string difference(const std::string& text, const std::string& expected) {
+  const auto [at, in_expected] =
+      std::mismatch(text.begin(), text.end(), expected.begin(), expected.end());
+  const auto same = static_cast<std::size_t>(at - text.begin());
+  return std::to_string(text.size()) + " bytes in place of " +
+         std::to_string(expected.size()) + ", behind byte " +
+         std::to_string(same) + ": " +
+         json(text.substr(same, shown_bytes)).dump() + " in place of " +
+         json(expected.substr(same, shown_bytes)).dump();
+}
+
+// A body that shows bytes of other places and of other requests.
+std::string long_body(const std::string& attempt) {
+  std::string made;
+  while (made.size() < long_body_bytes) {
+    made += attempt + ":" + std::to_string(made.size()) + " ";
   }
-  seen.status = std::atoi(bytes.c_str() + status_at);
-  seen.body = bytes.substr(head + 4);
-  const bool chunked =
-      bytes.substr(0, head).find("chunked") != std::string::npos;
-  seen.whole = !chunked || seen.body.ends_with("0\r\n\r\n");
-  return seen;
+  return made;
 }
 
 // The responses that one client's program has received.
@@ -116,11 +165,15 @@
     running.clear();  // joins: each ends the turn that it is at
     check_runs();
     std::cout << "soak: seed " << seed_ << ": " << whole_turns_
-              << " whole turns; " << read_late_ << " responses read late, "
-              << cut_late_ << " of them cut, pauses in " << pauses
-              << " log lines; " << injected_.str() << std::endl;
+              << " whole turns, " << cut_turns_ << " cut; " << read_late_
+              << " responses read late, " << cut_late_
+              << " of them cut, pauses in " << pauses << " log lines; "
+              << injected_.str() << std::endl;
     TRAYROCK_CHECK(whole_turns_ > 0, "seed " << seed_ << ": no turn served");
     const std::scoped_lock lock(guard_);
+    for (const std::string& fault : faults_) {
+      std::cout << "soak: seed " << seed_ << ": " << fault << std::endl;
+    }
     TRAYROCK_CHECK(faults_.empty(),
                    "seed " << seed_ << ": " << faults_.front() << " ("
                            << faults_.size()
@@ -151,25 +204,19 @@
       const std::string name = mine.name + "t" + std::to_string(turn) + "a" +
                                std::to_string(attempt);
       const seen_request seen = send_turn(mine, name, input, random);
-      note(seen);
-      mine.tokens += count_of(seen.body, "data: ") * tokens_of_an_event;
-      if (mine.tokens > budget + most_of_a_turn) {
-        report(name + " goes over the budget: " + std::to_string(mine.tokens));
-      }
-      if (seen.status == 200 && seen.whole) {
-        expect_body(name, mine.text + input);
-        mine.text += input;
-        for (int event = 1; event <= 3; ++event) {
-          mine.text += name + "-" + std::to_string(event) + "\n";
-        }
+      if (seen.whole()) {
+        mine.text += input + text_of(name);
         mine.last_turn = name;
         ++whole_turns_;
         return true;
       }
-      if (seen.status == 402) {
+      if (seen.succeeded()) {
+        continue_cut_turn(mine, name, input, random);
+      }
+      if (seen.response.status == 402) {
         return false;
       }
-      if (seen.status == 404) {
+      if (seen.response.status == 404) {
         report(name + " is told that " + mine.last_turn + " is not known");
         return false;
       }
@@ -178,7 +225,19 @@
     return false;
   }
 
-  seen_request send_turn(const program& mine, const std::string& name,
+  // Goes on from a turn whose response was cut: if that runs, the turn was
+  // stored whole.
+  void continue_cut_turn(program& mine, const std::string& cut,
+                         const std::string& input, std::mt19937& random) {
+    ++cut_turns_;
+    program branch = mine;
+    branch.last_turn = cut;
+    branch.text += input + text_of(cut);
+    send_turn(branch, cut + "c", "more ", random);
+    mine.tokens = branch.tokens;
+  }
+
+  seen_request send_turn(program& mine, const std::string& name,
                          const std::string& input, std::mt19937& random) {
     std::string bytes = "POST /stream/a HTTP/1.1\r\nHost: local\r\n";
     bytes += "Trayrock-Attempt-Id: " + name + "\r\n";
@@ -191,16 +250,40 @@
     }
     bytes += "\r\nContent-Length: " + std::to_string(input.size());
     bytes += "\r\n\r\n" + input;
-    return parse(name, any_gateway(random).exchange(bytes, answer_seconds));
+    expect_body(name, mine.text + input);
+    seen_request seen = send(name, bytes, events_of(name), random);
+    mine.tokens += count_of(seen.response.body, "data: ") * tokens_of_an_event;
+    if (mine.tokens > budget + most_of_a_turn) {
+      report(name + " goes over the budget: " + std::to_string(mine.tokens));
+    }
+    return seen;
+  }
+
+  // Checks and keeps what came for a request; `expected` is the body that its
+  // endpoint makes.
+  seen_request send(const std::string& name, const std::string& bytes,
+                    const std::string& expected, std::mt19937& random) {
+    persistent_connection& to = any_gateway(random);
+    const std::string received = to.exchange(bytes, answer_seconds);
+    seen_request seen{name, parse_response(received, to.closed())};
+    if (!to.unexpected().empty()) {
+      report(name + " met bytes that no request is due: " + to.unexpected());
+    }
+    check_response(seen, expected);
+    note(seen);
+    return seen;
   }
 
   void call_tool(const program& mine, int turn, std::mt19937& random) {
     const std::string name = mine.name + "u" + std::to_string(turn);
-    const std::string bytes =
-        "GET /unsafe/a HTTP/1.1\r\nHost: local\r\n"
-        "Authorization: Bearer " +
-        key_of(mine) + "\r\nTrayrock-Attempt-Id: " + name + "\r\n\r\n";
-    note(parse(name, any_gateway(random).exchange(bytes, answer_seconds)));
+    const std::string body = turn % 2 == 0 ? std::string() : long_body(name);
+    std::string bytes = body.empty() ? "GET" : "POST";
+    bytes += " /unsafe/a HTTP/1.1\r\nHost: local\r\nAuthorization: Bearer ";
+    bytes += key_of(mine) + "\r\nTrayrock-Attempt-Id: " + name;
+    bytes += "\r\nContent-Length: " + std::to_string(body.size());
+    bytes += "\r\n\r\n" + body;
+    expect_body(name, body);
+    send(name, bytes, "answer to " + name, random);
   }
 
   // Programs belong to two workspaces, by turns of the clients.
@@ -219,8 +302,8 @@
           "GET /unsafe/a HTTP/1.1\r\nHost: local\r\nAuthorization: Bearer " +
           key_probes::key_text(probe.key) +
           "\r\nTrayrock-Attempt-Id: " + probe.attempt + "\r\n\r\n";
-      note(parse(probe.attempt,
-                 any_gateway(random).exchange(bytes, answer_seconds)));
+      expect_body(probe.attempt, "");
+      send(probe.attempt, bytes, "answer to " + probe.attempt, random);
       probe.response_at = std::chrono::steady_clock::now();
       probes_.add(probe);
       std::this_thread::sleep_for(std::chrono::milliseconds(random() % 80));
@@ -234,6 +317,7 @@
     for (int number = 0; !over_; ++number) {
       const std::string name = "s0r" + std::to_string(number);
       const std::string gateway = "gateway-" + std::to_string(1 + random() % 2);
+      expect_body(name, "");
       open.emplace_back(name, std::make_unique<stalled_reader>(
                                   system_.port(gateway),
                                   "GET /padded-stream/a HTTP/1.1\r\n"
@@ -244,31 +328,21 @@
         const auto [oldest, client] = std::move(open.front());
         open.pop_front();
         if (random() % 2 == 0) {
-          check_late_response(oldest, client->read_to_end(1));
+          check_late_response(oldest, *client);
         }
       }
       std::this_thread::sleep_for(std::chrono::milliseconds(random() % 80));
     }
   }
 
-  void check_late_response(const std::string& name, const std::string& bytes) {
-    const seen_request seen = parse(name, bytes);
+  void check_late_response(const std::string& name, stalled_reader& client) {
+    const std::string received = client.read_to_end(1);
+    const seen_request seen{name, parse_response(received, client.closed())};
+    check_response(seen, events_of(name, std::string(padding_bytes, 'x')));
     note(seen);
-    if (seen.status != 200) {
-      return;
-    }
-    ++read_late_;
-    cut_late_ += seen.whole ? 0 : 1;
-    const std::string body = parse_answer(bytes).body;
-    const std::string padding(padding_bytes, 'x');
-    std::string expected;
-    for (const char* event : {"1", "2", "3"}) {
-      expected.append("id: ").append(event).append("\ndata: ").append(name);
-      expected.append("-").append(event).append(padding).append("\n\n");
-    }
-    if (seen.whole && body != expected) {
-      report(name + " looks whole with " + std::to_string(body.size()) +
-             " bytes");
+    if (seen.succeeded()) {
+      ++read_late_;
+      cut_late_ += seen.whole() ? 0 : 1;
     }
   }
 
@@ -322,8 +396,12 @@
     return options;
   }
 
-  // Faults of processes and of links, in two series that overlap.
+  // Faults of processes, links and responses, in series that overlap.
   void inject_series() {
+    std::jthread responses([this] {
+      inject(seed_ + 300000,
+             [this](std::mt19937& random) { break_responses(random); });
+    });
     std::jthread links([this] {
       inject(seed_ + 500000,
              [this](std::mt19937& random) { harm_link(random); });
@@ -399,6 +477,15 @@
     }
   }
 
+  void break_responses(std::mt19937& random) {
+    const std::string runner = "runner-" + std::to_string(1 + random() % 2);
+    const std::string fault =
+        response_faults[random() % response_faults.size()];
+    const unsigned count = 1 + random() % 4;
+    record(runner + " " + fault + " " + std::to_string(count));
+    system_.runner_fault(runner, {{fault, count}});
+  }
+
   void harm_link(std::mt19937& random) {
     const std::vector<std::string> names = system_.link_names();
     const std::string& name = names[random() % names.size()];
@@ -474,19 +561,49 @@
     seen_.push_back(seen);
   }
 
+  // To be called before a request is sent.
   void expect_body(const std::string& attempt, const std::string& body) {
     const std::scoped_lock lock(guard_);
     expected_bodies_[attempt] = body;
   }
 
+  // A response that looks whole is exactly its endpoint's, one that was cut is
+  // the beginning of it.
+  void check_response(const seen_request& seen, const std::string& expected) {
+    const received_response& response = seen.response;
+    if (response.malformed || !response.surplus.empty()) {
+      report(seen.attempt +
+             " got bytes that are no response: " + response.surplus);
+    }
+    if (!seen.succeeded()) {
+      return;
+    }
+    const bool sealed =
+        response.header("trayrock-response-seal").ends_with("." + seen.attempt);
+    if (!sealed || response.header("trayrock-attempt-id") != seen.attempt) {
+      report(seen.attempt + " got a success with the seal '" +
+             response.header("trayrock-response-seal") + "'");
+    }
+    if (!matches(response.body, expected, response.complete)) {
+      report(seen.attempt +
+             (response.complete ? " looks whole with " : " was cut behind ") +
+             difference(response.body, expected));
+    }
+  }
+
   void check_runs() {
     std::map<std::string, int> runs;
-    std::map<std::string, std::string> bodies;
     for (const char* name : {"runner-1", "runner-2"}) {
       const json made = system_.counts(name);
       for (const auto& [attempt, run] : made["runs"].items()) {
         runs[attempt] += run["runs"].get<int>();
-        bodies[attempt] = run["body"].get<std::string>();
+        check_body(attempt, run["body"].get<std::string>(),
+                   run["body_complete"].get<bool>());
+      }
+      for (const auto& [attempt, bodies] : made["refused_early"].items()) {
+        for (const json& body : bodies) {
+          check_body(attempt, body.get<std::string>(), false);
+        }
       }
     }
     check_workspaces();
@@ -499,24 +616,33 @@
       }
     }
     for (const seen_request& each : seen_) {
-      const bool promised = each.status == 503 || each.status == 429 ||
-                            each.status == 402 || each.status == 404 ||
-                            each.status == 401;
+      const int status = each.response.status;
+      const bool promised = status == 503 || status == 429 || status == 402 ||
+                            status == 404 || status == 401;
       if (promised && runs.contains(each.attempt)) {
-        report(each.attempt + " was refused with " +
-               std::to_string(each.status) + " and ran");
+        report(each.attempt + " was refused with " + std::to_string(status) +
+               " and ran");
       }
-    }
-    for (const auto& [attempt, body] : expected_bodies_) {
-      if (bodies[attempt] != body) {
-        std::string wrong = attempt;
-        wrong.append(" came with ").append(bodies[attempt]);
-        wrong.append(" in place of ").append(body);
-        report(std::move(wrong));
+      if (each.whole() && !runs.contains(each.attempt)) {
+        report(each.attempt + " got a success and has not run");
       }
     }
   }
 
+  // Of a request that an endpoint received; a part of the body: it was answered
+  // before that.
+  void check_body(const std::string& attempt, const std::string& body,
+                  bool complete) {
+    const auto sent = expected_bodies_.find(attempt);
+    if (sent == expected_bodies_.end()) {
+      report(attempt + " reached an endpoint, but no client sent it");
+      return;
+    }
+    if (!matches(body, sent->second, complete)) {
+      report(attempt + " came with " + difference(body, sent->second));
+    }
+  }
+
   // Endpoints saw the right workspace and no key.
   void check_workspaces() {
     for (const char* name : {"runner-1", "runner-2"}) {
@@ -537,6 +663,7 @@
   service_deployment system_;
   std::atomic<bool> over_ = false;
   std::atomic<int> whole_turns_ = 0;
+  std::atomic<int> cut_turns_ = 0;
   std::atomic<int> read_late_ = 0;
   std::atomic<int> cut_late_ = 0;
   std::mutex guard_;
