Soak continues every turn without a complete response

Only a turn whose success was cut was continued to see whether it is known. One that ended without a response, or with 502 or 504, may have been stored as well. Now each turn that was not refused is continued: it is unknown, or the endpoint gets the whole chain with it.

--- a/test/fault_soak_test.cc
+++ b/test/fault_soak_test.cc
@@ -75,6 +75,12 @@
   received_response response;
 
   bool succeeded() const { return response.status == 200; }
+  // Told that it has not run and never will.
+  bool refused() const {
+    constexpr std::array promises{401, 402, 404, 429, 503};
+    return std::find(promises.begin(), promises.end(), response.status) !=
+           promises.end();
+  }
   bool whole() const { return succeeded() && response.complete; }
 };
 
@@ -210,7 +216,7 @@
         ++whole_turns_;
         return true;
       }
-      if (seen.succeeded()) {
+      if (!seen.refused()) {
         continue_cut_turn(mine, name, input, random);
       }
       if (seen.response.status == 402) {
@@ -225,8 +231,8 @@
     return false;
   }
 
-  // Goes on from a turn whose response was cut: if that runs, the turn was
-  // stored whole.
+  // Goes on from a turn without a complete response: if that runs, the turn
+  // was stored whole.
   void continue_cut_turn(program& mine, const std::string& cut,
                          const std::string& input, std::mt19937& random) {
     ++cut_turns_;
@@ -616,12 +622,9 @@
       }
     }
     for (const seen_request& each : seen_) {
-      const int status = each.response.status;
-      const bool promised = status == 503 || status == 429 || status == 402 ||
-                            status == 404 || status == 401;
-      if (promised && runs.contains(each.attempt)) {
-        report(each.attempt + " was refused with " + std::to_string(status) +
-               " and ran");
+      if (each.refused() && runs.contains(each.attempt)) {
+        report(each.attempt + " was refused with " +
+               std::to_string(each.response.status) + " and ran");
       }
       if (each.whole() && !runs.contains(each.attempt)) {
         report(each.attempt + " got a success and has not run");
