--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -688,10 +688,11 @@
           out->respond(200, {}, "");
         });
     CPPUNIT_ASSERT(server.listen(local(port_)));
+    std::size_t connected = 0;
     std::atomic<bool> done = false;
     std::jthread client([&] {
       for (std::size_t cut = 1; cut < whole.size(); ++cut) {
-        send_and_end(whole.substr(0, cut));
+        connected += send_and_end(whole.substr(0, cut)) ? 1 : 0;
       }
       done = true;
     });
@@ -703,20 +704,24 @@
     run_briefly();
     client.join();
     CPPUNIT_ASSERT(done);
+    CPPUNIT_ASSERT_EQUAL(whole.size() - 1, connected);
     CPPUNIT_ASSERT_EQUAL(0, served_);
   }
 
-  // Returns once the server has ended the connection.
-  void send_and_end(const std::string& bytes) const {
+  // Returns once the server has ended the connection; false if there was none.
+  bool send_and_end(const std::string& bytes) const {
     const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in where = loopback(port_);
-    connect(socket, reinterpret_cast<const sockaddr*>(&where), sizeof(where));
+    const bool connected =
+        connect(socket, reinterpret_cast<const sockaddr*>(&where),
+                sizeof(where)) == 0;
     ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     shutdown(socket, SHUT_WR);
     char rest = 0;
     while (recv(socket, &rest, 1, 0) > 0) {
     }
     close(socket);
+    return connected;
   }
 
   // Until the loop is stopped, or for the longest time that a test may take.
--- a/test/raw_exchange.h
+++ b/test/raw_exchange.h
@@ -32,9 +32,14 @@
   const timeval longest{seconds, 0};
   setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &longest, sizeof(longest));
   const sockaddr_in where = loopback(port);
-  connect(socket, reinterpret_cast<const sockaddr*>(&where), sizeof(where));
-  send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   raw_exchange seen;
+  if (connect(socket, reinterpret_cast<const sockaddr*>(&where),
+              sizeof(where)) != 0) {
+    seen.error = errno;
+    close(socket);
+    return seen;
+  }
+  send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   std::array<char, 65536> piece{};
   ssize_t got = 0;
   while ((got = recv(socket, piece.data(), piece.size(), 0)) > 0) {
--- a/test/rpc_message_end_test.cc
+++ b/test/rpc_message_end_test.cc
@@ -107,7 +107,7 @@
       self->body_sent_ = true;
       return NGHTTP2_ERR_DEFERRED;
     }
-    std::memcpy(to, self->bytes_.data(), taken);
+    std::copy_n(self->bytes_.begin(), taken, to);
     self->bytes_.erase(0, taken);
     if (self->bytes_.empty() && self->end_ == stream_end::end_stream) {
       *flags |= NGHTTP2_DATA_FLAG_EOF;
@@ -254,13 +254,14 @@
     const int port = free_ports(1).front();
     CPPUNIT_ASSERT(server.listen(
         address::parse("127.0.0.1:" + std::to_string(port)).value()));
+    std::size_t connected = 0;
     std::atomic<bool> done = false;
     std::jthread client([&] {
       for (const std::string& each : bodies) {
         const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
         const sockaddr_in where = loopback(port);
-        connect(socket, reinterpret_cast<const sockaddr*>(&where),
-                sizeof(where));
+        connected += connect(socket, reinterpret_cast<const sockaddr*>(&where),
+                             sizeof(where)) == 0;
         raw_peer(socket, each, end).call();
       }
       done = true;
@@ -272,7 +273,9 @@
     });
     const timer guard = loop.after(longest_run, [&] { loop.stop(); });
     loop.run();
+    client.join();
     CPPUNIT_ASSERT(done);
+    CPPUNIT_ASSERT_EQUAL(bodies.size(), connected);
     return runs;
   }
 
@@ -282,9 +285,12 @@
     const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in where = loopback(0);
     socklen_t length = sizeof(where);
-    bind(listener, reinterpret_cast<sockaddr*>(&where), length);
-    listen(listener, 1);
-    getsockname(listener, reinterpret_cast<sockaddr*>(&where), &length);
+    const bool listens =
+        bind(listener, reinterpret_cast<sockaddr*>(&where), length) == 0 &&
+        listen(listener, 1) == 0 &&
+        getsockname(listener, reinterpret_cast<sockaddr*>(&where), &length) ==
+            0;
+    TRAYROCK_CHECK(listens, "expected a free port on loopback");
     std::jthread peer([&] {
       raw_peer(accept(listener, nullptr, nullptr), bytes, end).answer();
     });
