A response without a body is not ended by its connection

A response to HEAD, or with status 204 or 304, has no body and ends with its head. The client of endpoints reported such a response without a length as one that its connection ends. No caller saw that so far; the rule by which a stream that only its connection ends, and that has no event, counts as interrupted would have taken each response to HEAD on a streaming route for broken.

On the code before, http1_test gave for response_without_a_body_is_not_ended_by_its_connection - Expression: seen.framing == body_framing::length - 204 No Content With the change it passes, as do the other 31.

--- a/include/trayrock/internal/net/http1_client.h
+++ b/include/trayrock/internal/net/http1_client.h
@@ -27,7 +27,7 @@
 
 // How a body says where it ends.
 enum class body_framing {
-  length,
+  length,  // also: it has no body, and ends with its head
   chunks,
   connection,  // neither: at the end of its connection
 };
--- a/src/net/http1_client_connection.cc
+++ b/src/net/http1_client_connection.cc
@@ -55,7 +55,14 @@
   return milliseconds(static_cast<long>(seconds * ms_per_second * idle_share));
 }
 
-body_framing framing_of(const http_parser& parser, const header_list& headers) {
+body_framing framing_of(const http_parser& parser, const header_list& headers,
+                        bool to_head_request) {
+  constexpr unsigned no_content = 204;
+  constexpr unsigned not_modified = 304;
+  if (to_head_request || parser.status_code == no_content ||
+      parser.status_code == not_modified) {
+    return body_framing::length;
+  }
   if ((parser.flags & F_CHUNKED) != 0) {
     return body_framing::chunks;
   }
@@ -199,13 +206,13 @@
   if (me.interim_) {
     return 0;
   }
-  me.head_.framing = framing_of(*parser, me.head_.headers);
+  const bool bodyless = me.call_->head_request;
+  me.head_.framing = framing_of(*parser, me.head_.headers, bodyless);
   if (!me.head_.headers.has_only_chunked_coding() ||
       (me.head_.headers.has("Transfer-Encoding") &&
        me.head_.headers.has("Content-Length"))) {
     return -1;
   }
-  const bool bodyless = me.call_->head_request;
   const auto on_head = me.call_->observer.on_head;
   const bool mine = on_head(me.head_);
   if (me.dead_ || me.call_ == nullptr) {
--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -102,6 +102,7 @@
   std::optional<http1_end> end;
   std::string body;
   int heads = 0;
+  body_framing framing = body_framing::length;
 };
 
 class http1_test : public CppUnit::TestFixture {
@@ -135,6 +136,7 @@
   CPPUNIT_TEST(request_with_another_transfer_coding_is_refused);
   CPPUNIT_TEST(response_with_another_transfer_coding_is_broken);
   CPPUNIT_TEST(response_that_is_cut_anywhere_is_broken);
+  CPPUNIT_TEST(response_without_a_body_is_not_ended_by_its_connection);
   CPPUNIT_TEST(interim_response_is_not_the_response);
   CPPUNIT_TEST(response_reset_while_reading_is_paused_is_broken);
   CPPUNIT_TEST_SUITE_END();
@@ -578,6 +580,23 @@
     }
   }
 
+  // Guards against a response to HEAD that passes for a stream that was cut.
+  void response_without_a_body_is_not_ended_by_its_connection() {
+    for (const std::string& status :
+         {std::string("204 No Content"), std::string("304 Not Modified")}) {
+      const seen_answer seen = ask("HTTP/1.1 " + status + "\r\n\r\n",
+                                   scripted_peer::ending::stay_open);
+      CPPUNIT_ASSERT(seen.end == http1_end::complete);
+      CPPUNIT_ASSERT_MESSAGE(status, seen.framing == body_framing::length);
+    }
+    pool_ = std::make_unique<http1_pool>(*loop_);
+    const scripted_peer peer(*loop_, port_, "HTTP/1.1 200 OK\r\n\r\n",
+                             scripted_peer::ending::stay_open);
+    const seen_answer seen = send("HEAD");
+    CPPUNIT_ASSERT(seen.end == http1_end::complete);
+    CPPUNIT_ASSERT(seen.framing == body_framing::length);
+  }
+
   void interim_response_is_not_the_response() {
     const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
     CPPUNIT_ASSERT(ask(interim, scripted_peer::ending::close).end ==
@@ -776,14 +795,15 @@
     CPPUNIT_ASSERT_EQUAL(0, served_);
   }
 
-  seen_answer send() {
+  seen_answer send(const std::string& method = "GET") {
     seen_answer seen;
     http1_request request;
-    request.method = "GET";
+    request.method = method;
     request.target = "/";
     http1_observer observer;
     observer.on_head = [&](const http1_answer_head& head) {
       ++seen.heads;
+      seen.framing = head.framing;
       return head.headers.find("X-Of") != "before";
     };
     observer.on_body = [&](std::string_view bytes) { seen.body += bytes; };
