Turns that their engine broke off leave no placement

The next turn of a line goes to the engine that has its prompt, which the stores and the gateway take from the last send. A send whose response broke off counted as well, so that a line stayed with an engine that had just crashed its run; a settlement told the other gateways the same.

Now a broken response withdraws both: the settlement names the engine of the turn before, as after a refusal, and recent_placements::forget() removes what the gateway itself had recorded.

--- a/include/trayrock/internal/decide/recent_placements.h
+++ b/include/trayrock/internal/decide/recent_placements.h
@@ -42,6 +42,10 @@
   void record(const turn_line& line, const endpoint_identity& endpoint,
               std::uint64_t now_ms);
 
+  // The endpoint broke off the line's last turn: neither the line nor its
+  // program is known to have its prompt there.
+  void forget(const turn_line& line, const endpoint_identity& endpoint);
+
   // Where the last turn of the line, or of any line of its program, was sent.
   std::optional<endpoint_identity> find_line(const turn_line& line,
                                              std::uint64_t now_ms) const;
@@ -71,6 +75,7 @@
 
   void put(std::uint64_t key, const endpoint_identity& endpoint,
            std::uint64_t now_ms, bool is_line);
+  void erase(std::uint64_t key, const endpoint_identity& endpoint);
   void deactivate(entry& from);
   void remove_expired(std::uint64_t now_ms);
   std::optional<endpoint_identity> find(std::uint64_t key,
--- a/src/decide/recent_placements.cc
+++ b/src/decide/recent_placements.cc
@@ -32,6 +32,12 @@
   put(hash_of_line(line), endpoint, now_ms, true);
 }
 
+void recent_placements::forget(const turn_line& line,
+                               const endpoint_identity& endpoint) {
+  erase(hash_of_program(line), endpoint);
+  erase(hash_of_line(line), endpoint);
+}
+
 std::optional<endpoint_identity> recent_placements::find_line(
     const turn_line& line, std::uint64_t now_ms) const {
   return find(hash_of_line(line), now_ms);
@@ -62,6 +68,15 @@
   }
 }
 
+void recent_placements::erase(std::uint64_t key,
+                              const endpoint_identity& endpoint) {
+  const auto held = by_key_.find(key);
+  if (held != by_key_.end() && held->second.endpoint == endpoint) {
+    deactivate(held->second);
+    by_key_.erase(held);
+  }
+}
+
 void recent_placements::deactivate(entry& from) {
   if (!from.is_active) {
     return;
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -73,7 +73,6 @@
   return made;
 }
 
-// The endpoint has not read the prompt.
 void request_flow::keep_previous_placement() {
   history_.set_endpoint(history_.last_endpoint());
 }
@@ -129,6 +128,13 @@
   }
 }
 
+void request_flow::discard_placement() {
+  if (is_placed_by_prompt()) {
+    keep_previous_placement();
+    context_.placements.forget(line(), attempt_.identity());
+  }
+}
+
 turn_line request_flow::line() const {
   return {metadata_.program, metadata_.session, routing_.workspace_name()};
 }
@@ -424,6 +430,7 @@
 }
 
 void request_flow::on_response_broken() {
+  discard_placement();
   switch (resend_after_failure(resend_state())) {
     case resend::resume:
       context_.metrics.add("streams_resumed_total");
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -142,7 +142,10 @@
 
   // Records where the turn's prompt is held from now on.
   void record_placement();
+  // The endpoint has not read the prompt.
   void keep_previous_placement();
+  // The endpoint broke its response off, and may not have the prompt.
+  void discard_placement();
 
   http1_request forwarded_request() const;
   http1_observer observer();
--- a/test/recent_placements_test.cc
+++ b/test/recent_placements_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(line_is_forgotten_after_a_long_pause);
   CPPUNIT_TEST(line_counts_once_at_its_last_endpoint);
   CPPUNIT_TEST(line_stops_counting_after_a_pause);
+  CPPUNIT_TEST(turn_that_its_endpoint_broke_off_is_no_placement);
   CPPUNIT_TEST(table_is_bounded);
   CPPUNIT_TEST_SUITE_END();
 
@@ -82,6 +83,21 @@
     CPPUNIT_ASSERT(recent_.find_line(parent, now_ms + 5000) == first);
   }
 
+  void turn_that_its_endpoint_broke_off_is_no_placement() {
+    recent_.record(parent, first, now_ms);
+    recent_.record(child, second, now_ms);
+    recent_.forget(child, second);
+    CPPUNIT_ASSERT(!recent_.find_line(child, now_ms));
+    CPPUNIT_ASSERT(!recent_.find_program(child, now_ms));
+    CPPUNIT_ASSERT(recent_.find_line(parent, now_ms) == first);
+    CPPUNIT_ASSERT_EQUAL(0U, recent_.active_lines(second, now_ms));
+    // A later turn of the line was sent elsewhere.
+    recent_.record(child, first, now_ms + 1);
+    recent_.forget(child, second);
+    CPPUNIT_ASSERT(recent_.find_line(child, now_ms + 1) == first);
+    CPPUNIT_ASSERT_EQUAL(2U, recent_.active_lines(first, now_ms + 1));
+  }
+
   void table_is_bounded() {
     constexpr int programs = 30000;
     for (int i = 0; i < programs; ++i) {
