Tests that run at the same time use different ports

A test took its range of ports by its process id modulo 75. Tests whose ids are alike modulo 75 shared a range, so that processes of one test could not listen, or served requests of the other. Seen: five of 440 runs of store_reader_test beside each other had a store that could not listen.

Each test process now binds one port for the range that it uses, and takes the next range if that one is in use. 40 runs of runner_responses_test beside each other pass.

--- a/test/deployment.cc
+++ b/test/deployment.cc
@@ -187,14 +187,46 @@
   return parse_answer(send_raw(port, bytes, seconds));
 }
 
+namespace {
+
+// Ranges of ports for tests that run side by side. Below them, one port a range
+// is bound for the life of the process that uses the range.
+constexpr int port_ranges = 75;
+
+bool reserve(int range) {
+  constexpr int first_reserving_port = 9900;
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in where = loopback(first_reserving_port + range);
+  const bool reserved = bind(socket, reinterpret_cast<const sockaddr*>(&where),
+                             sizeof(where)) == 0;
+  if (!reserved) {
+    close(socket);
+  }
+  return reserved;
+}
+
+int reserve_range() {
+  const int first = getpid() % port_ranges;
+  for (int i = 0; i < port_ranges; ++i) {
+    const int range = (first + i) % port_ranges;
+    if (reserve(range)) {
+      return range;
+    }
+  }
+  TRAYROCK_CHECK(false, "expected one of " << port_ranges
+                                           << " ranges of ports to be free");
+  return 0;
+}
+
+}  // namespace
+
 std::vector<int> free_ports(std::size_t count) {
   // Below the range that the kernel gives to outgoing connections, and apart
   // for tests that run side by side, so that a process which is started again
   // finds its port free.
   constexpr int first_port = 10000;
   constexpr int ports_a_test = 300;
-  constexpr int tests = 75;
-  static const int first = first_port + (getpid() % tests) * ports_a_test;
+  static const int first = first_port + reserve_range() * ports_a_test;
   static int next = first;
   std::vector<int> ports;
   while (ports.size() < count) {
