An object of the platform with an unknown transfer coding is not complete

A stored object without a length or chunks is not taken as complete since it may have been cut. Found in review; no caller saw it.

On the code before, message_end_test failed in object_with_another_transfer_coding_is_not_complete - gzip: seen bytes With the change it passes.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -11,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include "trayrock/internal/net/header_list.h"
+
 namespace trayrock {
 namespace {
 
@@ -51,7 +53,7 @@
 
 bool http_reply::is_framed() const {
   return headers.contains("content-length") ||
-         headers.contains("transfer-encoding");
+         same_name(header("transfer-encoding"), "chunked");
 }
 
 struct http_client::impl {
--- a/test/message_end_test.cc
+++ b/test/message_end_test.cc
@@ -59,6 +59,7 @@
 class message_end_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(message_end_test);
   CPPUNIT_TEST(object_without_a_length_is_not_taken_as_complete);
+  CPPUNIT_TEST(object_with_another_transfer_coding_is_not_complete);
   CPPUNIT_TEST(object_with_a_length_is_read);
   CPPUNIT_TEST(object_that_falls_short_of_its_length_is_not_read);
   CPPUNIT_TEST(listing_without_its_items_is_not_an_empty_one);
@@ -85,6 +86,16 @@
                               << segment.ByteSizeLong() << " bytes");
   }
 
+  void object_with_another_transfer_coding_is_not_complete() {
+    for (const char* coding : {"gzip", "identity"}) {
+      const result<stored_object> seen =
+          get(std::string("HTTP/1.1 200 OK\r\nX-Version: 3\r\n"
+                          "Transfer-Encoding: ") +
+              coding + "\r\n\r\nbytes");
+      TRAYROCK_CHECK(!seen, coding << ": seen " << seen.value().bytes);
+    }
+  }
+
   void object_with_a_length_is_read() {
     const result<stored_object> seen = get(with_length("bytes"));
     CPPUNIT_ASSERT(seen.has_value());
