A cut response that is not read is held for a second, not the idle time-out

Since what was written is sent before a cut, and since the last second of a closing connection begins only once all bytes are with the kernel, a cut response whose client reads nothing stayed until the idle time-out (3,970 ms with one of 4 s, 15 s by default): its memory, and an open request on which a stopping gateway waits. Found in review.

cut() now ends the connection after the second in any case; finished responses keep the idle time-out. http1_test, cut_response_that_is_not_read_is_held_briefly, failed before (held until the idle time-out) and passes; slow_readers_test, gateway_stopping_test and http_1_0_path_test pass.

--- a/src/net/http1_server_connection.cc
+++ b/src/net/http1_server_connection.cc
@@ -283,6 +283,7 @@
   --server_.open;
   exchange_.reset();
   close_gently();
+  arm(linger_limit);  // also if its client does not read
 }
 
 void http1_server_connection::drop() {
--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -139,6 +139,7 @@
   CPPUNIT_TEST(response_without_a_body_is_not_ended_by_its_connection);
   CPPUNIT_TEST(interim_response_is_not_the_response);
   CPPUNIT_TEST(response_reset_while_reading_is_paused_is_broken);
+  CPPUNIT_TEST(cut_response_that_is_not_read_is_held_briefly);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -526,6 +527,40 @@
     check_without_body("GET", 304);
   }
 
+  // The idle time-out of clients' connections is longer than the test.
+  void cut_response_that_is_not_read_is_held_briefly() {
+    bool cut = false;
+    http1_server server(
+        *loop_,
+        [] {
+          http1_limits made;
+          made.idle_timeout = longest_run * 2;
+          return made;
+        },
+        [&](const http1_request&, const http1_exchange_ptr& out) {
+          out->begin(200, {});
+          out->write(std::string(16U << 20, 'x'));  // more than sockets hold
+          out->abort();
+          cut = true;
+        });
+    CPPUNIT_ASSERT(server.listen(local(port_)));
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in where = loopback(port_);
+    connect(socket, reinterpret_cast<const sockaddr*>(&where), sizeof(where));
+    const std::string ask = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+    ::send(socket, ask.data(), ask.size(), MSG_NOSIGNAL);
+    bool gone = false;
+    const timer watching = loop_->every(milliseconds(10), [&] {
+      gone = cut && server.open_requests() == 0;
+      if (gone) {
+        loop_->stop();
+      }
+    });
+    run_briefly();
+    close(socket);
+    CPPUNIT_ASSERT(gone);
+  }
+
   void request_that_is_cut_anywhere_is_not_served() {
     for (const std::string& whole :
          {std::string("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
