Tests of responses without a body on streaming routes

A review of the code before saw 502 in place of 204 and of 200 for HEAD: their framing counted as the connection's end, and a stream without events as interrupted.

--- a/test/stream_without_length_test.cc
+++ b/test/stream_without_length_test.cc
@@ -5,6 +5,7 @@
 #include <sstream>
 #include <vector>
 
+#include "raw_exchange.h"
 #include "scripted_endpoint.h"
 #include "service_deployment.h"
 #include "test_support.h"
@@ -94,6 +95,8 @@
   CPPUNIT_TEST(tokens_of_an_interrupted_stream_are_counted);
   CPPUNIT_TEST(body_of_another_type_is_complete_by_its_framing);
   CPPUNIT_TEST(body_without_length_is_complete_at_its_close);
+  CPPUNIT_TEST(response_without_content_on_a_streaming_route_is_complete);
+  CPPUNIT_TEST(response_to_head_on_a_streaming_route_is_complete);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -213,6 +216,33 @@
     CPPUNIT_ASSERT_EQUAL(std::string("answer to u1"), seen.body);
   }
 
+  void response_without_content_on_a_streaming_route_is_complete() {
+    deploy([](const std::string& request) {
+      return scripted_response{
+          "HTTP/1.1 204 No Content\r\nTrayrock-Attempt-Id: " +
+              attempt_of(request) + "\r\nTrayrock-Response-Seal: s\r\n\r\n",
+          connection_end::keep_open};
+    });
+    const http_answer seen =
+        deployed().request("gateway-1", "/resumable-stream/a", "s1");
+    CPPUNIT_ASSERT_EQUAL(204, seen.status);
+  }
+
+  void response_to_head_on_a_streaming_route_is_complete() {
+    constexpr int seconds = 10;
+    deploy([](const std::string& request) {
+      return scripted_response{head(attempt_of(request)),
+                               connection_end::keep_open};
+    });
+    const raw_exchange seen =
+        exchange_raw(deployed().port("gateway-1"),
+                     "HEAD /resumable-stream/a HTTP/1.1\r\nHost: local\r\n"
+                     "Connection: close\r\nTrayrock-Attempt-Id: h1\r\n\r\n",
+                     seconds);
+    TRAYROCK_CHECK(seen.bytes.starts_with("HTTP/1.1 200"),
+                   "expected status 200, seen " << seen.bytes);
+  }
+
   void setUp() override { made_.reset(); }
   void tearDown() override { made_.reset(); }
 
