--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -546,7 +546,9 @@
     CPPUNIT_ASSERT(server.listen(local(port_)));
     const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in where = loopback(port_);
-    connect(socket, reinterpret_cast<const sockaddr*>(&where), sizeof(where));
+    CPPUNIT_ASSERT_EQUAL(
+        0, connect(socket, reinterpret_cast<const sockaddr*>(&where),
+                   sizeof(where)));
     const std::string ask = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
     ::send(socket, ask.data(), ask.size(), MSG_NOSIGNAL);
     bool gone = false;
