--- a/fakes/fake_runner.cc
+++ b/fakes/fake_runner.cc
@@ -6,9 +6,14 @@
 // run is counted by its attempt id, with the body that came; GET /counts tells
 // them, and what came of bodies that were refused before they were read. Faults
 // come by POST /fault (see switches and response_faults.h).
+//
+// A request whose target holds "fatal" ends the process; one that holds
+// "fatal-midway", after the first event of its stream, and "fatal-late", half a
+// second later, whether its caller waits or not.
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -139,6 +144,7 @@
       return;
     }
     record_run(request, attempt);
+    end_process_if_fatal(request);
     if (early) {
       out->on_body_ended([this, attempt](const raw_request& ended) {
         runs_[attempt].body = ended.body;
@@ -156,6 +162,24 @@
     send_response(request, out, attempt, early && early->closes);
   }
 
+  void end_process_if_fatal(const raw_request& request) {
+    constexpr milliseconds until_first_event_is_sent{50};
+    constexpr milliseconds late{500};
+    const auto holds = [&](const char* text) {
+      return request.target.find(text) != std::string::npos;
+    };
+    if (holds("fatal-midway")) {
+      faults_.hang_midway = 1;
+      end_timer_ =
+          loop_.after(until_first_event_is_sent, [] { std::_Exit(1); });
+    } else if (holds("fatal-late")) {
+      faults_.hang = 1;
+      end_timer_ = loop_.after(late, [] { std::_Exit(1); });
+    } else if (holds("fatal")) {
+      std::_Exit(1);
+    }
+  }
+
   void refuse(const raw_connection_ptr& out, const std::string& attempt,
               const std::optional<early_response>& early) {
     response_content content;
@@ -262,6 +286,7 @@
   response_faults faults_of_responses_;
   std::optional<early_response> early_;  // of the request that is served next
   int cancelled_ = 0;
+  trayrock::timer end_timer_;               // of the process
   std::map<std::string, run_record> runs_;  // by attempt
   // By attempt: bodies that came behind a refusal, or parts of them.
   std::map<std::string, std::vector<std::string>> refused_early_;
