Three endpoints at most end under one request, over all gateways

Cause: each layer bounds its own repeats, and the bounds multiply. No process counted by what the repeats have in common, and a gateway could not have: to it a reset, a cut link, a spoiled response and the end of a process were all a broken response, and an endpoint that ended after the gateway had left it counted for nothing.

Now the content identifies a request (gateway/request_fingerprint.h). When its response breaks off, the gateway connects to the endpoint: a refused connection is the evidence that the process has ended (net/connect_probe.h). The other gateways confirm that they know before the request goes on or its client gets a response; a gateway that starts asks for what has ended (gateway/poison_guard.h).

--- a/fakes/fake_runner.cc
+++ b/fakes/fake_runner.cc
@@ -170,16 +170,26 @@
     };
     if (holds("fatal-midway")) {
       faults_.hang_midway = 1;
-      end_timer_ =
-          loop_.after(until_first_event_is_sent, [] { std::_Exit(1); });
+      end_process_after(until_first_event_is_sent, request.target);
     } else if (holds("fatal-late")) {
       faults_.hang = 1;
-      end_timer_ = loop_.after(late, [] { std::_Exit(1); });
+      end_process_after(late, request.target);
     } else if (holds("fatal")) {
-      std::_Exit(1);
+      end_process(request.target);
     }
   }
 
+  void end_process_after(milliseconds delay, const std::string& target) {
+    if (!end_timer_.pending()) {
+      end_timer_ = loop_.after(delay, [target] { end_process(target); });
+    }
+  }
+
+  static void end_process(const std::string& target) {
+    std::fprintf(stderr, "ends under %s \n", target.c_str());
+    std::_Exit(1);
+  }
+
   void refuse(const raw_connection_ptr& out, const std::string& attempt,
               const std::optional<early_response>& early) {
     response_content content;
--- a/include/trayrock/errors.h
+++ b/include/trayrock/errors.h
@@ -69,6 +69,8 @@
   endpoints_full = 1406,
   stopping = 1407,
   endpoints_cold = 1408,
+  poison_request = 1409,
+  poison_suspected = 1410,
 
   platform_unavailable = 1501,
   version_conflict = 1502,
--- a/include/trayrock/internal/gateway/platform_view.h
+++ b/include/trayrock/internal/gateway/platform_view.h
@@ -42,6 +42,10 @@
   endpoint_directory& endpoints;
   record_client& records;
   metrics_registry& metrics;
+  // Called before an instance that the platform has removed is dropped.
+  std::function<void(const endpoint_identity&)> on_removed;
+  // Called once the other gateways are known.
+  std::function<void()> on_peers_listed;
 };
 
 class platform_view {
--- a/include/trayrock/internal/gateway/request_flow.h
+++ b/include/trayrock/internal/gateway/request_flow.h
@@ -25,6 +25,7 @@
 #include "trayrock/internal/gateway/configuration.h"
 #include "trayrock/internal/gateway/endpoint_directory.h"
 #include "trayrock/internal/gateway/gateway_policy.h"
+#include "trayrock/internal/gateway/poison_guard.h"
 #include "trayrock/internal/gateway/shutdown_observers.h"
 #include "trayrock/internal/metrics.h"
 #include "trayrock/internal/net/http1_client.h"
@@ -49,6 +50,7 @@
   recent_programs& programs;
   recent_placements& placements;
   buffer_limiter& buffers;
+  poison_guard& poison;
   shutdown_observers& on_shutdown;  // notified shortly before the process stops
   std::string data_centre;
   gateway_policy policy;
--- a/include/trayrock/internal/gateway/request_report.h
+++ b/include/trayrock/internal/gateway/request_report.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <string>
 
+#include "trayrock/internal/decide/poison_requests.h"
 #include "trayrock/internal/gateway/request_metadata.h"
 #include "trayrock/internal/metrics.h"
 
@@ -18,6 +19,7 @@
 struct request_report {
   std::string route = "none";
   std::string workspace;            // empty: none
+  request_fingerprint content = 0;  // the same for repeats; 0: not routed
   std::uint64_t configuration = 0;  // version; 0: none yet
   std::string endpoint;             // the last one chosen
   std::string placed_by;            // why it was chosen
--- a/src/gateway/error_response.cc
+++ b/src/gateway/error_response.cc
@@ -16,6 +16,8 @@
 // Unread data stays for seconds; retries on new connections reach other
 // gateways.
 constexpr milliseconds buffers_full_retry_after{250};
+// The other tries are resolved within a round trip, or not for seconds.
+constexpr milliseconds poison_suspected_retry_after{500};
 constexpr milliseconds not_configured_retry_after{500};
 
 // A duration as seconds with three decimals.
@@ -41,6 +43,8 @@
       return endpoints_cold_retry_after;
     case errc::tokens_reserved:
       return tokens_reserved_retry_after;
+    case errc::poison_suspected:
+      return poison_suspected_retry_after;
     case errc::buffers_full:
       return buffers_full_retry_after;
     case errc::not_configured:
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -5,6 +5,7 @@
 #include "trayrock/internal/gateway/buffer_limiter.h"
 #include "trayrock/internal/gateway/gateway_lifecycle.h"
 #include "trayrock/internal/gateway/platform_view.h"
+#include "trayrock/internal/gateway/poison_guard.h"
 #include "trayrock/internal/gateway/request_flow.h"
 #include "trayrock/internal/log.h"
 #include "trayrock/internal/net/loop_delay_reporter.h"
@@ -58,7 +59,16 @@
                    client_server_.drop(connection);
                  }),
         view_(loop_, rpc_, platform_, settings, policy_,
-              {endpoints_, records_, metrics_}),
+              {endpoints_, records_, metrics_,
+               [this](const endpoint_identity& at) {
+                 poison_.check_endpoint(at);
+               },
+               [this] { poison_.fetch_ended_tries(); }}),
+        poison_(
+            loop_, rpc_, metrics_,
+            {settings.service.name, settings.service.data_centre,
+             [this] { return view_.relays().peers(); },
+             [this](const endpoint_identity& at) { return address_of(at); }}),
         context_{
             loop_,
             pool_,
@@ -72,6 +82,7 @@
             programs_,
             placements_,
             buffers_,
+            poison_,
             on_shutdown_,
             settings.service.data_centre,
             policy_,
@@ -161,6 +172,7 @@
       permits_.use_relays(view_.relays().source());
     }
     view_.serve(peer_server_);
+    poison_.serve(peer_server_);
   }
 
   http1_limits limits() const {
@@ -181,6 +193,13 @@
            !records_.isolation().is_isolated();
   }
 
+  // Of a listed instance; empty: none.
+  std::string address_of(const endpoint_identity& at) const {
+    const endpoint* const known = endpoints_.find(at.id);
+    return known == nullptr || known->identity != at ? std::string()
+                                                     : known->address;
+  }
+
   milliseconds isolated_for() {
     const std::uint64_t since = records_.isolation().isolated_since_ms();
     return milliseconds(since == 0 ? 0 : loop_.now_ms() - since);
@@ -230,6 +249,7 @@
   recent_placements placements_;
   buffer_limiter buffers_;
   platform_view view_;
+  poison_guard poison_;
   gateway_context context_;
   http1_server client_server_;
   gateway_lifecycle lifecycle_;
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -72,7 +72,7 @@
     : loop_(loop),
       pool_(pool),
       objects_(objects),
-      targets_(targets),
+      targets_(std::move(targets)),
       own_{settings.service.name, settings.service.rpc_address.text(),
            settings.service.data_centre},
       registry_(loop, objects, policy.repeats_listings),
@@ -137,7 +137,10 @@
       [this](const evacuation_list& current) { apply_evacuations(current); });
   watch_endpoints();
   follow();
-  relays_.start([this] { follower_.on_peers_listed(); });
+  relays_.start([this] {
+    follower_.on_peers_listed();
+    targets_.on_peers_listed();
+  });
   sweep_timer_ = loop_.every(sweep_period, [this] { sweep(); });
 }
 
@@ -436,6 +439,7 @@
     } else if (expired) {
       targets_.endpoints.expire(instance, changes.revision(), times);
     } else {
+      targets_.on_removed(instance);
       targets_.endpoints.remove(instance, changes.revision());
     }
   }
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -6,6 +6,7 @@
 #include "request_flow_state.h"
 #include "trayrock/internal/decide/retry_after.h"
 #include "trayrock/internal/gateway/error_response.h"
+#include "trayrock/internal/gateway/request_fingerprint.h"
 #include "trayrock/internal/log.h"
 
 namespace trayrock::internal {
@@ -48,6 +49,11 @@
     reject(*error);
     return;
   }
+  fingerprint_ = fingerprint_of(request_, metadata_, routing_.workspace_name());
+  if (context_.poison.refuses(fingerprint_)) {
+    refuse_as_poison();
+    return;
+  }
   record_program();
   context_.buffers.attach(response_.exchange().connection_id(),
                           weak_from_this(), request_.body.size());
@@ -151,7 +157,7 @@
 
 // Ends the request without a response. Its endpoint has not failed.
 void request_flow::abandon(std::string_view outcome) {
-  attempt_.cancel();
+  leave_endpoint();
   attempt_.end(attempt_outcome::cancelled);
   settle_begun_events();
   end(outcome, attempt_.status());
@@ -177,7 +183,7 @@
     return;
   }
   const bool sent = attempt_.in_flight() || report_.sends > 0;
-  attempt_.cancel();
+  leave_endpoint();
   attempt_.end(attempt_outcome::broken);
   fail(sent ? errc::runner_timeout : if_unsent);
 }
@@ -262,11 +268,13 @@
   deadline_.cancel();
   shutdown_subscription_ = {};
   silence_timer_.cancel();
+  tries_timer_.cancel();
   stores_guard_.cancel();
   context_.buffers.detach(response_.exchange().connection_id());
   return_unused_permit();
   report_routing(outcome == "answered");
   report_.endpoint = attempt_.endpoint_id();
+  report_.content = fingerprint_;
   report_.endpoints_age_ms = context_.endpoints_age_ms();
   report_.epoch = context_.records.group().epoch();
   report_.total_us = elapsed_us();
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -7,6 +7,7 @@
 #include "request_flow_state.h"
 #include "trayrock/internal/decide/stream_end.h"
 #include "trayrock/internal/decide/urgency.h"
+#include "trayrock/internal/gateway/request_fingerprint.h"
 #include "trayrock/internal/log.h"
 
 namespace trayrock::internal {
@@ -16,6 +17,10 @@
 constexpr milliseconds min_send_time{30};
 // Failed connections don't count as sends, but this many end the request.
 constexpr int max_unreachable = 4;
+// How long a suspected request waits for its other tries; longer than the pause
+// before its last one.
+constexpr std::uint64_t max_wait_for_tries_us = 750000;
+constexpr milliseconds tries_poll_period{20};
 
 }  // namespace
 
@@ -30,6 +35,62 @@
     give_up(*error);
     return;
   }
+  context_.poison.admit(fingerprint_, !metadata_.program.empty(),
+                        [self = shared_from_this()](try_verdict verdict) {
+                          if (!self->ended_) {
+                            self->on_verdict(verdict);
+                          }
+                        });
+}
+
+void request_flow::on_verdict(try_verdict verdict) {
+  switch (verdict) {
+    case try_verdict::send:
+      waits_for_tries_since_us_ = 0;
+      send_to_chosen();
+      return;
+    case try_verdict::wait:
+      wait_for_other_tries();
+      return;
+    case try_verdict::refuse:
+      refuse_as_poison();
+      return;
+  }
+}
+
+void request_flow::wait_for_other_tries() {
+  const std::uint64_t now_us = context_.loop.now_us();
+  if (waits_for_tries_since_us_ == 0) {
+    context_.metrics.add("requests_waiting_for_tries_total");
+    waits_for_tries_since_us_ = now_us;
+  }
+  const bool too_long =
+      now_us - waits_for_tries_since_us_ > max_wait_for_tries_us;
+  if (too_long) {
+    give_up(errc::poison_suspected);
+    return;
+  }
+  const std::weak_ptr<request_flow> weak = weak_from_this();
+  tries_timer_ = context_.loop.after(tries_poll_period, [weak] {
+    const auto flow = weak.lock();
+    if (flow != nullptr && !flow->ended_) {
+      flow->send_next();
+    }
+  });
+}
+
+void request_flow::refuse_as_poison() {
+  context_.metrics.add("poison_requests_refused_total",
+                       {{"route", routing_.route().name}});
+  log_warn("poison_request",
+           {{"request", metadata_.attempt},
+            {"content", fingerprint_text(fingerprint_)},
+            {"route", routing_.route().name},
+            {"ended", std::to_string(context_.poison.ended(fingerprint_))}});
+  fail(errc::poison_request);
+}
+
+void request_flow::send_to_chosen() {
   const endpoint_choice chosen =
       context_.endpoints.choose(choice_criteria(), context_.loop.now_ms());
   if (!attempt_.begin(chosen.endpoint)) {
@@ -41,6 +102,16 @@
   record_placement();
   tried_.insert(attempt_.identity());
   may_run_ = true;
+  abandoned_ = false;
+  context_.poison.sent(fingerprint_, attempt_.identity(),
+                       [self = shared_from_this()] {
+                         if (!self->ended_) {
+                           self->send_begun();
+                         }
+                       });
+}
+
+void request_flow::send_begun() {
   const http1_request forwarded = forwarded_request();
   sending_bytes_ = forwarded.body.size();
   update_held_bytes();
@@ -324,7 +395,15 @@
   response_.begin(attempt_.status(), platform::client_headers(attempt_.head()));
 }
 
+void request_flow::leave_endpoint() {
+  if (attempt_.in_flight()) {
+    context_.poison.left(fingerprint_, attempt_.identity());
+  }
+  attempt_.cancel();
+}
+
 void request_flow::abandon_endpoint() {
+  abandoned_ = true;
   attempt_.cancel();
   on_attempt_end(http1_end::broken);
 }
@@ -366,19 +445,25 @@
   switch (outcome) {
     case attempt_outcome::responded:
       ++report_.sends;
+      context_.poison.survived(fingerprint_, attempt_.identity());
       respond_to_client();
       return;
     case attempt_outcome::unreachable:
       ++report_.unreachable;
+      context_.poison.survived(fingerprint_, attempt_.identity());
+      context_.poison.check_endpoint(attempt_.identity());
       on_unreachable();
       return;
     case attempt_outcome::other_instance:
       context_.endpoint_superseded(attempt_.identity());
       ++report_.sends;
+      context_.poison.survived(fingerprint_, attempt_.identity());
+      context_.poison.instance_ended(attempt_.identity());
       on_refused();
       return;
     case attempt_outcome::refused:
       ++report_.sends;
+      context_.poison.survived(fingerprint_, attempt_.identity());
       on_refused();
       return;
     case attempt_outcome::broken:
@@ -387,13 +472,33 @@
       if (!attempt_.was_paused()) {
         context_.endpoint_failed(attempt_.identity());
       }
-      on_response_broken();
+      on_attempt_broken(how);
       return;
     case attempt_outcome::cancelled:
       return;  // handled by on_client_disconnected()
   }
 }
 
+// An invalid response that is complete comes from a process that runs.
+void request_flow::on_attempt_broken(http1_end how) {
+  const endpoint_identity at = attempt_.identity();
+  if (abandoned_) {
+    context_.poison.left(fingerprint_, at);
+    on_response_broken();
+    return;
+  }
+  if (how == http1_end::complete && attempt_.is_invalid()) {
+    context_.poison.survived(fingerprint_, at);
+    on_response_broken();
+    return;
+  }
+  context_.poison.broken(fingerprint_, at, [self = shared_from_this()] {
+    if (!self->ended_) {
+      self->on_response_broken();
+    }
+  });
+}
+
 bool request_flow::has_sends_left() const {
   return report_.sends < routing_.route().max_endpoints;
 }
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "trayrock/internal/decide/poison_requests.h"
 #include "trayrock/internal/decide/resend_policy.h"
 #include "trayrock/internal/gateway/client_response.h"
 #include "trayrock/internal/gateway/endpoint_attempt.h"
@@ -119,6 +120,17 @@
 
   void send_next();
 
+  // Whether the request may be sent, by the endpoints that have ended under it
+  // (poison_guard.h).
+  void on_verdict(try_verdict verdict);
+  void wait_for_other_tries();
+  void refuse_as_poison();
+  void send_to_chosen();
+  void send_begun();
+
+  // The attempt ends without a response because the gateway no longer waits.
+  void leave_endpoint();
+
   endpoint_criteria choice_criteria() const;
   errc no_endpoint_error() const;
   std::optional<int> urgency() const;
@@ -184,6 +196,8 @@
   // Cancels the attempt; the request may be sent to another endpoint.
   void abandon_endpoint();
 
+  void on_attempt_broken(http1_end how);
+
   // Whether the response, which ended without an error, is a stream that its
   // endpoint did not finish.
   bool is_interrupted_stream() const;
@@ -205,6 +219,9 @@
   turn_history history_;
   std::set<endpoint_identity> tried_;
   endpoint_attempt attempt_;
+  request_fingerprint fingerprint_ = 0;
+  bool abandoned_ = false;  // the current attempt, by this gateway
+  std::uint64_t waits_for_tries_since_us_ = 0;  // 0: doesn't wait
   bool needs_record_ = false;  // needs a reservation or its history
   bool continues_program_ = false;
   bool may_run_ = false;       // an endpoint has it, or may have run it
@@ -218,6 +235,7 @@
   timer deadline_;
   shutdown_observers::subscription shutdown_subscription_;
   timer silence_timer_;
+  timer tries_timer_;
   timer stores_guard_;
   std::uint64_t began_us_;
   request_report report_;
--- a/src/gateway/request_report.cc
+++ b/src/gateway/request_report.cc
@@ -1,5 +1,6 @@
 #include "trayrock/internal/gateway/request_report.h"
 
+#include "trayrock/internal/gateway/request_fingerprint.h"
 #include "trayrock/internal/log.h"
 
 namespace trayrock {
@@ -21,6 +22,7 @@
                   static_cast<double>(ended.total_us) / us_per_ms);
   log_info("request_done",
            {{"request", metadata.attempt},
+            {"content", fingerprint_text(ended.content)},
             {"program", metadata.program},
             {"previous", metadata.previous_turn},
             {"route", ended.route},
--- /dev/null
+++ b/src/net/connect_probe.cc
@@ -0,0 +1,62 @@
+#include "trayrock/internal/net/connect_probe.h"
+
+#include <event2/util.h>
+
+#include <cerrno>
+#include <utility>
+
+#include "socket_address.h"
+#include "trayrock/internal/net/address.h"
+
+namespace trayrock {
+namespace {
+
+// A process closes its sockets within milliseconds when it ends.
+constexpr milliseconds watched_for{20};
+
+}  // namespace
+
+connect_probe::connect_probe(event_loop& loop, const std::string& peer,
+                             milliseconds limit, callback done)
+    : loop_(loop),
+      bev_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
+      done_(std::move(done)) {
+  const result<address> to = address::parse(peer);
+  bool started = false;
+  if (to) {
+    sockaddr_in target = internal::socket_address_of(to.value());
+    bufferevent_setcb(bev_.get(), nullptr, nullptr, on_event, this);
+    started = bufferevent_socket_connect(bev_.get(),
+                                         reinterpret_cast<sockaddr*>(&target),
+                                         sizeof(target)) == 0;
+  }
+  limit_ = loop.after(started ? limit : milliseconds(0),
+                      [this] { end(probe_result::silent); });
+}
+
+void connect_probe::on_event(bufferevent*, short what, void* context) {
+  auto& me = *static_cast<connect_probe*>(context);
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    me.connected_ = true;
+    bufferevent_enable(me.bev_.get(), EV_READ);
+    me.limit_ =
+        me.loop_.after(watched_for, [&me] { me.end(probe_result::accepted); });
+    return;
+  }
+  if (me.connected_) {
+    me.end(probe_result::closed);
+    return;
+  }
+  const bool refused = EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+  me.end(refused ? probe_result::refused : probe_result::silent);
+}
+
+// The callback may destroy this object.
+void connect_probe::end(probe_result result) {
+  if (const callback done = std::exchange(done_, nullptr)) {
+    limit_.cancel();
+    done(result);
+  }
+}
+
+}  // namespace trayrock
--- a/test/poison_request_test.cc
+++ b/test/poison_request_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(repeats_of_a_programs_call_end_three_endpoints);
   CPPUNIT_TEST(copies_side_by_side_at_a_gateway_end_three_endpoints);
   CPPUNIT_TEST(repeats_end_three_endpoints_when_a_gateway_is_killed);
+  CPPUNIT_TEST(endpoints_that_end_after_their_client_has_left_count);
   CPPUNIT_TEST(gateway_that_starts_later_refuses_a_known_poison_request);
   CPPUNIT_TEST(refusal_is_immediate_and_names_its_cause);
   CPPUNIT_TEST(cut_and_reset_responses_do_not_condemn_a_request);
@@ -111,6 +112,18 @@
                                        << ended(system));
   }
 
+  void endpoints_that_end_after_their_client_has_left_count() {
+    service_deployment system(many_runners());
+    system.start_all();
+    for (int repeat = 0; repeat < repeats; ++repeat) {
+      system.request("gateway-1", "/unsafe/fatal-late",
+                     "a" + std::to_string(repeat),
+                     {{"Trayrock-Deadline-Ms", "200"}}, "body");
+      std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    }
+    check_bound(system);
+  }
+
   void gateway_that_starts_later_refuses_a_known_poison_request() {
     service_deployment system(many_runners());
     system.start_all();
@@ -120,8 +133,8 @@
     system.kill("gateway-2");
     system.start("gateway-2");
     system.wait_ready("gateway-2");
-    wait_until("the gateway has asked the others", [&] {
-      return system.log_lines("gateway-2", "\"ended_tries_fetched\"") > 1;
+    wait_until("the other gateway has told what has ended", [&] {
+      return system.log_lines("gateway-2", "\"request_tries_received\"") > 0;
     });
     const http_answer answer =
         system.request("gateway-2", "/safe/fatal", "late");
--- /dev/null
+++ b/test/poison_requests_test.cc
@@ -0,0 +1,248 @@
+// Tests which requests are refused because endpoints ended under them.
+#include "trayrock/internal/decide/poison_requests.h"
+
+#include "test_support.h"
+#include "trayrock/internal/gateway/request_fingerprint.h"
+
+namespace trayrock::testing {
+namespace {
+
+constexpr request_fingerprint request = 7;
+constexpr bool in_program = true;
+constexpr std::uint64_t now = 1000000;
+constexpr std::uint64_t after_pause = now + poison_requests::last_try_pause_ms;
+
+endpoint_identity endpoint_named(int number) {
+  return {"endpoint-" + std::to_string(number), 0};
+}
+
+void end_under(poison_requests& tries, request_fingerprint content, int number,
+               std::uint64_t at_ms = now) {
+  tries.record_sent(content, endpoint_named(number), at_ms);
+  tries.record_broken(content, endpoint_named(number), at_ms);
+  tries.record_ended(endpoint_named(number), at_ms);
+}
+
+http1_request http_request(const std::string& attempt,
+                           const std::string& body) {
+  http1_request made;
+  made.method = "POST";
+  made.target = "/path";
+  made.headers.add("Host", "local");
+  made.headers.add("Trayrock-Attempt-Id", attempt);
+  made.body = body;
+  return made;
+}
+
+class poison_requests_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(poison_requests_test);
+  CPPUNIT_TEST(request_is_refused_after_three_endpoints_ended);
+  CPPUNIT_TEST(last_try_waits_for_a_pause);
+  CPPUNIT_TEST(other_requests_are_not_refused);
+  CPPUNIT_TEST(all_requests_at_an_ended_endpoint_count_it);
+  CPPUNIT_TEST(broken_responses_of_living_endpoints_do_not_count);
+  CPPUNIT_TEST(endpoint_that_ends_after_it_was_left_counts);
+  CPPUNIT_TEST(endpoint_that_ends_after_it_survived_does_not_count);
+  CPPUNIT_TEST(later_try_at_a_left_endpoint_keeps_its_record);
+  CPPUNIT_TEST(copies_wait_while_their_endpoints_may_end);
+  CPPUNIT_TEST(unsuspected_copies_outside_of_programs_do_not_wait);
+  CPPUNIT_TEST(copies_at_one_endpoint_count_it_once);
+  CPPUNIT_TEST(open_tries_of_other_gateways_count_until_they_expire);
+  CPPUNIT_TEST(reported_survival_closes_a_try_of_another_gateway);
+  CPPUNIT_TEST(ended_endpoints_expire);
+  CPPUNIT_TEST(number_of_requests_is_bounded);
+  CPPUNIT_TEST(fingerprint_ignores_the_attempt);
+  CPPUNIT_TEST(fingerprint_tells_contents_apart);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void request_is_refused_after_three_endpoints_ended() {
+    poison_requests tries;
+    end_under(tries, request, 1);
+    CPPUNIT_ASSERT(tries.decide(request, in_program, now) == try_verdict::send);
+    end_under(tries, request, 2);
+    CPPUNIT_ASSERT(tries.decide(request, in_program, after_pause) ==
+                   try_verdict::send);
+    end_under(tries, request, 3);
+    CPPUNIT_ASSERT(tries.decide(request, in_program, now) ==
+                   try_verdict::refuse);
+  }
+
+  void last_try_waits_for_a_pause() {
+    poison_requests tries;
+    end_under(tries, request, 1);
+    end_under(tries, request, 2);
+    CPPUNIT_ASSERT(tries.decide(request, false, after_pause - 1) ==
+                   try_verdict::wait);
+    CPPUNIT_ASSERT(tries.decide(request, false, after_pause) ==
+                   try_verdict::send);
+  }
+
+  void other_requests_are_not_refused() {
+    poison_requests tries;
+    for (int i = 1; i <= 3; ++i) {
+      end_under(tries, request, i);
+    }
+    CPPUNIT_ASSERT(tries.decide(request + 1, in_program, now) ==
+                   try_verdict::send);
+  }
+
+  void all_requests_at_an_ended_endpoint_count_it() {
+    poison_requests tries;
+    tries.record_sent(request, endpoint_named(1), now);
+    tries.record_sent(request + 1, endpoint_named(1), now);
+    tries.record_sent(request + 2, endpoint_named(2), now);
+    const auto counted = tries.record_ended(endpoint_named(1), now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, counted.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tries.ended(request, now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, tries.ended(request + 2, now));
+  }
+
+  void broken_responses_of_living_endpoints_do_not_count() {
+    poison_requests tries;
+    for (int i = 1; i <= 9; ++i) {
+      tries.record_sent(request, endpoint_named(i), now);
+      tries.record_broken(request, endpoint_named(i), now);
+      tries.record_alive(endpoint_named(i), now);
+    }
+    CPPUNIT_ASSERT(tries.decide(request, in_program, now) == try_verdict::send);
+    CPPUNIT_ASSERT(!tries.is_suspected(request, now));
+  }
+
+  void endpoint_that_ends_after_it_was_left_counts() {
+    poison_requests tries;
+    tries.record_sent(request, endpoint_named(1), now);
+    tries.record_left(request, endpoint_named(1), now);
+    const std::uint64_t later = now + poison_requests::left_lifetime_ms;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         tries.unresolved_endpoints(request, later).size());
+    tries.record_ended(endpoint_named(1), later);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tries.ended(request, later));
+  }
+
+  void endpoint_that_ends_after_it_survived_does_not_count() {
+    poison_requests tries;
+    tries.record_sent(request, endpoint_named(1), now);
+    tries.record_survived(request, endpoint_named(1));
+    tries.record_ended(endpoint_named(1), now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, tries.ended(request, now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, tries.size());
+  }
+
+  void later_try_at_a_left_endpoint_keeps_its_record() {
+    poison_requests tries;
+    tries.record_sent(request, endpoint_named(1), now);
+    tries.record_left(request, endpoint_named(1), now);
+    tries.record_sent(request, endpoint_named(1), now);
+    tries.record_survived(request, endpoint_named(1));
+    tries.record_ended(endpoint_named(1), now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tries.ended(request, now));
+  }
+
+  void copies_wait_while_their_endpoints_may_end() {
+    poison_requests tries;
+    end_under(tries, request, 1);
+    tries.record_sent(request, endpoint_named(2), now);
+    CPPUNIT_ASSERT(tries.decide(request, false, now) == try_verdict::send);
+    tries.record_sent(request, endpoint_named(3), now);
+    CPPUNIT_ASSERT(tries.decide(request, false, now) == try_verdict::wait);
+    tries.record_survived(request, endpoint_named(2));
+    CPPUNIT_ASSERT(tries.decide(request, false, now) == try_verdict::send);
+  }
+
+  void unsuspected_copies_outside_of_programs_do_not_wait() {
+    poison_requests tries;
+    for (int i = 1; i <= 5; ++i) {
+      tries.record_sent(request, endpoint_named(i), now);
+    }
+    CPPUNIT_ASSERT(tries.decide(request, false, now) == try_verdict::send);
+    CPPUNIT_ASSERT(tries.decide(request, in_program, now) == try_verdict::wait);
+  }
+
+  void copies_at_one_endpoint_count_it_once() {
+    poison_requests tries;
+    tries.record_sent(request, endpoint_named(1), now);
+    tries.record_sent(request, endpoint_named(1), now);
+    tries.record_broken(request, endpoint_named(1), now);
+    tries.record_ended(endpoint_named(1), now);
+    tries.record_broken(request, endpoint_named(1), now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tries.ended(request, now));
+    CPPUNIT_ASSERT(tries.decide(request, in_program, now) == try_verdict::send);
+  }
+
+  void open_tries_of_other_gateways_count_until_they_expire() {
+    poison_requests tries;
+    end_under(tries, request, 1);
+    end_under(tries, request, 2);
+    tries.record_peer_try({request, endpoint_named(3), try_stage::open}, now);
+    CPPUNIT_ASSERT(tries.decide(request, false, after_pause) ==
+                   try_verdict::wait);
+    const std::uint64_t later = now + poison_requests::peer_open_lifetime_ms;
+    CPPUNIT_ASSERT(tries.decide(request, false, later + 1) ==
+                   try_verdict::send);
+  }
+
+  void reported_survival_closes_a_try_of_another_gateway() {
+    poison_requests tries;
+    end_under(tries, request, 1);
+    end_under(tries, request, 2);
+    tries.record_peer_try({request, endpoint_named(3), try_stage::open}, now);
+    tries.record_peer_try({request, endpoint_named(3), try_stage::left}, now);
+    CPPUNIT_ASSERT(tries.decide(request, false, after_pause) ==
+                   try_verdict::send);
+    tries.record_peer_try({request, endpoint_named(3), try_stage::ended}, now);
+    CPPUNIT_ASSERT(tries.decide(request, false, now) == try_verdict::refuse);
+  }
+
+  void ended_endpoints_expire() {
+    poison_requests tries;
+    for (int i = 1; i <= 3; ++i) {
+      end_under(tries, request, i);
+    }
+    const std::uint64_t later = now + poison_requests::ended_lifetime_ms;
+    CPPUNIT_ASSERT(tries.decide(request, in_program, later) ==
+                   try_verdict::refuse);
+    CPPUNIT_ASSERT(tries.decide(request, in_program, later + 1) ==
+                   try_verdict::send);
+    tries.remove_expired(later + 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, tries.size());
+  }
+
+  void number_of_requests_is_bounded() {
+    poison_requests tries;
+    tries.record_sent(request, endpoint_named(1), now);
+    for (request_fingerprint each = 1000; each < 11000; ++each) {
+      end_under(tries, each, static_cast<int>(each), now + each);
+    }
+    CPPUNIT_ASSERT_EQUAL(poison_requests::max_requests, tries.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tries.own_open_tries(request).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tries.ended(10999, now + 10999));
+  }
+
+  void fingerprint_ignores_the_attempt() {
+    request_metadata first;
+    first.attempt = "a";
+    first.time_left = std::chrono::milliseconds(100);
+    request_metadata second;
+    second.attempt = "b";
+    CPPUNIT_ASSERT_EQUAL(fingerprint_of(http_request("a", "x"), first, ""),
+                         fingerprint_of(http_request("b", "x"), second, ""));
+  }
+
+  void fingerprint_tells_contents_apart() {
+    const request_metadata none;
+    request_metadata with_program;
+    with_program.program = "p";
+    const request_fingerprint plain =
+        fingerprint_of(http_request("a", "x"), none, "");
+    CPPUNIT_ASSERT(plain != fingerprint_of(http_request("a", "y"), none, ""));
+    CPPUNIT_ASSERT(plain != fingerprint_of(http_request("a", "x"), none, "w"));
+    CPPUNIT_ASSERT(plain !=
+                   fingerprint_of(http_request("a", "x"), with_program, ""));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(poison_requests_test);
+
+}  // namespace
+}  // namespace trayrock::testing
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -2,6 +2,7 @@
 
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -287,6 +288,18 @@
              endpoint_entry(local(reached_at(name, port(name))), phase));
 }
 
+void service_deployment::restart_runner(const std::string& name) {
+  process& each = processes_.at(name);
+  const auto id =
+      std::find(each.command.begin(), each.command.end(), "--id") + 1;
+  remove_object("servers", *id);
+  *id = name + "-" + std::to_string(++each.restarts);
+  start(name);
+  wait_until(name + " answers", [&] { return counts(name).is_object(); });
+  put_object("servers", *id,
+             endpoint_entry(local(reached_at(name, port(name))), "ready"));
+}
+
 json service_deployment::endpoint_entry(const std::string& address,
                                         const std::string& phase) {
   return {{"service", "assistant"}, {"address", address}, {"zone", "dc-1"},
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -68,6 +68,8 @@
   void remove_object(const std::string& kind, const std::string& name);
   json object(const std::string& kind, const std::string& name);
   void register_runner(const std::string& name, const std::string& phase);
+  // Starts a runner that has ended as a new instance at its former address.
+  void restart_runner(const std::string& name);
   static json endpoint_entry(const std::string& address,
                              const std::string& phase);
   void configure(std::uint64_t version, const json& more_routes = {});
@@ -125,6 +127,7 @@
     int second_port = 0;
     int metrics_port = 0;
     pid_t id = 0;
+    int restarts = 0;
   };
 
   void add_gateway(const std::string& name, bool elsewhere);
