Three processes at most end under one call of the own interface

A call under which its engine ends was repeated on up to four engines, and a repeat by the caller began again: 6 of 6 engines ended under four repeats (poison_call_test, run with the bound taken out). A call whose node ends was taken over and repeated: 4 and 9 nodes ended in two runs.

Cause: the limit of four attempts counts attempts of one call at one owner, also refused ones, and nothing knew that processes had ended under it.

The node whose runner's response broke off now tries to connect, and says in its failure that the process has ended. After three the call is refused with 1409.

--- a/fakes/fake_engine.cc
+++ b/fakes/fake_engine.cc
@@ -4,9 +4,12 @@
 // Time is modelled in steps: each step gives one token to every sequence that
 // decodes and a share of prefill work to those that wait for it. The cache
 // keeps one entry a message, under the digest of the conversation up to it.
+//
+// A conversation that holds "fatal" ends the process.
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <deque>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -144,6 +147,9 @@
   void serve(const http_request& request, const http_exchange_ptr& out) {
     const json body = json::parse(request.body, nullptr, false);
     if (request.path == "/v1/chat/completions" && body.is_object()) {
+      if (request.body.find("fatal") != std::string::npos) {
+        std::_Exit(1);
+      }
       generate(body, out);
     } else if (request.path == "/v1/holds") {
       serve_holds(request, out);
--- a/include/trayrock/internal/decide/program_table.h
+++ b/include/trayrock/internal/decide/program_table.h
@@ -44,6 +44,10 @@
   // endpoints' nodes keep the keys of such attempts, so the next call continues
   // the numbering.
   std::uint32_t dropped_attempts = 0;
+  // Processes that ended under the last failed call, and its content. A repeat
+  // of that content goes on counting.
+  std::uint32_t ended_processes = 0;
+  std::uint64_t ended_content = 0;
 
   std::uint64_t next_sequence() const { return turns.size() + 1; }
   bool has_call_in_progress() const {
@@ -55,6 +59,9 @@
   std::vector<wire::Message> conversation() const;
 };
 
+// Endpoints and nodes that may end under one call and its repeats.
+constexpr std::uint32_t max_ended_processes = 3;
+
 // The settings that apply to a call, from the configuration.
 struct call_settings {
   std::string service;
--- a/include/trayrock/internal/gateway/poison_guard.h
+++ b/include/trayrock/internal/gateway/poison_guard.h
@@ -94,7 +94,6 @@
  private:
   struct check {
     std::unique_ptr<connect_probe> probe;
-    bool repeated = false;
     std::vector<callback> waiting;
   };
   struct round {
@@ -104,7 +103,6 @@
   };
 
   void start_check(const endpoint_identity& at, callback then);
-  void start_probe(const endpoint_identity& at);
   void end_check(const endpoint_identity& at, probe_result result);
   void on_ended(const endpoint_identity& at, callback then);
   void tell(const records::RequestTries& tries, callback then);
--- a/include/trayrock/internal/net/connect_probe.h
+++ b/include/trayrock/internal/net/connect_probe.h
@@ -3,7 +3,8 @@
 //
 // A refused connection shows that the process has ended. Silence shows nothing:
 // the path may be cut. A process that is ending may still accept a connection
-// and closes it at once, so an accepted one is watched for a moment.
+// and closes it at once, so an accepted one is watched for a moment, and a
+// connection that was closed is made once more.
 //
 // Example:
 //   connect_probe probe(loop, "10.0.0.1:8040", limit,
@@ -16,16 +17,12 @@
 #include <memory>
 #include <string>
 
+#include "trayrock/internal/net/address.h"
 #include "trayrock/internal/net/loop.h"
 
 namespace trayrock {
 
-enum class probe_result {
-  accepted,  // and kept open
-  closed,    // accepted, then closed by the peer
-  refused,
-  silent
-};
+enum class probe_result { accepted, refused, silent };
 
 // Dropping the probe cancels it.
 class connect_probe {
@@ -46,9 +43,14 @@
   static void on_event(bufferevent* bev, short what, void* context);
   void end(probe_result result);
 
+  void connect();
+
   event_loop& loop_;
+  result<address> to_;
+  milliseconds time_limit_;
   std::unique_ptr<bufferevent, closer> bev_;
   bool connected_ = false;
+  bool repeated_ = false;
   timer limit_;
   callback done_;
 };
--- a/include/trayrock/internal/node/owner.h
+++ b/include/trayrock/internal/node/owner.h
@@ -104,7 +104,8 @@
   // Another attempt on another runner; false when that is not allowed.
   bool try_again(const active_ptr& active, bool reached_the_runner);
   void done(const active_ptr& active, const wire::ExecuteDone& answer);
-  void give_up(const active_ptr& active, const wire::Failure& failure);
+  void count_ended_process(const active_ptr& active);
+  void give_up(const active_ptr& active, const wire::Failure& cause);
   void outcome_unknown(const active_ptr& active, const wire::Failure& failure);
   void settle(const active_ptr& active, wire::CallOutcome outcome,
               bool wait_until_durable);
--- a/include/trayrock/internal/node/runner_gate.h
+++ b/include/trayrock/internal/node/runner_gate.h
@@ -57,6 +57,7 @@
   void service_ended(const request_key& key, const result<http_reply>& reply);
   void finish(const request_key& key, wire::ExecuteDone done);
   void fail(const request_key& key, const wire::Failure& failure);
+  void fail_after_check(const request_key& key, wire::Failure failure);
   void close(const request_key& key);
   void tell(execution& what, const wire::ExecuteEvent& event);
   wire::ExecuteEvent make_event(const request_key& key, std::uint64_t term);
--- a/src/decide/program_table.cc
+++ b/src/decide/program_table.cc
@@ -1,6 +1,9 @@
 #include "trayrock/internal/decide/program_table.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <string>
 
 #include "trayrock/internal/decide/shard_map.h"
 
@@ -29,6 +32,16 @@
                     });
 }
 
+// What an endpoint is given to work on, besides the conversation before.
+std::uint64_t content_of(const wire::CallIntent& intent) {
+  std::string bytes = intent.service();
+  for (const wire::Message& each : intent.messages()) {
+    bytes.append(1, '\0').append(each.role());
+    bytes.append(1, '\0').append(each.content());
+  }
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
 refuse_call refused(errc code, std::string_view detail = {}) {
   return {make_failure(code, wire::RAN_NO, 0, detail)};
 }
@@ -178,6 +191,13 @@
   }
   intent.set_sequence(next);
   intent.set_attempt(program.dropped_attempts);
+  if (program.ended_processes > 0 &&
+      program.ended_content == content_of(intent)) {
+    intent.set_ended_processes(program.ended_processes);
+    if (program.ended_processes >= max_ended_processes) {
+      return refused(errc::poison_request);
+    }
+  }
   const std::uint64_t context =
       settings.conversational ? program.context_tokens : 0;
   intent.set_reserved_tokens(settings.max_tokens == 0
@@ -300,6 +320,7 @@
     current.set_endpoint(intent.endpoint());
     current.set_node(intent.node());
     current.set_node_start(intent.node_start());
+    current.set_ended_processes(intent.ended_processes());
   }
 }
 
@@ -312,6 +333,9 @@
   turn& open = program->turns.back();
   reserve(*program, open.intent, true);
   program->dropped_attempts = 0;
+  program->ended_processes = outcome.ended_processes();
+  program->ended_content =
+      outcome.ended_processes() == 0 ? 0 : content_of(open.intent);
   if (outcome.ran() == wire::RAN_NO) {
     program->dropped_attempts = open.intent.attempt();
     program->turns.pop_back();
@@ -343,6 +367,8 @@
   program.spec = snapshot.spec();
   program.ended = snapshot.ended();
   program.dropped_attempts = snapshot.dropped_attempts();
+  program.ended_processes = snapshot.ended_processes();
+  program.ended_content = snapshot.ended_content();
   program.used_tokens = snapshot.used().tokens();
   program.used_calls = snapshot.used().calls();
   for (const wire::Turn& each : snapshot.turns()) {
@@ -376,6 +402,8 @@
   made.mutable_used()->set_calls(program.used_calls);
   made.set_ended(program.ended);
   made.set_dropped_attempts(program.dropped_attempts);
+  made.set_ended_processes(program.ended_processes);
+  made.set_ended_content(program.ended_content);
   for (const turn& each : program.turns) {
     wire::Turn& copy = *made.add_turns();
     *copy.mutable_intent() = each.intent;
--- a/src/gateway/poison_guard.cc
+++ b/src/gateway/poison_guard.cc
@@ -231,14 +231,10 @@
     return;
   }
   metrics_.add("endpoint_end_checks_total");
-  start_probe(at);
-}
-
-void poison_guard::start_probe(const endpoint_identity& at) {
   const auto known = addresses_.find(at);
   const std::string address =
       known == addresses_.end() ? around_.address_of(at) : known->second;
-  checks_.at(at).probe = std::make_unique<connect_probe>(
+  found->second.probe = std::make_unique<connect_probe>(
       loop_, address, check_limit, [this, at](probe_result result) {
         // The probe is still in use here.
         loop_.post([this, at, result] { end_check(at, result); });
@@ -247,12 +243,6 @@
 
 void poison_guard::end_check(const endpoint_identity& at, probe_result result) {
   const auto found = checks_.find(at);
-  // An endpoint at its limit of connections closes the second one, too.
-  if (result == probe_result::closed &&
-      !std::exchange(found->second.repeated, true)) {
-    start_probe(at);
-    return;
-  }
   const std::vector<callback> waiting = std::move(found->second.waiting);
   checks_.erase(found);
   const auto run_waiting = [waiting] {
@@ -264,7 +254,7 @@
     on_ended(at, run_waiting);
     return;
   }
-  if (result != probe_result::silent) {
+  if (result == probe_result::accepted) {
     tries_.record_alive(at, loop_.now_ms());
   }
   run_waiting();
--- a/src/net/connect_probe.cc
+++ b/src/net/connect_probe.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "socket_address.h"
-#include "trayrock/internal/net/address.h"
 
 namespace trayrock {
 namespace {
@@ -19,19 +18,25 @@
 connect_probe::connect_probe(event_loop& loop, const std::string& peer,
                              milliseconds limit, callback done)
     : loop_(loop),
-      bev_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
+      to_(address::parse(peer)),
+      time_limit_(limit),
       done_(std::move(done)) {
-  const result<address> to = address::parse(peer);
+  connect();
+}
+
+void connect_probe::connect() {
+  connected_ = false;
   bool started = false;
-  if (to) {
-    sockaddr_in target = internal::socket_address_of(to.value());
+  if (to_) {
+    bev_.reset(bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE));
     bufferevent_setcb(bev_.get(), nullptr, nullptr, on_event, this);
+    sockaddr_in target = internal::socket_address_of(to_.value());
     started = bufferevent_socket_connect(bev_.get(),
                                          reinterpret_cast<sockaddr*>(&target),
                                          sizeof(target)) == 0;
   }
-  limit_ = loop.after(started ? limit : milliseconds(0),
-                      [this] { end(probe_result::silent); });
+  limit_ = loop_.after(started ? time_limit_ : milliseconds(0),
+                       [this] { end(probe_result::silent); });
 }
 
 void connect_probe::on_event(bufferevent*, short what, void* context) {
@@ -41,14 +46,15 @@
     bufferevent_enable(me.bev_.get(), EV_READ);
     me.limit_ =
         me.loop_.after(watched_for, [&me] { me.end(probe_result::accepted); });
-    return;
-  }
-  if (me.connected_) {
-    me.end(probe_result::closed);
-    return;
+  } else if (!me.connected_) {
+    const bool refused = EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+    me.end(refused ? probe_result::refused : probe_result::silent);
+  } else if (!std::exchange(me.repeated_, true)) {
+    me.limit_ = me.loop_.after(milliseconds(0), [&me] { me.connect(); });
+  } else {
+    // A process that runs closes connections beyond its limit.
+    me.end(probe_result::accepted);
   }
-  const bool refused = EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
-  me.end(refused ? probe_result::refused : probe_result::silent);
 }
 
 // The callback may destroy this object.
--- a/src/node/owner_call.cc
+++ b/src/node/owner_call.cc
@@ -240,6 +240,9 @@
   const bool too_long =
       now - active->lost_since_ms > limits_.resolve_limit_ms ||
       shared_.box_gone(intent.node());
+  if (other_start || shared_.box_gone(intent.node())) {
+    count_ended_process(active);
+  }
   if (intent.repeatable() &&
       (other_start || too_long ||
        active->attach_tries > attach_tries_if_repeatable)) {
@@ -278,6 +281,7 @@
     return;
   }
   if (code == errc::wrong_start && active->attaching) {
+    count_ended_process(active);
     if (!active->intent.repeatable()) {
       outcome_unknown(active,
                       make_failure(errc::outcome_unknown, wire::RAN_UNKNOWN));
@@ -299,6 +303,9 @@
 }
 
 void owner::failed(const active_ptr& active, const wire::Failure& failure) {
+  if (failure.endpoint_ended()) {
+    count_ended_process(active);
+  }
   if (!active->intent.repeatable()) {
     outcome_unknown(active, failure);
     return;
@@ -309,8 +316,23 @@
   }
 }
 
+// The endpoint's process, or its node's, has ended under the call.
+void owner::count_ended_process(const active_ptr& active) {
+  wire::CallIntent& intent = active->intent;
+  intent.set_ended_processes(intent.ended_processes() + 1);
+  metrics_.add("processes_ended_under_calls_total",
+               {{"service", intent.service()}});
+  log_warn("process_ended_under_call",
+           {{"program", intent.program()},
+            {"call", std::to_string(intent.sequence())},
+            {"attempt", std::to_string(intent.attempt())},
+            {"endpoint", intent.endpoint()},
+            {"ended", std::to_string(intent.ended_processes())}});
+}
+
 bool owner::try_again(const active_ptr& active, bool reached_the_runner) {
-  if (active->intent.attempt() - active->attempts_before >= max_attempts) {
+  if (active->intent.ended_processes() >= max_ended_processes ||
+      active->intent.attempt() - active->attempts_before >= max_attempts) {
     return false;
   }
   if (reached_the_runner && !retries_of(active->intent.service()).try_spend()) {
@@ -376,6 +398,7 @@
             {"attempt", std::to_string(active->intent.attempt())}});
   wire::CallOutcome outcome;
   outcome.set_ran(wire::RAN_UNKNOWN);
+  outcome.set_ended_processes(active->intent.ended_processes());
   *outcome.mutable_failure() = failure;
   outcome.mutable_failure()->set_ran(wire::RAN_UNKNOWN);
   settle(active, std::move(outcome), true);
@@ -383,7 +406,10 @@
 
 // Not run, or run without an answer that counts: the call's number is free
 // again and the final answer goes out at once.
-void owner::give_up(const active_ptr& active, const wire::Failure& failure) {
+void owner::give_up(const active_ptr& active, const wire::Failure& cause) {
+  const bool poison = active->intent.ended_processes() >= max_ended_processes;
+  const wire::Failure failure =
+      poison ? make_failure(errc::poison_request, wire::RAN_UNKNOWN) : cause;
   count(active->intent.program(), active->intent.service(),
         burn_count::refusals, 1);
   metrics_.add("calls_given_up_total",
@@ -395,6 +421,7 @@
             {"code", std::to_string(failure.code())}});
   wire::CallOutcome outcome;
   outcome.set_ran(wire::RAN_NO);
+  outcome.set_ended_processes(active->intent.ended_processes());
   *outcome.mutable_failure() = failure;
   settle(active, std::move(outcome), false);
 }
--- a/src/node/runner_gate.cc
+++ b/src/node/runner_gate.cc
@@ -6,6 +6,7 @@
 
 #include "trayrock/internal/failure.h"
 #include "trayrock/internal/log.h"
+#include "trayrock/internal/net/connect_probe.h"
 
 namespace trayrock {
 namespace {
@@ -16,6 +17,8 @@
 constexpr std::uint64_t orphan_grace_ms = 15000;
 constexpr std::uint64_t settled_kept_ms = 120000;
 constexpr std::uint64_t closed_kept_ms = 3600000;
+// Runners are on this box.
+constexpr milliseconds check_limit{100};
 constexpr int ok = 200;
 // Engines serve lower numbers first.
 constexpr int urgent_priority = 0;
@@ -82,7 +85,8 @@
   std::string text;
   wire::Usage usage;
   bool whole = false;
-  bool garbled = false;  // an event of the stream is unreadable
+  bool garbled = false;                  // an event of the stream is unreadable
+  std::unique_ptr<connect_probe> check;  // of the runner, once it broke off
 };
 
 runner_gate::runner_gate(event_loop& loop, cluster& shared, rpc_server& server,
@@ -388,7 +392,7 @@
   } else if (reply && reply.value().status != ok) {
     fail(key, make_failure(errc::runner_failed, wire::RAN_UNKNOWN));
   } else {
-    fail(key, make_failure(errc::answer_cut, wire::RAN_UNKNOWN));
+    fail_after_check(key, make_failure(errc::answer_cut, wire::RAN_UNKNOWN));
   }
 }
 
@@ -425,7 +429,8 @@
   } else if (!reply && reply.error() == errc::rpc_timeout) {
     fail(key, make_failure(errc::runner_timeout, wire::RAN_UNKNOWN));
   } else {
-    fail(key, make_failure(errc::outcome_unknown, wire::RAN_UNKNOWN));
+    fail_after_check(key,
+                     make_failure(errc::outcome_unknown, wire::RAN_UNKNOWN));
   }
 }
 
@@ -437,6 +442,31 @@
   close(key);
 }
 
+// The response broke off; a refused connection shows that the runner's process
+// has ended.
+void runner_gate::fail_after_check(const request_key& key,
+                                   wire::Failure failure) {
+  execution& what = *executions_.at(key);
+  const auto on = runners_.find(what.request.endpoint());
+  if (on == runners_.end()) {
+    fail(key, failure);
+    return;
+  }
+  const auto report = [this, key,
+                       failure = std::move(failure)](probe_result seen) {
+    wire::Failure checked = failure;
+    checked.set_endpoint_ended(seen == probe_result::refused);
+    // The probe is still in use here.
+    loop_.post([this, key, checked] {
+      if (executions_.contains(key)) {
+        fail(key, checked);
+      }
+    });
+  };
+  what.check = std::make_unique<connect_probe>(loop_, on->second->where.text(),
+                                               check_limit, report);
+}
+
 void runner_gate::fail(const request_key& key, const wire::Failure& failure) {
   metrics_.add("runner_failures_total",
                {{"code", std::to_string(failure.code())}});
--- a/test/program_table_test.cc
+++ b/test/program_table_test.cc
@@ -40,6 +40,8 @@
   CPPUNIT_TEST(call_with_unknown_outcome_is_charged_its_reservation);
   CPPUNIT_TEST(sub_programs_share_the_root_budget);
   CPPUNIT_TEST(dropped_call_frees_its_sequence_number_but_not_its_attempts);
+  CPPUNIT_TEST(call_that_ended_three_processes_is_refused);
+  CPPUNIT_TEST(another_content_or_a_success_is_not_refused);
   CPPUNIT_TEST(snapshot_restores_the_state);
   CPPUNIT_TEST(calls_after_the_deadline_are_refused);
   CPPUNIT_TEST_SUITE_END();
@@ -151,6 +153,29 @@
     CPPUNIT_ASSERT_EQUAL(1306, refusal(make_request("p", 1, "x"), 1600));
   }
 
+  void call_that_ended_three_processes_is_refused() {
+    open("p");
+    begin(make_request("p", 1, "x"));
+    settle("p", 1, wire::RAN_NO, 2);
+    const wire::CallIntent again = begin(make_request("p", 1, "x"));
+    CPPUNIT_ASSERT_EQUAL(2U, again.ended_processes());
+    settle("p", 1, wire::RAN_UNKNOWN, 3);
+    CPPUNIT_ASSERT_EQUAL(1409, refusal(make_request("p", 2, "x")));
+    wire::Record taken_over = program_table::snapshot(*programs_.find("p"), 1);
+    programs_.apply(taken_over);
+    CPPUNIT_ASSERT_EQUAL(1409, refusal(make_request("p", 2, "x")));
+  }
+
+  void another_content_or_a_success_is_not_refused() {
+    open("p");
+    begin(make_request("p", 1, "x"));
+    settle("p", 1, wire::RAN_NO, 3);
+    CPPUNIT_ASSERT_EQUAL(0, refusal(make_request("p", 1, "y")));
+    begin(make_request("p", 1, "y"));
+    settle("p", 1, wire::RAN_YES);
+    CPPUNIT_ASSERT_EQUAL(0, refusal(make_request("p", 2, "x")));
+  }
+
  private:
   static call_settings settings() {
     call_settings made;
@@ -189,13 +214,14 @@
     programs_.apply(record);
   }
 
-  void settle(const std::string& program, std::uint64_t sequence,
-              wire::Ran ran) {
+  void settle(const std::string& program, std::uint64_t sequence, wire::Ran ran,
+              std::uint32_t ended_processes = 0) {
     wire::Record record;
     wire::CallOutcome& outcome = *record.mutable_outcome();
     outcome.set_program(program);
     outcome.set_sequence(sequence);
     outcome.set_ran(ran);
+    outcome.set_ended_processes(ended_processes);
     outcome.set_answer("answer");
     outcome.mutable_usage()->set_prompt_tokens(20);
     outcome.mutable_usage()->set_completion_tokens(10);
