--- a/include/trayrock/internal/gateway/poison_guard.h
+++ b/include/trayrock/internal/gateway/poison_guard.h
@@ -37,8 +37,8 @@
   using verdict_callback = std::function<void(try_verdict)>;
   using callback = std::function<void()>;
 
-  struct surroundings {
-    std::string gateway;                             // its name
+  struct own_gateway {
+    std::string name;                                // its name
     std::string data_centre;                         // of this gateway
     std::function<std::vector<relay_peer>()> peers;  // the other gateways
     // The address of a listed instance; empty: none.
@@ -47,7 +47,7 @@
 
   // All references must outlive the object.
   poison_guard(event_loop& loop, rpc_pool& pool, metrics_registry& metrics,
-               surroundings around);
+               own_gateway own);
   poison_guard(const poison_guard&) = delete;
   poison_guard& operator=(const poison_guard&) = delete;
 
@@ -66,7 +66,7 @@
   // Calls back with the verdict: at once for a request without suspicion, else
   // after its earlier endpoints have been checked.
   void admit(request_fingerprint request, bool in_program,
-             verdict_callback done);
+             const verdict_callback& done);
 
   // The request is about to be sent. Calls back at once, or for a suspected
   // request once the other gateways know of the try.
@@ -117,7 +117,7 @@
   event_loop& loop_;
   rpc_pool& pool_;
   metrics_registry& metrics_;
-  surroundings around_;
+  own_gateway own_;
   poison_requests tries_;
   std::map<endpoint_identity, std::string> addresses_;  // of tries
   std::map<endpoint_identity, check> checks_;           // in progress
--- a/src/gateway/poison_guard.cc
+++ b/src/gateway/poison_guard.cc
@@ -62,8 +62,8 @@
 }  // namespace
 
 poison_guard::poison_guard(event_loop& loop, rpc_pool& pool,
-                           metrics_registry& metrics, surroundings around)
-    : loop_(loop), pool_(pool), metrics_(metrics), around_(std::move(around)) {
+                           metrics_registry& metrics, own_gateway own)
+    : loop_(loop), pool_(pool), metrics_(metrics), own_(std::move(own)) {
   expiry_ = loop_.every(expiry_period, [this] { remove_expired(); });
 }
 
@@ -147,7 +147,7 @@
 }
 
 void poison_guard::admit(request_fingerprint request, bool in_program,
-                         verdict_callback done) {
+                         const verdict_callback& done) {
   const std::uint64_t now = loop_.now_ms();
   const std::vector<endpoint_identity> unresolved =
       tries_.unresolved_endpoints(request, now);
@@ -172,7 +172,7 @@
                         const endpoint_identity& at, const callback& then) {
   const std::uint64_t now = loop_.now_ms();
   const bool suspected = tries_.is_suspected(request, now);
-  addresses_[at] = around_.address_of(at);
+  addresses_[at] = own_.address_of(at);
   tries_.record_sent(request, at, now);
   if (!suspected) {
     then();
@@ -233,7 +233,7 @@
   metrics_.add("endpoint_end_checks_total");
   const auto known = addresses_.find(at);
   const std::string address =
-      known == addresses_.end() ? around_.address_of(at) : known->second;
+      known == addresses_.end() ? own_.address_of(at) : known->second;
   found->second.probe = std::make_unique<connect_probe>(
       loop_, address, check_limit, [this, at](probe_result result) {
         // The probe is still in use here.
@@ -281,14 +281,14 @@
 }
 
 std::vector<std::string> poison_guard::peers_to_tell() const {
-  std::vector<relay_peer> peers = around_.peers();
+  std::vector<relay_peer> peers = own_.peers();
   std::stable_partition(peers.begin(), peers.end(),
                         [this](const relay_peer& each) {
-                          return each.data_centre == around_.data_centre;
+                          return each.data_centre == own_.data_centre;
                         });
   std::vector<std::string> made;
   for (const relay_peer& each : peers) {
-    if (each.name != around_.gateway && made.size() < max_told) {
+    if (each.name != own_.name && made.size() < max_told) {
       made.push_back(each.address);
     }
   }
--- a/test/poison_request_test.cc
+++ b/test/poison_request_test.cc
@@ -84,6 +84,7 @@
     constexpr int copies = 4;
     {
       std::vector<std::jthread> running;
+      running.reserve(copies);
       for (int i = 0; i < copies; ++i) {
         running.emplace_back([&system, i] {
           for (int j = 0; j < 3; ++j) {
--- a/test/poison_soak_test.cc
+++ b/test/poison_soak_test.cc
@@ -129,6 +129,7 @@
   void send_copies(const std::string& gateway, const std::string& target) {
     constexpr int copies = 4;
     std::vector<std::jthread> running;
+    running.reserve(copies);
     for (int i = 0; i < copies; ++i) {
       running.emplace_back(
           [this, &gateway, &target] { send(gateway, target, target, true); });
@@ -243,15 +244,14 @@
   void check() {
     int without_faults = 0;
     for (const auto& [target, sent] : contents_) {
-      std::size_t ended = 0;
+      int ended = 0;
       for (int i = 1; i <= runners; ++i) {
-        ended += system_.log_lines("runner-" + std::to_string(i),
-                                   "ends under " + target + " ");
+        ended += static_cast<int>(system_.log_lines(
+            "runner-" + std::to_string(i), "ends under " + target + " "));
       }
       const int faults = sent.faults_after - sent.faults_before;
       without_faults += faults == 0 && sent.faults_before % 2 == 0 ? 1 : 0;
-      const auto allowed =
-          static_cast<std::size_t>(max_ended + faults + sent.faults_before % 2);
+      const int allowed = max_ended + faults + sent.faults_before % 2;
       if (ended > allowed) {
         report(std::to_string(ended) + " endpoints ended under " + target +
                ", " + std::to_string(allowed) + " allowed");
