One way to send reports of tries; plain words in the comments of the bound

fetch_ended_tries sent its question with a copy of the code that reports tries, and dropped failures without counting them. Both use send() now, so that an unanswered question counts as unconfirmed. Comments name what a gateway reports and confirms.

--- a/include/trayrock/internal/decide/poison_requests.h
+++ b/include/trayrock/internal/decide/poison_requests.h
@@ -47,7 +47,7 @@
   ended    // the endpoint's process ended
 };
 
-// One try of a request, as gateways tell each other.
+// One try of a request, as gateways report it to each other.
 struct request_try {
   request_fingerprint request = 0;
   endpoint_identity endpoint;
--- a/include/trayrock/internal/decide/program_table.h
+++ b/include/trayrock/internal/decide/program_table.h
@@ -45,7 +45,7 @@
   // the numbering.
   std::uint32_t dropped_attempts = 0;
   // Processes that ended under the last failed call, and its content. A repeat
-  // of that content goes on counting.
+  // of that content continues the count.
   std::uint32_t ended_processes = 0;
   std::uint64_t ended_content = 0;
 
--- a/include/trayrock/internal/gateway/poison_guard.h
+++ b/include/trayrock/internal/gateway/poison_guard.h
@@ -1,9 +1,9 @@
 // Keeps the bound on endpoints that end under one request over all gateways
 // (decide/poison_requests.h).
 //
-// A broken connection doesn't say whether the endpoint's process has ended, so
+// A broken connection doesn't show whether the endpoint's process has ended, so
 // the guard tries to connect: a refused connection shows that it has. The other
-// gateways are told, and have confirmed, before the request is sent again or
+// gateways receive a report and confirm it before the request is sent again or
 // its client gets a response. Their replies bring the tries of the same request
 // that they have open.
 //
@@ -69,12 +69,12 @@
              const verdict_callback& done);
 
   // The request is about to be sent. Calls back at once, or for a suspected
-  // request once the other gateways know of the try.
+  // request once the other gateways have confirmed its report.
   void sent(request_fingerprint request, const endpoint_identity& at,
             const callback& then);
 
   // The connection ended before the response did. Calls back once it is known
-  // whether the endpoint has ended, and the other gateways know, too.
+  // whether the endpoint has ended, and the other gateways have confirmed it.
   void broken(request_fingerprint request, const endpoint_identity& at,
               callback then);
 
@@ -105,11 +105,13 @@
   void start_check(const endpoint_identity& at, callback then);
   void end_check(const endpoint_identity& at, probe_result result);
   void on_ended(const endpoint_identity& at, callback then);
-  void tell(const records::RequestTries& tries, callback then);
+  void report(const records::RequestTries& tries, callback then);
+  void send(const records::RequestTries& message,
+            const std::vector<std::string>& peers, callback then);
   void end_call(std::uint64_t round_number);
   void close_announced(request_fingerprint request,
                        const endpoint_identity& at);
-  std::vector<std::string> peers_to_tell() const;
+  std::vector<std::string> receivers() const;
   void receive(const records::RequestTriesReply& reply);
   records::RequestTriesReply reply_to(const records::RequestTries& message);
   void remove_expired();
--- a/src/decide/poison_requests.cc
+++ b/src/decide/poison_requests.cc
@@ -220,7 +220,7 @@
       known != nullptr && (known->own_open > 0 || known->left_ms != 0);
   if (reported.stage != try_stage::ended &&
       (is_own || (known != nullptr && known->stage == try_stage::ended))) {
-    return;  // what this gateway knows itself says more
+    return;  // this gateway's own record is more recent
   }
   if (reported.stage == try_stage::left) {
     erase(reported.request, reported.endpoint);
--- a/src/gateway/poison_guard.cc
+++ b/src/gateway/poison_guard.cc
@@ -15,9 +15,9 @@
 constexpr milliseconds check_limit{100};
 // A gateway that doesn't confirm within this time is cut off or has ended.
 constexpr milliseconds confirm_limit{150};
-// Gateways that are told directly, those of the own data centre first. Clients
+// Gateways that receive reports, those of the own data centre first. Clients
 // return to gateways near them.
-constexpr std::size_t max_told = 64;
+constexpr std::size_t max_receivers = 64;
 // Gateways that are asked after the start.
 constexpr std::size_t asked_after_start = 3;
 constexpr std::size_t max_message_tries = 1024;
@@ -108,22 +108,11 @@
 void poison_guard::fetch_ended_tries() {
   records::RequestTries question;
   question.set_wants_ended(true);
-  std::vector<std::string> peers = peers_to_tell();
+  std::vector<std::string> peers = receivers();
   peers.resize(std::min(peers.size(), asked_after_start));
   log_info("ended_tries_requested",
            {{"gateways", std::to_string(peers.size())}});
-  const std::uint64_t number = ++next_round_;
-  for (const std::string& peer : peers) {
-    rounds_[number].calls.push_back(pool_.ask<records::RequestTriesReply>(
-        peer, "RequestTries", question, confirm_limit,
-        [this, number](const result<records::RequestTriesReply>& reply) {
-          if (reply) {
-            receive(reply.value());
-          }
-          end_call(number);
-        }));
-    ++rounds_[number].open;
-  }
+  send(question, peers, nullptr);
 }
 
 void poison_guard::receive(const records::RequestTriesReply& reply) {
@@ -180,7 +169,7 @@
   }
   records::RequestTries message;
   *message.add_tries() = message_of(request_try{request, at, try_stage::open});
-  tell(message, then);
+  report(message, then);
 }
 
 void poison_guard::broken(request_fingerprint request,
@@ -201,7 +190,7 @@
   close_announced(request, at);
 }
 
-// Other gateways know of the tries of a suspected request.
+// Other gateways have reports of the tries of a suspected request.
 void poison_guard::close_announced(request_fingerprint request,
                                    const endpoint_identity& at) {
   if (!tries_.is_suspected(request, loop_.now_ms())) {
@@ -209,7 +198,7 @@
   }
   records::RequestTries message;
   *message.add_tries() = message_of(request_try{request, at, try_stage::left});
-  tell(message, nullptr);
+  report(message, nullptr);
 }
 
 void poison_guard::check_endpoint(const endpoint_identity& at) {
@@ -277,10 +266,10 @@
     }
     return;
   }
-  tell(message, std::move(then));
+  report(message, std::move(then));
 }
 
-std::vector<std::string> poison_guard::peers_to_tell() const {
+std::vector<std::string> poison_guard::receivers() const {
   std::vector<relay_peer> peers = own_.peers();
   std::stable_partition(peers.begin(), peers.end(),
                         [this](const relay_peer& each) {
@@ -288,16 +277,20 @@
                         });
   std::vector<std::string> made;
   for (const relay_peer& each : peers) {
-    if (each.name != own_.name && made.size() < max_told) {
+    if (each.name != own_.name && made.size() < max_receivers) {
       made.push_back(each.address);
     }
   }
   return made;
 }
 
-// Calls back once all of them have replied or failed.
-void poison_guard::tell(const records::RequestTries& tries, callback then) {
-  const std::vector<std::string> peers = peers_to_tell();
+void poison_guard::report(const records::RequestTries& tries, callback then) {
+  send(tries, receivers(), std::move(then));
+}
+
+// Calls back once all peers have replied or failed.
+void poison_guard::send(const records::RequestTries& message,
+                        const std::vector<std::string>& peers, callback then) {
   if (peers.empty()) {
     if (then) {
       then();
@@ -310,7 +303,7 @@
   made.then = std::move(then);
   for (const std::string& peer : peers) {
     made.calls.push_back(pool_.ask<records::RequestTriesReply>(
-        peer, "RequestTries", tries, confirm_limit,
+        peer, "RequestTries", message, confirm_limit,
         [this, number](const result<records::RequestTriesReply>& reply) {
           if (reply) {
             receive(reply.value());
--- a/test/poison_soak_test.cc
+++ b/test/poison_soak_test.cc
@@ -209,7 +209,7 @@
     }
   }
 
-  // The endpoint goes on running.
+  // The endpoint's process keeps running.
   void break_response(std::mt19937& random) {
     constexpr std::array faults{"cut_unanswered", "cut_midway", "reset",
                                 "without_seal", "refuse"};
