--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -541,14 +541,6 @@
                 return float(value)
         return None
 
-    def lose_disk(self):
-        self.deployment.record.write("disk_lost", machine=self.name)
-        shutil.rmtree(self.data, ignore_errors=True)
-
-    def log_lines(self):
-        with open(self.log, encoding="utf-8", errors="replace") as file:
-            return file.read().splitlines()
-
 
 class Deployment:
     def __init__(self, record, bounds=None):
@@ -622,7 +614,7 @@
         self.platform.put("servers", name, runner.entry())
         return runner
 
-    def configure(self, version, routes, services, tenants=None):
+    def configure(self, version, routes, services):
         spec = {
             "version": version,
             "routes": routes,
@@ -634,8 +626,6 @@
                 "idleTimeoutMs": 15000,
             },
         }
-        if tenants is not None:
-            spec["tenants"] = tenants
         self.platform.put("config", "main", spec)
         self.record.write("configuration", version=version)
 
