A segment with records that are not indexed yet is not removed

Callers could lose a turn whose record was acknowledged. The writing thread starts a new segment as soon as the current one is full; records of the old one may be durable by then and not yet in the index, which is filled on the event loop. If the last indexed record of the old segment expired at that moment, the file was removed with the records still to be indexed: release() treated every segment but the newest of the writing thread as closed.

Found by reading, while looking for what removes segments. Two tests of segment_log_test, both of which fail before: file_with_records_that_are_not_indexed_yet_is_not_removed (the durable record can't be read), and file_emptied_while_it_was_the_newest_is_removed_later (two files in place of one: a segment that was emptied while it was the newest stayed until the next start).

Records are indexed in the order of writing, so a segment can only receive further ones while no later segment is in the index. That is now the condition, and a segment that is passed by a later one is checked once.

--- a/include/trayrock/internal/records/segment_log.h
+++ b/include/trayrock/internal/records/segment_log.h
@@ -92,7 +92,7 @@
   std::optional<std::string> read(std::string_view key) const;
 
   // Removes records from the index, and files without records left, except the
-  // newest.
+  // newest in the index.
   void erase(std::span<const std::string> keys);
 
   std::size_t segments() const;
@@ -109,6 +109,7 @@
   std::error_code start_segment();
   void index_record(std::string_view key, const record_location& location);
   void release(const record_location& location);
+  void remove_if_empty(const segment& emptied);
   segment_ptr find(std::uint32_t number) const;
 
   disk_files& files_;
@@ -118,6 +119,7 @@
   std::map<std::uint32_t, segment_ptr> segments_;
   // By a hash of the key; the frame contains the key itself.
   std::unordered_map<std::uint64_t, record_location> index_;
+  std::uint32_t newest_indexed_ = 0;  // highest segment that was in the index
 };
 
 }  // namespace trayrock
--- a/src/records/segment_log.cc
+++ b/src/records/segment_log.cc
@@ -311,27 +311,38 @@
   if (const segment_ptr in = find(location.segment)) {
     ++in->records;
   }
+  if (location.segment > newest_indexed_) {
+    const segment_ptr before = find(newest_indexed_);
+    newest_indexed_ = location.segment;
+    if (before != nullptr) {
+      remove_if_empty(*before);
+    }
+  }
 }
 
 // Decrements the record count of a segment; removes the segment's file if it
-// has none left and is not the newest.
+// has none left and no further one can be added.
 void segment_log::release(const record_location& location) {
   const segment_ptr in = find(location.segment);
-  if (in == nullptr || --in->records > 0) {
-    return;
+  if (in != nullptr) {
+    --in->records;
+    remove_if_empty(*in);
   }
-  const std::scoped_lock lock(guard_);
-  const bool is_newest =
-      !segments_.empty() && segments_.rbegin()->first == location.segment;
-  if (is_newest) {
+}
+
+// Records are indexed in the order of writing. The newest segment of the index
+// may contain records that are durable but not indexed yet, even if the writing
+// thread has started another one.
+void segment_log::remove_if_empty(const segment& emptied) {
+  if (emptied.records > 0 || emptied.number >= newest_indexed_) {
     return;
   }
-  segments_.erase(location.segment);
-  if (const std::error_code failed =
-          files_.remove(file_name(location.segment))) {
-    log_warn("segment_not_removed",
-             {{"segment", std::to_string(location.segment)},
-              {"cause", failed.message()}});
+  const std::scoped_lock lock(guard_);
+  const std::uint32_t number = emptied.number;
+  segments_.erase(number);
+  if (const std::error_code failed = files_.remove(file_name(number))) {
+    log_warn("segment_not_removed", {{"segment", std::to_string(number)},
+                                     {"cause", failed.message()}});
   }
 }
 
--- a/test/segment_log_test.cc
+++ b/test/segment_log_test.cc
@@ -42,6 +42,8 @@
   CPPUNIT_TEST(later_record_of_a_key_is_read);
   CPPUNIT_TEST(file_is_removed_with_its_last_record);
   CPPUNIT_TEST(current_file_is_not_removed);
+  CPPUNIT_TEST(file_with_records_that_are_not_indexed_yet_is_not_removed);
+  CPPUNIT_TEST(file_emptied_while_it_was_the_newest_is_removed_later);
   CPPUNIT_TEST(nothing_synced_is_lost_at_any_loss_of_power);
   CPPUNIT_TEST(one_sync_covers_all_files_before_it);
   CPPUNIT_TEST(records_read_after_a_kill_survive_a_loss_of_power);
@@ -135,6 +137,40 @@
     CPPUNIT_ASSERT_EQUAL(std::string("two"), log->read("b").value());
   }
 
+  // Guards against the loss of an acknowledged record: it is durable, in a file
+  // whose other records expire before it is in the index.
+  void file_with_records_that_are_not_indexed_yet_is_not_removed() {
+    volatile_disk disk(1);
+    contents seen;
+    const auto log = open_log(disk, seen);
+    write(*log, {{"old", "one"}});
+    std::vector<disk_record> batch{{"durable", std::string(5U << 20, 'a')}};
+    const auto locations = log->append(batch);
+    CPPUNIT_ASSERT(locations.has_value());
+    const std::vector<disk_record> next{{"next", "two"}};  // in another file
+    CPPUNIT_ASSERT(log->append(next).has_value());
+    CPPUNIT_ASSERT(!log->sync());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, log->segments());
+
+    const std::vector<std::string> expired{"old"};
+    log->erase(expired);
+    log->add_to_index(batch, locations.value());
+    CPPUNIT_ASSERT(log->read("durable") == batch.front().value);
+  }
+
+  // Guards against files without a record that stay until the next start.
+  void file_emptied_while_it_was_the_newest_is_removed_later() {
+    volatile_disk disk(1);
+    contents seen;
+    const auto log = open_log(disk, seen);
+    write(*log, {{"big", std::string(5U << 20, 'a')}});
+    const std::vector<std::string> expired{"big"};
+    log->erase(expired);
+    write(*log, {{"next", "two"}});  // in another file
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log->segments());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, disk.names().value().size());
+  }
+
   // Loses power at each call that changes the disk, in a run that fills several
   // files, removes some and rewrites a key. All synced records must be read,
   // and no record that was not written.
