Turns and tokens used last as long as the conversation and program they belong to

Cause: record_index::expire() removed each record by its own age. A turn was not kept for the turns that go on from it, so the oldest turns of a living conversation went at all stores at once; a gateway's chain cache hid it as long as the conversation stayed there. Reservations, settlements and turns left the usage of their program in the same way.

Each turn now counts the stored turns that go on from it. One that has reached the end of its retention is kept while the count is above zero. When the last of these is released, the turns before it that are due are released with it. A record that is kept moves to the end of the log, so each is visited once a retention and no turn walks its chain: adding visits the previous turn only, and each turn is released once. Reservations and settlements last until their program had no activity for a retention. A turn that is only needed for the tokens that it used is replaced by a settlement, so that texts of ended branches do not last as long as their program. A reservation whose attempt is settled still goes by its own age. Whether a turn is stored is now answered with one read instead of a walk of the chain.

Retention is the longest of the turns in the index instead of the longest ever seen, so a lowered one applies once the older turns are gone; without any turn it is ten minutes, where records of programs stayed for good before. The margin beyond the retention becomes a setting of stores, expiry_margin_s, so that tests need not last for minutes.

--- a/include/trayrock/internal/records/record_index.h
+++ b/include/trayrock/internal/records/record_index.h
@@ -6,6 +6,12 @@
 // changes nothing. Records are numbered in the order of arrival, so that
 // another store can resume reading from a position.
 //
+// A record expires at the end of its retention, unless something in use depends
+// on it: a turn is kept for the turns that go on from it, and what a program
+// has used is kept for as long as the program has activity. A kept record gets
+// a new position, so that each is visited once a retention, and a turn that is
+// added visits no other turn than the one before it.
+//
 // Example:
 //   record_index index(read_from_disk);
 //   if (index.add(record, now)) write_to_disk(record);  // then index.durable()
@@ -16,6 +22,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -50,6 +57,15 @@
   bool of_line = false;       // else of another line of the program
 };
 
+// Records that have reached the end of their retention, by key.
+struct expired_records {
+  std::vector<std::string> removed;  // no longer in the index
+  std::vector<std::string> kept;     // still needed
+  // Turns that are kept only for the tokens that they used. Once a settlement
+  // of the attempt is added, the turn expires at the next visit.
+  std::vector<std::string> to_settle;
+};
+
 class record_index {
  public:
   using record_reader =
@@ -62,12 +78,25 @@
     std::string key;
   };
 
+  // Bounds the turns of one reply; the next ones are read from its gap on.
+  static constexpr std::size_t max_chain_turns = 4096;
+
   explicit record_index(record_reader read_disk)
       : read_disk_(std::move(read_disk)) {}
 
+  // How long records outlast their retention, since a program may resume just
+  // before its end, and since stores receive a record at different times.
+  void set_expiry_margin(std::uint64_t margin_ms) {
+    expiry_margin_ms_ = margin_ms;
+  }
+
   // Returns false if the record is stored already or has no kind.
   bool add(const records::Record& record, std::uint64_t now_ms);
 
+  // As above, for a settlement that replaces a turn (expired_records). It is no
+  // activity of the program.
+  bool add_replacement(const records::Record& record, std::uint64_t now_ms);
+
   // As above, for a record that is on disk already.
   bool add_durable(const records::Record& record, std::uint64_t now_ms);
 
@@ -85,7 +114,9 @@
   // The complete record, or nothing if it is not stored.
   std::optional<records::Record> find(const std::string& key) const;
 
-  turn_chain chain(std::string_view attempt) const;
+  // Reads the turn and those before it, `max_turns` at most.
+  turn_chain chain(std::string_view attempt,
+                   std::size_t max_turns = max_chain_turns) const;
 
   // All turns of a program; an attempt is identified by the bytes of its id.
   std::vector<turn_usage> usage(std::string_view program) const;
@@ -103,19 +134,34 @@
   // The position of the newest record.
   std::uint64_t position() const { return first_position_ + log_.size() - 1; }
 
-  // Removes records that are older than the longest retention and a margin, and
-  // returns their keys.
-  std::vector<std::string> expire(std::uint64_t now_ms);
+  // Whether a record has reached the end of its retention: the longest of all
+  // turns in the index, and a margin.
+  bool is_expiry_due(std::uint64_t now_ms) const;
+
+  // Removes records that have reached the end of their retention and are not
+  // needed. Visits a bounded number; more may be due afterwards.
+  expired_records expire(std::uint64_t now_ms);
 
   std::size_t size() const { return log_.size(); }
 
  private:
+  // Of programs whose turns are not stored, which have no retention.
+  static constexpr std::uint32_t default_retention_s = 600;
+
   struct attempt_state {
     record_id program;
+    record_id previous;  // that the turn goes on from; zero: none
     std::uint32_t reserved = 0;
     std::uint32_t used = 0;
+    // Turns in the index that go on from this one and are not released. They
+    // may arrive before this one.
+    std::uint32_t successors = 0;
+    std::uint32_t retention_s = 0;  // of the turn
     std::uint8_t kinds = 0;  // a bit for each kind of record that is stored
     bool settled = false;
+    bool due = false;  // the turn has reached the end of its retention
+    bool released =
+        false;  // the turn is due, and so is all that goes on from it
   };
   struct line_placement {
     std::uint64_t line = 0;
@@ -125,20 +171,37 @@
     std::vector<record_id> attempts;
     std::vector<line_placement> lines;  // the last one used is at the end
     std::uint32_t placed_turns = 0;
+    std::uint32_t stored_attempts = 0;
+    std::uint64_t active_ms = 0;  // when its last record was added
   };
   struct log_entry {
     record_id attempt;
     std::uint64_t added_at_ms : 56;
     std::uint64_t kind : 8;
   };
+  enum class fate { removed, kept, to_settle };
 
-  bool insert(const records::Record& record, std::uint64_t now_ms);
-  void apply(const records::Record& record, attempt_state& state);
+  bool insert(const records::Record& record, std::uint64_t now_ms,
+              std::uint64_t active_ms);
+  void apply(const records::Record& record, std::uint64_t active_ms,
+             attempt_state& state);
   void add_to_program(const std::string& program, const record_id& attempt,
-                      attempt_state& state);
+                      std::uint64_t active_ms, attempt_state& state);
   void place(const records::Settlement& made);
   std::uint32_t number_of(const std::string& endpoint);
+
+  // ---- Expiry (record_index_expiry.cc) ----
+  void add_retention(std::uint32_t retention_s);
+  void remove_retention(std::uint32_t retention_s);
+  std::uint64_t retention_ms() const;
+  void hold(record_id turn);
+  void release(attempt_state& turn);
+  bool is_program_active(const attempt_state& attempt,
+                         std::uint64_t now_ms) const;
+  fate decide_expiry(char kind, attempt_state& state, std::uint64_t now_ms);
+  fate decide_turn_expiry(attempt_state& state, std::uint64_t now_ms);
   void erase(const log_entry& entry);
+  void remove_from_program(const record_id& program);
 
   record_reader read_disk_;
   std::deque<log_entry> log_;
@@ -148,7 +211,9 @@
   std::vector<std::string> endpoints_;
   std::unordered_map<std::string, std::uint32_t> endpoint_numbers_;
   std::unordered_map<std::string, records::Record> pending_;
-  std::uint32_t max_retention_s_ = 0;
+  std::map<std::uint32_t, std::size_t> retentions_;  // turns by retention_s
+  std::uint32_t retention_s_ = default_retention_s;  // the longest one
+  std::uint64_t expiry_margin_ms_ = 60000;
 };
 
 }  // namespace trayrock
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -36,6 +36,11 @@
   record_server(const record_server&) = delete;
   record_server& operator=(const record_server&) = delete;
 
+  // How long records outlast their retention (record_index.h).
+  void set_expiry_margin(milliseconds margin) {
+    index_.set_expiry_margin(static_cast<std::uint64_t>(margin.count()));
+  }
+
   // Loads the records and the state. Errors: errc::disk_failed,
   // errc::disk_format.
   std::error_code open_disk(std::unique_ptr<disk_files> files);
@@ -76,6 +81,9 @@
     retiring_ = std::move(boxes);
   }
 
+  // Removes expired records that are not needed.
+  void expire(std::uint64_t now_ms);
+
   // Calls back when a group with a newer epoch is adopted.
   void on_group(std::function<void()> changed) {
     group_observers_.push_back(std::move(changed));
@@ -119,7 +127,7 @@
   void fence(const records::FenceRequest& request, const rpc_reply_ptr& reply);
   void when_state_durable(std::function<void()> then);
   void on_state_saved(std::error_code failed);
-  void expire();
+  void settle_turns(std::span<const std::string> turns, std::uint64_t now_ms);
   void update_metrics();
 
   event_loop& loop_;
--- a/include/trayrock/internal/settings/service_settings.h
+++ b/include/trayrock/internal/settings/service_settings.h
@@ -58,6 +58,8 @@
   std::uint64_t tolerated_data_centre_losses = 0;  // likewise
   bool first_start = false;                        // of the whole system
   limit_terms limits;  // how requests of workspaces are counted
+  milliseconds expiry_margin{
+      60000};  // how long records outlast their retention
 };
 
 gateway_settings read_gateway_settings(std::string_view text,
--- a/src/records/record_index.cc
+++ b/src/records/record_index.cc
@@ -2,19 +2,14 @@
 
 #include <algorithm>
 
+#include "record_kinds.h"
+
 namespace trayrock {
-namespace {
 
-constexpr char reservation_kind = 'r';
-constexpr char settlement_kind = 's';
-constexpr char turn_kind = 't';
+using namespace internal;
+
+namespace {
 
-// Records outlive their retention by this, since a program may resume just
-// before its end, and since the clocks of stores start at different times.
-constexpr std::uint64_t expiry_margin_ms = 60000;
-constexpr std::uint64_t ms_per_second = 1000;
-// Bounds the turns of one reply; the next ones are read from its gap on.
-constexpr std::size_t max_chain_turns = 4096;
 // Bounds the lines of a program whose endpoints are known: more than run at the
 // same time. The least recently used one is dropped.
 constexpr std::size_t max_lines = 64;
@@ -39,19 +34,6 @@
   return {};
 }
 
-std::uint8_t bit_of(char kind) {
-  constexpr std::uint8_t reservation_bit = 1;
-  constexpr std::uint8_t settlement_bit = 2;
-  constexpr std::uint8_t turn_bit = 4;
-  return kind == reservation_kind  ? reservation_bit
-         : kind == settlement_kind ? settlement_bit
-                                   : turn_bit;
-}
-
-std::string key_of(char kind, const record_id& attempt) {
-  return std::string(1, kind) + bytes_of(attempt);
-}
-
 }  // namespace
 
 std::string record_key(const records::Record& record) {
@@ -60,7 +42,16 @@
 }
 
 bool record_index::add(const records::Record& record, std::uint64_t now_ms) {
-  if (!insert(record, now_ms)) {
+  if (!insert(record, now_ms, now_ms)) {
+    return false;
+  }
+  pending_.emplace(record_key(record), record);
+  return true;
+}
+
+bool record_index::add_replacement(const records::Record& record,
+                                   std::uint64_t now_ms) {
+  if (!insert(record, now_ms, 0)) {
     return false;
   }
   pending_.emplace(record_key(record), record);
@@ -69,11 +60,12 @@
 
 bool record_index::add_durable(const records::Record& record,
                                std::uint64_t now_ms) {
-  return insert(record, now_ms);
+  return insert(record, now_ms, now_ms);
 }
 
 // Adds everything except the record's text.
-bool record_index::insert(const records::Record& record, std::uint64_t now_ms) {
+bool record_index::insert(const records::Record& record, std::uint64_t now_ms,
+                          std::uint64_t active_ms) {
   const record_name name = name_of(record);
   if (name.kind == 0) {
     return false;
@@ -84,42 +76,56 @@
   }
   state.kinds |= bit_of(name.kind);
   log_.push_back({name.attempt, now_ms, static_cast<std::uint64_t>(name.kind)});
-  apply(record, state);
+  apply(record, active_ms, state);
   return true;
 }
 
-void record_index::apply(const records::Record& record, attempt_state& state) {
+void record_index::apply(const records::Record& record, std::uint64_t active_ms,
+                         attempt_state& state) {
   if (record.has_reservation()) {
     const records::Reservation& made = record.reservation();
     state.reserved = static_cast<std::uint32_t>(made.tokens());
-    add_to_program(made.program(), id_of(made.attempt()), state);
+    add_to_program(made.program(), id_of(made.attempt()), active_ms, state);
   } else if (record.has_settlement()) {
     const records::Settlement& made = record.settlement();
     state.settled = true;
     state.used =
         std::max(state.used, static_cast<std::uint32_t>(made.tokens()));
-    add_to_program(made.program(), id_of(made.attempt()), state);
+    add_to_program(made.program(), id_of(made.attempt()), active_ms, state);
     place(made);
   } else {
     const records::Turn& made = record.turn();
-    max_retention_s_ = std::max(max_retention_s_, made.retention_s());
+    state.due = false;
+    state.released = false;
+    state.retention_s = made.retention_s();
+    add_retention(made.retention_s());
+    if (!made.previous().empty()) {
+      state.previous = id_of(made.previous());
+      hold(state.previous);
+    }
     if (!made.program().empty()) {
       state.settled = true;
       state.used =
           std::max(state.used, static_cast<std::uint32_t>(made.tokens()));
-      add_to_program(made.program(), id_of(made.attempt()), state);
+      add_to_program(made.program(), id_of(made.attempt()), active_ms, state);
     }
   }
 }
 
 void record_index::add_to_program(const std::string& program,
                                   const record_id& attempt,
+                                  std::uint64_t active_ms,
                                   attempt_state& state) {
-  if (state.program != record_id{}) {
-    return;
+  const bool is_new = state.program == record_id{};
+  if (is_new) {
+    state.program = id_of(program);
+  }
+  program_state& made = programs_[state.program];
+  made.active_ms = std::max(made.active_ms, active_ms);
+  if (is_new) {
+    made.attempts.push_back(attempt);
+    ++made.stored_attempts;
   }
-  state.program = id_of(program);
-  programs_[state.program].attempts.push_back(attempt);
 }
 
 void record_index::place(const records::Settlement& made) {
@@ -165,15 +171,17 @@
   return has(key) ? read_disk_(key) : std::nullopt;
 }
 
-turn_chain record_index::chain(std::string_view attempt) const {
+turn_chain record_index::chain(std::string_view attempt,
+                               std::size_t max_turns) const {
   std::vector<records::Record> turns;
   turn_chain made;
   std::string next(attempt);
   while (!next.empty()) {
-    std::optional<records::Record> record =
-        find(key_of(turn_kind, id_of(next)));
-    if (!record || record->turn().attempt() != next ||
-        turns.size() == max_chain_turns) {
+    std::optional<records::Record> record;
+    if (turns.size() < max_turns) {
+      record = find(key_of(turn_kind, id_of(next)));
+    }
+    if (!record || record->turn().attempt() != next) {
       made.gap = next;
       break;
     }
@@ -234,41 +242,4 @@
   }
 }
 
-std::vector<std::string> record_index::expire(std::uint64_t now_ms) {
-  const std::uint64_t retention_ms =
-      max_retention_s_ * ms_per_second + expiry_margin_ms;
-  std::vector<std::string> expired;
-  while (max_retention_s_ > 0 && !log_.empty() &&
-         log_.front().added_at_ms + retention_ms < now_ms) {
-    const log_entry oldest = log_.front();
-    log_.pop_front();
-    ++first_position_;
-    expired.push_back(key_of(static_cast<char>(oldest.kind), oldest.attempt));
-    pending_.erase(expired.back());
-    erase(oldest);
-  }
-  return expired;
-}
-
-// Removes an attempt with its last record, and a program with its last attempt.
-void record_index::erase(const log_entry& entry) {
-  const auto found = attempts_.find(entry.attempt);
-  if (found == attempts_.end()) {
-    return;
-  }
-  const char kind = static_cast<char>(entry.kind);
-  found->second.kinds &= static_cast<std::uint8_t>(~bit_of(kind));
-  if (found->second.kinds != 0) {
-    return;
-  }
-  const auto program = programs_.find(found->second.program);
-  if (program != programs_.end()) {
-    std::erase(program->second.attempts, entry.attempt);
-    if (program->second.attempts.empty()) {
-      programs_.erase(program);
-    }
-  }
-  attempts_.erase(found);
-}
-
 }  // namespace trayrock
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -158,7 +158,7 @@
   server_.handle_typed<records::FenceRequest>(
       "Fence", [this](records::FenceRequest& request,
                       const rpc_reply_ptr& reply) { fence(request, reply); });
-  expiry_ = loop_.every(expiry_period, [this] { expire(); });
+  expiry_ = loop_.every(expiry_period, [this] { expire(loop_.now_ms()); });
   if (!state_.id().empty()) {
     save_state(std::move(started));
     return;
@@ -323,7 +323,11 @@
 
 void record_server::add_chain(const records::WriteRequest& request,
                               records::WriteReply& message) const {
-  turn_chain chain = index_.chain(request.chain_of());
+  // Whether the turn is here needs no walk of its chain.
+  constexpr std::size_t turn_only = 1;
+  turn_chain chain = index_.chain(
+      request.chain_of(),
+      request.send_chain() ? record_index::max_chain_turns : turn_only);
   if (chain.unreadable) {
     return;  // no result: CHAIN_MISSING would deny a turn that is stored
   }
@@ -491,14 +495,6 @@
   when_state_durable(std::move(then));
 }
 
-void record_server::expire() {
-  const std::vector<std::string> expired = index_.expire(loop_.now_ms());
-  if (!expired.empty()) {
-    disk_->erase(expired);
-  }
-  update_metrics();
-}
-
 void record_server::update_metrics() {
   const disk_statistics totals = disk_->statistics();
   metrics_.set("records_held", {}, static_cast<double>(index_.size()));
--- a/src/records/store_main.cc
+++ b/src/records/store_main.cc
@@ -63,6 +63,7 @@
     permits.group_changed();
     joiner.group_changed();
   });
+  server.set_expiry_margin(settings.expiry_margin);
   if (const std::error_code failed = server.open_disk(settings.data_folder)) {
     log_error("store_not_started", {{"error", std::to_string(failed.value())},
                                     {"cause", failed.message()}});
--- a/src/settings/service_settings.cc
+++ b/src/settings/service_settings.cc
@@ -16,6 +16,8 @@
 constexpr number_range memory_limit_mb_range{16, 1U << 20};
 constexpr double least_window_s = 0.1;
 constexpr double longest_window_s = 3600;
+constexpr double least_expiry_margin_s = 1;
+constexpr double longest_expiry_margin_s = 3600;
 constexpr double most_overshoot = 1;
 constexpr double most_tolerance = 1e6;
 
@@ -133,6 +135,8 @@
                     made.tolerated_data_centre_losses);
   made.first_start = top.flag_or("first_start", made.first_start);
   made.limits = read_limits(top);
+  made.expiry_margin = seconds_or(top, "expiry_margin_s", least_expiry_margin_s,
+                                  longest_expiry_margin_s, made.expiry_margin);
   top.close();
   return made;
 }
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -130,7 +130,8 @@
       {"data_folder", folder_ + "/" + name + ".data"},
       {"tolerated_losses", 1},
       {"first_start", first_start},
-      {"limit_window_s", options_.limit_window_s}};
+      {"limit_window_s", options_.limit_window_s},
+      {"expiry_margin_s", options_.expiry_margin_s}};
   std::ofstream(folder_ + "/" + name + ".json") << settings.dump();
 }
 
@@ -322,7 +323,7 @@
   };
   json turns = route("/stream/", "streaming");
   turns["retained"] = true;
-  turns["retentionS"] = 60;
+  turns["retentionS"] = options_.retention_s;
   json resumable = route("/resumable-stream/", "streaming");
   resumable["resumable"] = true;
   resumable["gapTargetMs"] = 500;
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -33,7 +33,9 @@
   int idle_timeout_ms = 4000;              // of clients' connections
   int memory_limit_mb = 0;                 // of the gateways; 0: none
   std::vector<std::string> trial_without;  // of the gateways
-  double limit_window_s = 1;  // in which limits of workspaces are counted
+  double limit_window_s = 1;    // in which limits of workspaces are counted
+  int retention_s = 60;         // of turns
+  double expiry_margin_s = 60;  // of the stores
 };
 
 class service_deployment {
@@ -77,6 +79,7 @@
   void set_workspaces(const json& workspaces) {
     options_.workspaces = workspaces;
   }
+  void set_retention(int seconds) { options_.retention_s = seconds; }
   void platform_fault(const json& switches);
   // How often the platform was called so, answered or not: "GET /objects/KIND"
   // for a list, "WATCH /objects/KIND".
