A record that is still needed does not hold its segment on disk

Stores would have grown without bound beside a few long conversations: a segment goes with its last record, and turns now last as long as their conversation, so one old turn kept 4 MB of ended ones.

A segment knows how much of it is still in use. When a record is kept past its retention and less than half of its segment is in use, the record is written anew at the end of the log, 256 KB a write, and the old segment goes with the last of them. The state of the store, which is written rarely, moves in the same way.

Weighed: writing every kept record anew (simplest, but all text of living conversations is written again each retention, also where nothing is gained); a separate file for survivors (two files to sync per batch).

--- a/include/trayrock/internal/records/record_disk.h
+++ b/include/trayrock/internal/records/record_disk.h
@@ -33,6 +33,7 @@
   std::uint64_t syncs = 0;
   double max_sync_ms = 0;
   std::size_t segments = 0;
+  std::uint64_t bytes_in_use = 0;  // frames of the records that can be read
 };
 
 class record_disk {
@@ -60,6 +61,9 @@
   // Erases the keys immediately, without syncing.
   void erase(const std::vector<std::string>& keys);
 
+  // Whether a record is in a file of which less than half is in use.
+  bool is_sparse(const std::string& key) const;
+
   disk_statistics statistics() const;
 
   struct impl;
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -12,6 +12,7 @@
 //   server.start([&] { membership.start(); });
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -127,7 +128,13 @@
   void fence(const records::FenceRequest& request, const rpc_reply_ptr& reply);
   void when_state_durable(std::function<void()> then);
   void on_state_saved(std::error_code failed);
+  // Key of the store's own state on disk.
+  static constexpr std::string_view state_key = "m/state";
+
   void settle_turns(std::span<const std::string> turns, std::uint64_t now_ms);
+  void rewrite_sparse();
+  std::vector<disk_record> take_sparse();
+  void on_rewritten(std::span<const std::string> keys, std::error_code failed);
   void update_metrics();
 
   event_loop& loop_;
@@ -148,6 +155,8 @@
   std::set<std::string> retiring_;
   std::vector<std::function<void()>> group_observers_;
   std::function<void(const records::GivenPermits&)> on_permits_;
+  std::deque<std::string> sparse_;  // keys of records to be written anew
+  bool rewriting_ = false;
   timer expiry_;
 };
 
--- a/include/trayrock/internal/records/segment_log.h
+++ b/include/trayrock/internal/records/segment_log.h
@@ -1,8 +1,10 @@
 // Append-only log of records in segment files, with an index in memory.
 //
-// Records are never sorted, merged or rewritten, so that the cost of a write
-// does not grow with the size of the log. All records of a file expire at about
-// the same time, and the file is removed with the last of them.
+// Records are never sorted or merged, so that the cost of a write does not grow
+// with the size of the log. Most records of a file expire at about the same
+// time, and the file is removed with the last of them. A file of which little
+// is still in use is sparse: the caller writes its records anew, so that space
+// on disk is bounded by the records in use.
 //
 // A file starts with a header, and each record has a checksum. Data that was
 // not synced before a power loss may be missing or torn; reading of the file
@@ -95,8 +97,15 @@
   // newest in the index.
   void erase(std::span<const std::string> keys);
 
+  // Whether a record is in a file of which less than half is in use. False for
+  // unknown keys, and for the newest file in the index.
+  bool is_sparse(std::string_view key) const;
+
   std::size_t segments() const;
 
+  // Sizes of all frames in the index, in bytes.
+  std::uint64_t bytes_in_use() const { return bytes_in_use_; }
+
  private:
   struct segment;
   using segment_ptr = std::shared_ptr<segment>;
@@ -119,6 +128,7 @@
   std::map<std::uint32_t, segment_ptr> segments_;
   // By a hash of the key; the frame contains the key itself.
   std::unordered_map<std::uint64_t, record_location> index_;
+  std::uint64_t bytes_in_use_ = 0;
   std::uint32_t newest_indexed_ = 0;  // highest segment that was in the index
 };
 
--- a/src/records/record_disk.cc
+++ b/src/records/record_disk.cc
@@ -200,10 +200,15 @@
   impl_->log->erase(keys);
 }
 
+bool record_disk::is_sparse(const std::string& key) const {
+  return impl_->log->is_sparse(key);
+}
+
 disk_statistics record_disk::statistics() const {
   const std::scoped_lock lock(impl_->guard);
   disk_statistics made = impl_->totals;
   made.segments = impl_->log->segments();
+  made.bytes_in_use = impl_->log->bytes_in_use();
   return made;
 }
 
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -13,8 +13,6 @@
 namespace trayrock {
 namespace {
 
-// Key of the store's own state on disk.
-constexpr std::string_view state_key = "m/state";
 // Prefix of the key of a workspace's permits; the name follows.
 constexpr std::string_view permits_prefix = "p/";
 // No record is added to a pull's reply once it has reached this size.
@@ -80,9 +78,11 @@
     load_permits(value);
     return;
   }
-  // Reuses one object to avoid allocations; the texts stay on disk.
+  // Reuses one object to avoid allocations; the texts stay on disk. A record
+  // that was written anew may be there twice.
   if (!reading_.ParseFromArray(value.data(), size) ||
-      !index_.add_durable(reading_, loop_.now_ms())) {
+      (!index_.add_durable(reading_, loop_.now_ms()) &&
+       !index_.has(record_key(reading_)))) {
     ++unreadable_;
   }
 }
@@ -499,6 +499,8 @@
   const disk_statistics totals = disk_->statistics();
   metrics_.set("records_held", {}, static_cast<double>(index_.size()));
   metrics_.set("disk_segments", {}, static_cast<double>(totals.segments));
+  metrics_.set("disk_bytes_in_use", {},
+               static_cast<double>(totals.bytes_in_use));
   metrics_.set("disk_syncs", {}, static_cast<double>(totals.syncs));
   metrics_.set("disk_longest_sync_ms", {}, totals.max_sync_ms);
   metrics_.set("disk_bytes_taken", {},
--- a/src/records/record_server_expiry.cc
+++ b/src/records/record_server_expiry.cc
@@ -1,4 +1,5 @@
-// Expiry of a store's records.
+// Expiry of a store's records, and rewriting of those that keep sparse files.
+#include <iterator>
 #include <utility>
 
 #include "trayrock/internal/log.h"
@@ -7,6 +8,10 @@
 namespace trayrock {
 namespace {
 
+// Bytes of records that are rewritten in one write of the disk, so that other
+// writes wait little.
+constexpr std::size_t max_rewrite_bytes = 256U << 10;
+
 // The settlement that replaces a turn whose text is no longer needed.
 records::Record settlement_of(const records::Turn& turn) {
   records::Record record;
@@ -25,6 +30,15 @@
     disk_->erase(expired.removed);
   }
   settle_turns(expired.to_settle, now_ms);
+  for (const std::string& key : expired.kept) {
+    if (disk_->is_sparse(key)) {
+      sparse_.push_back(key);
+    }
+  }
+  rewrite_sparse();
+  if (disk_->is_sparse(std::string(state_key))) {
+    save_state(nullptr);
+  }
   metrics_.add("records_expired_total", {},
                static_cast<double>(expired.removed.size()));
   metrics_.add("records_kept_total", {},
@@ -60,4 +74,63 @@
                });
 }
 
+// ---- Sparse files
+// ------------------------------------------------------------
+
+void record_server::rewrite_sparse() {
+  if (rewriting_ || disk_failed_) {
+    return;
+  }
+  std::vector<disk_record> records = take_sparse();
+  if (records.empty()) {
+    return;
+  }
+  std::vector<std::string> keys;
+  for (const disk_record& each : records) {
+    keys.push_back(each.key);
+  }
+  rewriting_ = true;
+  disk_->write(std::move(records),
+               [this, keys = std::move(keys)](std::error_code failed) {
+                 on_rewritten(keys, failed);
+               });
+}
+
+// Records that are still to be rewritten, as many as one write takes.
+std::vector<disk_record> record_server::take_sparse() {
+  std::vector<disk_record> taken;
+  std::size_t bytes = 0;
+  while (!sparse_.empty() && bytes < max_rewrite_bytes) {
+    const std::string key = std::move(sparse_.front());
+    sparse_.pop_front();
+    if (!index_.has(key) || !disk_->is_sparse(key)) {
+      continue;
+    }
+    std::optional<std::string> value = disk_->read(key);
+    if (!value) {
+      on_unreadable(false);
+      continue;
+    }
+    bytes += value->size();
+    taken.push_back({key, std::move(*value)});
+  }
+  return taken;
+}
+
+// A record that expired meanwhile is in the disk's index again.
+void record_server::on_rewritten(std::span<const std::string> keys,
+                                 std::error_code failed) {
+  rewriting_ = false;
+  disk_failed_ = disk_failed_ || failed;
+  std::vector<std::string> expired;
+  for (const std::string& key : keys) {
+    if (!index_.has(key)) {
+      expired.push_back(key);
+    }
+  }
+  disk_->erase(expired);
+  metrics_.add("records_rewritten_total", {}, static_cast<double>(keys.size()));
+  rewrite_sparse();
+}
+
 }  // namespace trayrock
--- a/src/records/segment_log.cc
+++ b/src/records/segment_log.cc
@@ -129,8 +129,11 @@
 struct segment_log::segment {
   std::uint32_t number = 0;
   std::unique_ptr<disk_file> file;
-  std::size_t bytes = 0;    // used by the writing thread
-  std::size_t records = 0;  // in the index; used by the other thread
+  std::size_t bytes = 0;  // used by the writing thread
+  // Used by the other thread:
+  std::size_t records = 0;           // in the index
+  std::uint64_t bytes_indexed = 0;   // sizes of all frames ever in the index
+  std::uint64_t bytes_released = 0;  // of those that are no longer in it
 };
 
 segment_log::segment_log(disk_files& files) : files_(files) {}
@@ -310,6 +313,8 @@
   }
   if (const segment_ptr in = find(location.segment)) {
     ++in->records;
+    in->bytes_indexed += location.size;
+    bytes_in_use_ += location.size;
   }
   if (location.segment > newest_indexed_) {
     const segment_ptr before = find(newest_indexed_);
@@ -326,6 +331,8 @@
   const segment_ptr in = find(location.segment);
   if (in != nullptr) {
     --in->records;
+    in->bytes_released += location.size;
+    bytes_in_use_ -= location.size;
     remove_if_empty(*in);
   }
 }
@@ -379,6 +386,15 @@
   }
 }
 
+bool segment_log::is_sparse(std::string_view key) const {
+  const auto found = index_.find(hash_of(key));
+  if (found == index_.end() || found->second.segment >= newest_indexed_) {
+    return false;
+  }
+  const segment_ptr in = find(found->second.segment);
+  return in != nullptr && in->bytes_released * 2 > in->bytes_indexed;
+}
+
 std::size_t segment_log::segments() const {
   const std::scoped_lock lock(guard_);
   return segments_.size();
--- a/test/segment_log_test.cc
+++ b/test/segment_log_test.cc
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(current_file_is_not_removed);
   CPPUNIT_TEST(file_with_records_that_are_not_indexed_yet_is_not_removed);
   CPPUNIT_TEST(file_emptied_while_it_was_the_newest_is_removed_later);
+  CPPUNIT_TEST(file_is_sparse_once_less_than_half_of_it_is_in_use);
   CPPUNIT_TEST(nothing_synced_is_lost_at_any_loss_of_power);
   CPPUNIT_TEST(one_sync_covers_all_files_before_it);
   CPPUNIT_TEST(records_read_after_a_kill_survive_a_loss_of_power);
@@ -171,6 +172,26 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, disk.names().value().size());
   }
 
+  void file_is_sparse_once_less_than_half_of_it_is_in_use() {
+    volatile_disk disk(1);
+    contents seen;
+    const auto log = open_log(disk, seen);
+    const std::vector<std::string> keys = fill_two_files(*log);
+    const std::size_t half = keys.size() / 2;
+    log->erase({keys.data(), half});
+    CPPUNIT_ASSERT(!log->is_sparse(keys.back()));
+    log->erase({keys.data() + half, 1});
+    CPPUNIT_ASSERT(log->is_sparse(keys.back()));
+    CPPUNIT_ASSERT(!log->is_sparse(keys.front()));
+
+    // Written anew, its records no longer keep the file.
+    for (std::size_t i = half + 1; i < keys.size(); ++i) {
+      write(*log, {{keys[i], log->read(keys[i]).value()}});
+    }
+    CPPUNIT_ASSERT(disk.names().value().front() != "00000001.log");
+    CPPUNIT_ASSERT_EQUAL(big(1).value, log->read(keys.back()).value());
+  }
+
   // Loses power at each call that changes the disk, in a run that fills several
   // files, removes some and rewrites a key. All synced records must be read,
   // and no record that was not written.
--- /dev/null
+++ b/test/store_expiry_test.cc
@@ -0,0 +1,146 @@
+// Expiry at a store, and the space that records in use take on its disk.
+#include "record_store_fixture.h"
+#include "trayrock/internal/records/record_server.h"
+
+namespace trayrock::testing {
+namespace {
+
+// Past the retention of turn() in record_store_fixture.h and the margin.
+constexpr std::uint64_t expired_ms = 62000;
+constexpr milliseconds margin{1000};
+
+class store_expiry_test : public record_store_fixture {
+  CPPUNIT_TEST_SUITE(store_expiry_test);
+  CPPUNIT_TEST(sparse_files_are_removed_and_their_needed_records_kept);
+  CPPUNIT_TEST(rewritten_records_are_read_once_after_a_restart);
+  CPPUNIT_TEST(turn_of_an_active_program_becomes_a_settlement);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a file that stays for good, for one record that is needed.
+  void sparse_files_are_removed_and_their_needed_records_kept() {
+    start();
+    record_server& server = stores_[0]->server;
+    fill(*stores_[0]);
+    const std::size_t before = files();
+    server.expire(loop_->now_ms());
+    run_until([&] { return files() <= 2; });
+
+    CPPUNIT_ASSERT(before >= 3);
+    TRAYROCK_CHECK(files() <= 2,
+                   "expected two files at most, seen " << files());
+    const turn_chain chain = server.index().chain("newest");
+    CPPUNIT_ASSERT_EQUAL(std::string(), chain.gap);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{21 * large_text}, chain.text.size());
+    CPPUNIT_ASSERT(!server.index().has(key("ended-0")));
+  }
+
+  void rewritten_records_are_read_once_after_a_restart() {
+    start();
+    fill(*stores_[0]);
+    stores_[0]->server.expire(loop_->now_ms());
+    run_until([&] { return files() <= 2; });
+    stores_[0].reset();
+    stores_[0] = std::make_unique<store>(*loop_, folder_ + "/0", ports_[0]);
+    record_server& server = stores_[0]->server;
+
+    CPPUNIT_ASSERT_EQUAL(std::string(), server.index().chain("newest").gap);
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT(server.index().has(key("old-" + std::to_string(i))));
+    }
+  }
+
+  void turn_of_an_active_program_becomes_a_settlement() {
+    start();
+    record_server& server = stores_[0]->server;
+    records::Record open;
+    *open.mutable_reservation() = reservation("open", 10);
+    pull_into(*stores_[0], {with_age(turn("ended", "", "text"), expired_ms),
+                            with_age(open, 0)});
+    server.expire(loop_->now_ms());
+    records::Record settled;
+    settled.mutable_settlement()->set_program("program");
+    settled.mutable_settlement()->set_attempt("ended");
+    run_until([&] { return !server.index().is_pending(record_key(settled)); });
+
+    CPPUNIT_ASSERT(server.index().has(record_key(settled)));
+    const auto found = server.index().find(record_key(settled));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, found->settlement().tokens());
+    CPPUNIT_ASSERT_EQUAL(std::string("program"), found->settlement().program());
+  }
+
+ private:
+  void start() {
+    start_group();
+    for (const auto& each : stores_) {
+      each->server.set_expiry_margin(margin);
+    }
+  }
+
+  static constexpr std::size_t large_text = 100000;
+
+  static std::string key(const std::string& attempt) {
+    return record_key(turn(attempt, "", ""));
+  }
+
+  static records::PulledRecord with_age(const records::Record& record,
+                                        std::uint64_t age_ms) {
+    records::PulledRecord made;
+    *made.mutable_record() = record;
+    made.set_age_ms(age_ms);
+    return made;
+  }
+
+  void pull_into(store& to, const std::vector<records::PulledRecord>& pulled) {
+    records::PullReply reply;
+    for (const records::PulledRecord& each : pulled) {
+      *reply.add_records() = each;
+    }
+    bool durable = false;
+    to.server.store_pulled(reply, [&] { durable = true; });
+    run_until([&] { return durable; });
+    CPPUNIT_ASSERT(durable);
+  }
+
+  // Three files: twenty old turns of a conversation, each among ended ones, and
+  // its newest turn.
+  void fill(store& to) {
+    const std::string text(large_text, 'a');
+    std::string previous;
+    int ended = 0;
+    for (int i = 0; i < 20; ++i) {
+      std::vector<records::PulledRecord> pulled;
+      for (int j = 0; j < 4; ++j) {
+        pulled.push_back(with_age(
+            without_program(turn("ended-" + std::to_string(ended++), "", text)),
+            expired_ms));
+      }
+      const std::string name = "old-" + std::to_string(i);
+      pulled.push_back(
+          with_age(without_program(turn(name, previous, text)), expired_ms));
+      previous = name;
+      pull_into(to, pulled);
+    }
+    pull_into(to,
+              {with_age(without_program(turn("newest", previous, text)), 0)});
+  }
+
+  static records::Record without_program(records::Record record) {
+    record.mutable_turn()->clear_program();
+    return record;
+  }
+
+  std::size_t files() const {
+    std::size_t count = 0;
+    for (const auto& each :
+         std::filesystem::directory_iterator(folder_ + "/0")) {
+      count += each.path().extension() == ".log" ? 1 : 0;
+    }
+    return count;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_expiry_test);
+
+}  // namespace
+}  // namespace trayrock::testing
