A store reads what it has missed before it removes expired records

A turn could be lost with one disk. A store that was away or frozen while a turn was written does not know that the turn goes on from another one, or that a program is still active. It dropped the older records by their own age, and on a store that had missed those in turn, one copy was left where two stores may not be lost together. Stores of one group never compared their records once they counted.

Records now expire as of a time until which the store has all that any voter acknowledged: the least recent of the reads to the end of a read quorum, itself included if it counts. The reads are the listings of keys that joining stores use, from the position of the last one, so each key is sent once to each other voter, and only while something is due; missing records are fetched. Without a quorum nothing expires, and nothing can be written either. A store that joins follows the same rule with the reads of others alone, and so does not drop a turn whose successor is still to come. A store outside the group goes by ages, as before.

Weighed: asking the others about the records that are to be removed (exact, but a call of its own that heals nothing); comparing all the time (bytes without a use while nothing expires).

--- a/include/trayrock/internal/decide/store_peers.h
+++ b/include/trayrock/internal/decide/store_peers.h
@@ -12,7 +12,7 @@
 // Example:
 //   store_peers peers;
 //   peers.follow(state, now);
-//   const pull_start pull = peers.on_pull_started("store-2");
+//   const pull_start pull = peers.on_pull_started("store-2", now);
 //   if (peers.on_pull_reply("store-2", reply, now)) {
 //     peers.on_records_stored("store-2", pull, true);
 //   }
@@ -21,6 +21,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "records.pb.h"
@@ -33,6 +34,7 @@
 struct pull_start {
   std::uint64_t number = 0;        // in the order of the pulls
   std::uint64_t fenced_epoch = 0;  // that the peer was fenced for; 0: none
+  std::uint64_t began_ms = 0;
 };
 
 struct store_peer {
@@ -42,11 +44,14 @@
   std::uint64_t last_reply_ms = 0;  // 0: never
   std::string id_at_address;        // store that replies there; empty: none yet
   bool counts = false;              // as a voter of the current epoch
+  std::uint64_t counts_since_ms = 0;  // as far as this store knows
   bool read_to_end = false;  // the last pull reached the end of its records
   bool fenced = false;       // for the current epoch
 
   std::uint64_t stored_pull = 0;  // number of the last one that is on disk
   bool read_since_fence = false;
+  // Start of the last pull that reached the end of its records and is on disk.
+  std::uint64_t read_as_of_ms = 0;
 };
 
 class store_peers {
@@ -55,7 +60,7 @@
   // the previous epoch, and its learners.
   void follow(const records::StoreState& own, std::uint64_t now_ms);
 
-  pull_start on_pull_started(const std::string& id);
+  pull_start on_pull_started(const std::string& id, std::uint64_t now_ms);
 
   // Returns false if the store is no longer a peer, or if another store replied
   // at its address.
@@ -78,6 +83,12 @@
   // Whether this voter, which does not count yet, may do so.
   bool has_joined(const records::StoreState& own) const;
 
+  // The time until which this store has all records that were acknowledged:
+  // until then, a read quorum of the voters has been read to the end. Nothing
+  // if no quorum has.
+  std::optional<std::uint64_t> complete_as_of(const records::StoreState& own,
+                                              std::uint64_t now_ms) const;
+
   const store_peer* find(const std::string& id) const;
   const std::map<std::string, store_peer>& all() const { return peers_; }
   std::map<std::string, peer_view> views(std::uint64_t now_ms) const;
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -82,8 +82,14 @@
     retiring_ = std::move(boxes);
   }
 
-  // Removes expired records that are not needed.
-  void expire(std::uint64_t now_ms);
+  // Since when records have reached the end of their retention, in milliseconds
+  // of the loop's clock; nothing if none has.
+  std::optional<std::uint64_t> expiry_due_since() const { return expiry_due_; }
+
+  // Removes expired records that are not needed. The index has all records that
+  // were acknowledged until `as_of_ms` by any store: one that this store has
+  // missed may be all that still needs another.
+  void expire(std::uint64_t as_of_ms);
 
   // Calls back when a group with a newer epoch is adopted.
   void on_group(std::function<void()> changed) {
@@ -131,7 +137,8 @@
   // Key of the store's own state on disk.
   static constexpr std::string_view state_key = "m/state";
 
-  void settle_turns(std::span<const std::string> turns, std::uint64_t now_ms);
+  void check_expiry();
+  void settle_turns(std::span<const std::string> turns, std::uint64_t as_of_ms);
   void rewrite_sparse();
   std::vector<disk_record> take_sparse();
   void on_rewritten(std::span<const std::string> keys, std::error_code failed);
@@ -155,6 +162,7 @@
   std::set<std::string> retiring_;
   std::vector<std::function<void()>> group_observers_;
   std::function<void(const records::GivenPermits&)> on_permits_;
+  std::optional<std::uint64_t> expiry_due_;
   std::deque<std::string> sparse_;  // keys of records to be written anew
   bool rewriting_ = false;
   timer expiry_;
--- a/include/trayrock/internal/records/store_membership_driver.h
+++ b/include/trayrock/internal/records/store_membership_driver.h
@@ -42,6 +42,7 @@
  private:
   void tick();
   bool needs_peers() const;
+  void expire_records();
   void update_platform_watch(const membership_view& current);
   void create_group();
   void create_group_of(const std::vector<records::Store>& announced);
--- a/include/trayrock/internal/records/store_reader.h
+++ b/include/trayrock/internal/records/store_reader.h
@@ -5,7 +5,9 @@
 // learner or a new voter whose disk was empty reads all records, a part of them
 // from each voter at the same time (decide/divided_read.h), and afterwards only
 // missing records. A read of a part requests the next records while the last
-// ones are being written; its position is that of the records on disk.
+// ones are being written; its position is that of the records on disk. A voter
+// reads what it has missed before its records expire, since records that only
+// others have may depend on these.
 //
 // Example:
 //   store_reader reader(loop, server, pool);
@@ -54,6 +56,10 @@
   // True while this store is a voter that does not count yet.
   bool joining() const;
 
+  // The time until which this store has all acknowledged records, in
+  // milliseconds of the loop's clock; nothing if it has not read enough.
+  std::optional<std::uint64_t> complete_as_of() const;
+
   const store_peers& peers() const { return peers_; }
 
   // Whether a store's latest reply reported that the box is to be retired.
@@ -79,6 +85,7 @@
     bool all = true;  // includes all missing records
   };
 
+  bool copies_records() const;
   bool reads_records() const;
   bool is_due(const store_peer& from) const;
   bool is_storing(const std::string& id) const;
--- a/src/decide/store_peers.cc
+++ b/src/decide/store_peers.cc
@@ -1,6 +1,8 @@
 #include "trayrock/internal/decide/store_peers.h"
 
 #include <algorithm>
+#include <functional>
+#include <vector>
 
 #include "trayrock/internal/records/store_group.h"
 
@@ -40,6 +42,7 @@
     each.counts = false;
     each.fenced = false;
     each.read_since_fence = false;
+    each.read_as_of_ms = 0;
   }
 }
 
@@ -53,10 +56,11 @@
   peer.learner = !is_voting;
 }
 
-pull_start store_peers::on_pull_started(const std::string& id) {
+pull_start store_peers::on_pull_started(const std::string& id,
+                                        std::uint64_t now_ms) {
   const auto found = peers_.find(id);
   const bool fenced = found != peers_.end() && found->second.fenced;
-  return {++pulls_, fenced ? epoch_ : 0};
+  return {++pulls_, fenced ? epoch_ : 0, now_ms};
 }
 
 bool store_peers::on_pull_reply(const std::string& id,
@@ -70,7 +74,11 @@
   peer.last_reply_ms = now_ms;
   peer.id_at_address = reply.store();
   const bool same = reply.store() == id;
+  const bool counted = peer.counts;
   peer.counts = same && reply.counts() && reply.epoch() == epoch_;
+  if (peer.counts && !counted) {
+    peer.counts_since_ms = now_ms;
+  }
   peer.read_to_end = peer.read_to_end && same;
   return same;
 }
@@ -87,6 +95,9 @@
   if (to_end && peer.fenced && pull.fenced_epoch == epoch_) {
     peer.read_since_fence = true;
   }
+  if (to_end) {
+    peer.read_as_of_ms = pull.began_ms;
+  }
   return true;
 }
 
@@ -126,6 +137,28 @@
          read_since_fence(own) >= read_quorum(previous, group.tolerated());
 }
 
+std::optional<std::uint64_t> store_peers::complete_as_of(
+    const records::StoreState& own, std::uint64_t now_ms) const {
+  const records::Group& group = own.group();
+  std::vector<std::uint64_t> read;
+  for (const records::Store& each : group.voters()) {
+    const store_peer* const peer = find(each.id());
+    if (each.id() == own.id() && own.counts()) {
+      read.push_back(now_ms);
+    } else if (peer != nullptr && peer->counts &&
+               peer->read_as_of_ms >= peer->counts_since_ms) {
+      read.push_back(peer->read_as_of_ms);
+    }
+  }
+  const std::size_t needed = read_quorum(
+      static_cast<std::size_t>(group.voters_size()), group.tolerated());
+  if (group.epoch() != epoch_ || needed == 0 || read.size() < needed) {
+    return std::nullopt;
+  }
+  std::sort(read.begin(), read.end(), std::greater<>());
+  return read[needed - 1];
+}
+
 const store_peer* store_peers::find(const std::string& id) const {
   const auto found = peers_.find(id);
   return found == peers_.end() ? nullptr : &found->second;
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -158,7 +158,7 @@
   server_.handle_typed<records::FenceRequest>(
       "Fence", [this](records::FenceRequest& request,
                       const rpc_reply_ptr& reply) { fence(request, reply); });
-  expiry_ = loop_.every(expiry_period, [this] { expire(loop_.now_ms()); });
+  expiry_ = loop_.every(expiry_period, [this] { check_expiry(); });
   if (!state_.id().empty()) {
     save_state(std::move(started));
     return;
--- a/src/records/record_server_expiry.cc
+++ b/src/records/record_server_expiry.cc
@@ -24,12 +24,19 @@
 
 }  // namespace
 
-void record_server::expire(std::uint64_t now_ms) {
-  const expired_records expired = index_.expire(now_ms);
+void record_server::check_expiry() {
+  update_metrics();
+  if (!expiry_due_ && index_.is_expiry_due(loop_.now_ms())) {
+    expiry_due_ = loop_.now_ms();
+  }
+}
+
+void record_server::expire(std::uint64_t as_of_ms) {
+  const expired_records expired = index_.expire(as_of_ms);
   if (!expired.removed.empty()) {
     disk_->erase(expired.removed);
   }
-  settle_turns(expired.to_settle, now_ms);
+  settle_turns(expired.to_settle, as_of_ms);
   for (const std::string& key : expired.kept) {
     if (disk_->is_sparse(key)) {
       sparse_.push_back(key);
@@ -43,12 +50,14 @@
                static_cast<double>(expired.removed.size()));
   metrics_.add("records_kept_total", {},
                static_cast<double>(expired.kept.size()));
-  update_metrics();
+  if (!index_.is_expiry_due(as_of_ms)) {
+    expiry_due_.reset();
+  }
 }
 
 // Adds a settlement for each turn. The turn stays until it expires again.
 void record_server::settle_turns(std::span<const std::string> turns,
-                                 std::uint64_t now_ms) {
+                                 std::uint64_t as_of_ms) {
   std::vector<disk_record> changes;
   std::vector<std::string> keys;
   for (const std::string& key : turns) {
@@ -57,7 +66,7 @@
       continue;
     }
     const records::Record made = settlement_of(turn->turn());
-    if (index_.add_replacement(made, now_ms)) {
+    if (index_.add_replacement(made, as_of_ms)) {
       keys.push_back(record_key(made));
       changes.push_back({keys.back(), made.SerializeAsString()});
     }
--- a/src/records/store_membership_driver.cc
+++ b/src/records/store_membership_driver.cc
@@ -47,6 +47,7 @@
   if (needs_peers()) {
     reader_.pull_due();
   }
+  expire_records();
   if (reader_.joining()) {
     finish_joining();
     return;
@@ -68,11 +69,28 @@
   }
 }
 
-// A counting voter needs no data from its peers unless a box retires.
+// A counting voter needs no data from its peers unless a box retires or records
+// expire.
 bool store_membership_driver::needs_peers() const {
   const records::StoreState& state = server_.state();
   const bool counts = is_voter(state.group(), state.id()) && state.counts();
-  return !counts || !retiring_.empty();
+  return !counts || !retiring_.empty() || server_.expiry_due_since();
+}
+
+// A store outside the group has no records that others rely on.
+void store_membership_driver::expire_records() {
+  const std::optional<std::uint64_t> due = server_.expiry_due_since();
+  if (!due) {
+    return;
+  }
+  const records::StoreState& state = server_.state();
+  const bool is_member = is_voter(state.group(), state.id()) ||
+                         is_learner(state.group(), state.id());
+  const std::optional<std::uint64_t> as_of =
+      is_member ? reader_.complete_as_of() : loop_.now_ms();
+  if (as_of && *as_of >= *due) {
+    server_.expire(*as_of);
+  }
 }
 
 // ---- The first group -------------------------------------------------------
--- a/src/records/store_reader.cc
+++ b/src/records/store_reader.cc
@@ -44,10 +44,21 @@
   return is_voter(state.group(), state.id()) && !state.counts();
 }
 
+bool store_reader::copies_records() const {
+  const records::StoreState& state = server_.state();
+  return joining() || is_learner(state.group(), state.id());
+}
+
 // Spare stores only poll the state of the voters.
 bool store_reader::reads_records() const {
   const records::StoreState& state = server_.state();
-  return joining() || is_learner(state.group(), state.id());
+  const bool expires =
+      is_voter(state.group(), state.id()) && server_.expiry_due_since();
+  return copies_records() || expires;
+}
+
+std::optional<std::uint64_t> store_reader::complete_as_of() const {
+  return peers_.complete_as_of(server_.state(), loop_.now_ms());
 }
 
 // ---- Selection of stores and pull kinds ------------------------------------
@@ -93,7 +104,7 @@
 // Begins the read of an empty store once voters have replied, and ends the
 // parts of those that are lost.
 void store_reader::update_divided_read() {
-  if (!began_empty_ || !reads_records()) {
+  if (!began_empty_ || !copies_records()) {
     return;
   }
   const std::vector<std::string> voters = readable_voters();
@@ -136,8 +147,9 @@
   if (divided_read_.part_of(id)) {
     return records::PULL_RECORDS;
   }
-  const bool has_all_parts = !began_empty_ || (divided_read_.has_begun() &&
-                                               divided_read_.is_finished());
+  const bool has_all_parts =
+      !began_empty_ || !copies_records() ||
+      (divided_read_.has_begun() && divided_read_.is_finished());
   return has_all_parts ? records::PULL_KEYS : records::PULL_STATE;
 }
 
@@ -160,7 +172,7 @@
     request.set_part(part->number);
     request.set_parts(part->count);
   }
-  const pull_start start = peers_.on_pull_started(id);
+  const pull_start start = peers_.on_pull_started(id, loop_.now_ms());
   progress_[id].pulling = pool_.ask<records::PullReply>(
       from.store.address(), "Pull", request, call_timeout,
       [this, id, request, start](result<records::PullReply> reply) {
--- a/test/store_expiry_test.cc
+++ b/test/store_expiry_test.cc
@@ -1,6 +1,7 @@
-// Expiry at a store, and the space that records in use take on its disk.
+// Expiry at stores of a group: what a store needs to know of the others, and
+// the space that records in use take on its disk.
 #include "record_store_fixture.h"
-#include "trayrock/internal/records/record_server.h"
+#include "trayrock/internal/records/store_reader.h"
 
 namespace trayrock::testing {
 namespace {
@@ -11,12 +12,53 @@
 
 class store_expiry_test : public record_store_fixture {
   CPPUNIT_TEST_SUITE(store_expiry_test);
+  CPPUNIT_TEST(voter_reads_missed_turns_before_its_records_expire);
+  CPPUNIT_TEST(voter_that_reaches_no_quorum_keeps_its_records);
   CPPUNIT_TEST(sparse_files_are_removed_and_their_needed_records_kept);
   CPPUNIT_TEST(rewritten_records_are_read_once_after_a_restart);
   CPPUNIT_TEST(turn_of_an_active_program_becomes_a_settlement);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void tearDown() override {
+    reader_.reset();
+    record_store_fixture::tearDown();
+  }
+
+  // Guards against the loss of a turn with the disk of one store: another store
+  // has missed the turn that goes on from it, and drops it by its own age.
+  void voter_reads_missed_turns_before_its_records_expire() {
+    start();
+    store& away = *stores_[2];
+    for (const auto& each : stores_) {
+      pull_into(*each, {with_age(turn("old", "", "one"), expired_ms)});
+    }
+    for (const std::size_t each : {0, 1}) {
+      pull_into(*stores_[each], {with_age(turn("new", "old", "two"), 0)});
+    }
+    CPPUNIT_ASSERT(!away.server.index().has(key("new")));
+    expire_by_group(away);
+
+    CPPUNIT_ASSERT(away.server.index().has(key("new")));
+    CPPUNIT_ASSERT(away.server.index().has(key("old")));
+  }
+
+  void voter_that_reaches_no_quorum_keeps_its_records() {
+    start();
+    pull_into(*stores_[2], {with_age(turn("old", "", "one"), expired_ms)});
+    stores_[0].reset();
+    stores_[1].reset();
+    reader_ =
+        std::make_unique<store_reader>(*loop_, stores_[2]->server, *pool_);
+    run_until(
+        [&] { return stores_[2]->server.expiry_due_since().has_value(); });
+    for (int i = 0; i < 20; ++i) {
+      tick(*stores_[2]);
+    }
+    CPPUNIT_ASSERT(!reader_->complete_as_of().has_value());
+    CPPUNIT_ASSERT(stores_[2]->server.index().has(key("old")));
+  }
+
   // Guards against a file that stays for good, for one record that is needed.
   void sparse_files_are_removed_and_their_needed_records_kept() {
     start();
@@ -138,6 +180,31 @@
     }
     return count;
   }
+
+  // Rounds of the store's membership driver until its records have expired.
+  void expire_by_group(store& at) {
+    reader_ = std::make_unique<store_reader>(*loop_, at.server, *pool_);
+    bool expired = false;
+    const timer ticks =
+        loop_->every(milliseconds(5), [&] { expired = expired || tick(at); });
+    run_until([&] { return expired; });
+    CPPUNIT_ASSERT(expired);
+  }
+
+  // Returns true if the store has removed expired records.
+  bool tick(store& at) {
+    const std::optional<std::uint64_t> due = at.server.expiry_due_since();
+    reader_->follow_group();
+    reader_->pull_due();
+    const std::optional<std::uint64_t> as_of = reader_->complete_as_of();
+    if (!due || !as_of || *as_of < *due) {
+      return false;
+    }
+    at.server.expire(*as_of);
+    return true;
+  }
+
+  std::unique_ptr<store_reader> reader_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_expiry_test);
--- a/test/store_group_simulation.cc
+++ b/test/store_group_simulation.cc
@@ -242,7 +242,7 @@
     return;
   }
   const store& other = *at->current;
-  const pull_start start = self.peers.on_pull_started(from.id());
+  const pull_start start = self.peers.on_pull_started(from.id(), 0);
   records::PullReply reply;
   reply.set_store(other.state.id());
   reply.set_counts(other.state.counts());
@@ -277,7 +277,7 @@
   self.writing.pop_front();
   self.stored.insert(done.records.begin(), done.records.end());
   const pull_start start = omitted_ == omitted_rule::pull_start
-                               ? self.peers.on_pull_started(done.from)
+                               ? self.peers.on_pull_started(done.from, 0)
                                : done.start;
   self.peers.on_records_stored(done.from, start, true);
 }
--- a/test/store_membership_test.cc
+++ b/test/store_membership_test.cc
@@ -52,6 +52,10 @@
   CPPUNIT_TEST(pull_that_began_before_the_fence_does_not_count);
   CPPUNIT_TEST(pull_that_began_in_an_older_epoch_does_not_count);
   CPPUNIT_TEST(earlier_pull_that_is_stored_later_is_ignored);
+  CPPUNIT_TEST(voter_is_complete_as_of_the_reads_of_a_quorum);
+  CPPUNIT_TEST(joining_store_is_complete_by_the_reads_of_others_alone);
+  CPPUNIT_TEST(reads_of_a_voter_before_it_counted_complete_nothing);
+  CPPUNIT_TEST(reads_in_an_older_epoch_complete_nothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -194,7 +198,7 @@
     peers.follow(own, 1000);
     for (const char* id : {"b", "c"}) {
       fence(peers, own, id);
-      peers.on_records_stored(id, peers.on_pull_started(id), true);
+      peers.on_records_stored(id, peers.on_pull_started(id, 0), true);
     }
     CPPUNIT_ASSERT(peers.has_joined(own));
 
@@ -208,9 +212,9 @@
     const records::StoreState own = joining_state();
     store_peers peers;
     peers.follow(own, 1000);
-    const pull_start before = peers.on_pull_started("b");
+    const pull_start before = peers.on_pull_started("b", 0);
     fence(peers, own, "b");
-    const pull_start after = peers.on_pull_started("b");
+    const pull_start after = peers.on_pull_started("b", 0);
 
     peers.on_records_stored("b", before, true);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, peers.read_since_fence(own));
@@ -224,11 +228,11 @@
     store_peers peers;
     peers.follow(own, 1000);
     fence(peers, own, "b");
-    const pull_start before = peers.on_pull_started("b");
+    const pull_start before = peers.on_pull_started("b", 0);
     adopt_group(own, without_voter(own.group(), "c"));
     peers.follow(own, 1000);
     fence(peers, own, "b");
-    peers.on_pull_started("b");
+    peers.on_pull_started("b", 0);
 
     peers.on_records_stored("b", before, true);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, peers.read_since_fence(own));
@@ -239,15 +243,94 @@
     const records::StoreState own = joining_state();
     store_peers peers;
     peers.follow(own, 1000);
-    const pull_start earlier = peers.on_pull_started("b");
-    const pull_start later = peers.on_pull_started("b");
+    const pull_start earlier = peers.on_pull_started("b", 0);
+    const pull_start later = peers.on_pull_started("b", 0);
 
     CPPUNIT_ASSERT(peers.on_records_stored("b", later, true));
     CPPUNIT_ASSERT(!peers.on_records_stored("b", earlier, false));
     CPPUNIT_ASSERT(peers.find("b")->read_to_end);
   }
 
+  void voter_is_complete_as_of_the_reads_of_a_quorum() {
+    const records::StoreState own = voting_state();
+    store_peers peers;
+    peers.follow(own, 1000);
+    CPPUNIT_ASSERT(!peers.complete_as_of(own, 1100).has_value());
+
+    read_to_end(peers, own, "b", 1200);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1200},
+                         peers.complete_as_of(own, 2000).value());
+    read_to_end(peers, own, "c", 1500);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1500},
+                         peers.complete_as_of(own, 2000).value());
+  }
+
+  void joining_store_is_complete_by_the_reads_of_others_alone() {
+    const records::StoreState own = joining_state();
+    store_peers peers;
+    peers.follow(own, 1000);
+    read_to_end(peers, own, "b", 1200);
+    CPPUNIT_ASSERT(!peers.complete_as_of(own, 2000).has_value());
+    read_to_end(peers, own, "c", 1500);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1200},
+                         peers.complete_as_of(own, 2000).value());
+  }
+
+  // A voter that joins has not read all that was acknowledged before.
+  void reads_of_a_voter_before_it_counted_complete_nothing() {
+    const records::StoreState own = voting_state();
+    store_peers peers;
+    peers.follow(own, 1000);
+    const pull_start early = peers.on_pull_started("b", 1100);
+    reply_of(peers, own, "b", false, 1110);
+    peers.on_records_stored("b", early, true);
+    reply_of(peers, own, "b", true, 1200);
+    CPPUNIT_ASSERT(!peers.complete_as_of(own, 1300).has_value());
+
+    read_to_end(peers, own, "b", 1400);
+    CPPUNIT_ASSERT(peers.complete_as_of(own, 1500).has_value());
+  }
+
+  void reads_in_an_older_epoch_complete_nothing() {
+    records::StoreState own = voting_state();
+    store_peers peers;
+    peers.follow(own, 1000);
+    read_to_end(peers, own, "b", 1200);
+    adopt_group(own, with_voter(own.group(), store_of("d", "4"), "c"));
+    CPPUNIT_ASSERT(!peers.complete_as_of(own, 1300).has_value());
+    peers.follow(own, 1300);
+    CPPUNIT_ASSERT(!peers.complete_as_of(own, 1300).has_value());
+  }
+
  private:
+  // The state of the voter a, which counts.
+  static records::StoreState voting_state() {
+    records::StoreState made;
+    made.set_id("a");
+    made.set_counts(true);
+    *made.mutable_group() = spare_view().group;
+    return made;
+  }
+
+  static void reply_of(store_peers& peers, const records::StoreState& own,
+                       const std::string& id, bool counts,
+                       std::uint64_t now_ms) {
+    records::PullReply reply;
+    reply.set_store(id);
+    reply.set_counts(counts);
+    reply.set_epoch(own.group().epoch());
+    peers.on_pull_reply(id, reply, now_ms);
+  }
+
+  // A pull that begins at this time, of a voter that counts.
+  static void read_to_end(store_peers& peers, const records::StoreState& own,
+                          const std::string& id, std::uint64_t began_ms) {
+    reply_of(peers, own, id, true, began_ms - 100);
+    const pull_start start = peers.on_pull_started(id, began_ms);
+    reply_of(peers, own, id, true, began_ms + 10);
+    peers.on_records_stored(id, start, true);
+  }
+
   // The state of store d, which replaces the voter a.
   static records::StoreState joining_state() {
     records::StoreState made;
