A turn is stored until one that goes on from it may have ended

A chain could expire while a turn that goes on from it was running. Such a turn may begin at the end of the retention, and only its own record, written when it ends, keeps the chain from then on. Until then the margin of 60 s covered it, so a turn of a route with a longer time limit lost its own predecessors.

The stored retention now includes the route's time limit, rounded up to seconds. Weighed: a lease that the gateway renews while the turn runs (a call more per turn).

turn_is_stored_until_one_that_goes_on_from_it_has_ended: 60 s and a time limit of 300.5 s are stored as 361 s; before, 60 s.

--- a/include/trayrock/internal/gateway/turn_history.h
+++ b/include/trayrock/internal/gateway/turn_history.h
@@ -105,6 +105,7 @@
   chain_cache& chains_;
   const request_metadata& metadata_;
   std::chrono::seconds retention_{0};
+  std::chrono::seconds stored_retention_{0};
   // Names in the record stores, see record_name().
   std::string attempt_;
   std::string program_;
--- a/src/gateway/turn_history.cc
+++ b/src/gateway/turn_history.cc
@@ -34,6 +34,9 @@
     return reserved_;
   }
   retention_ = from.retention;
+  // A turn that goes on from this one may begin at the end of its retention.
+  stored_retention_ =
+      from.retention + std::chrono::ceil<std::chrono::seconds>(from.timeout);
   chain_ = chains_.find(previous_turn_, loop_.now_ms());
   requested_chain_ = chain_ == nullptr ? previous_turn_ : std::string();
   return reserved_ || !requested_chain_.empty();
@@ -147,7 +150,7 @@
   made.set_output(turn.output.data(), turn.output.size());
   made.set_tokens(turn.tokens);
   made.set_endpoint(turn.endpoint);
-  made.set_retention_s(static_cast<std::uint32_t>(retention_.count()));
+  made.set_retention_s(static_cast<std::uint32_t>(stored_retention_.count()));
   return record;
 }
 
--- a/test/store_expiry_test.cc
+++ b/test/store_expiry_test.cc
@@ -1,6 +1,7 @@
 // Expiry at stores of a group: what a store needs to know of the others, and
 // the space that records in use take on its disk.
 #include "record_store_fixture.h"
+#include "trayrock/internal/gateway/turn_history.h"
 #include "trayrock/internal/records/store_reader.h"
 
 namespace trayrock::testing {
@@ -17,6 +18,7 @@
   CPPUNIT_TEST(sparse_files_are_removed_and_their_needed_records_kept);
   CPPUNIT_TEST(rewritten_records_are_read_once_after_a_restart);
   CPPUNIT_TEST(turn_of_an_active_program_becomes_a_settlement);
+  CPPUNIT_TEST(turn_is_stored_until_one_that_goes_on_from_it_has_ended);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -111,6 +113,30 @@
     CPPUNIT_ASSERT_EQUAL(std::string("program"), found->settlement().program());
   }
 
+  // Guards against a long turn whose chain expires while it runs: it may begin
+  // at the end of the retention, and is stored when it ends.
+  void turn_is_stored_until_one_that_goes_on_from_it_has_ended() {
+    start();
+    chain_cache chains(1U << 20);
+    request_metadata metadata;
+    metadata.attempt = "t";
+    route made;
+    made.keeps_history = true;
+    made.retention = std::chrono::seconds(60);
+    made.timeout = milliseconds(300500);
+    turn_history history(*loop_, *client_, chains, metadata);
+    history.begin(made, "");
+    bool stored = false;
+    history.store({"input", "output", 1, "e"}, call_timeout,
+                  [&](std::error_code failed) { stored = !failed; });
+    run_until(
+        [&] { return stored && stores_[0]->server.index().has(key("t")); });
+
+    const auto record = stores_[0]->server.index().find(key("t"));
+    CPPUNIT_ASSERT(record.has_value());
+    CPPUNIT_ASSERT_EQUAL(361U, record->turn().retention_s());
+  }
+
  private:
   void start() {
     start_group();
