A reservation's reply has only the usage that its gateway does not know

Each reservation was answered with one row for every turn of its program, by each voter. Since what a program has used lasts as long as the program, a reply grew with the program: 5,000 turns are some 150 KB from each of three voters for each turn, which gateways also added up anew.

Stores order the turns of a program by their last change and number the changes. Beside the rows, the reply to a reservation of a program with 32 turns or more names the log (one start of the store) and the position that it reaches. The gateway keeps what it learned of such programs, bounded by 50,000 turns, and names the position with the next reservation; the store then sends what has changed since. Another start of the store, another gateway or a full cache read everything once. Sums are kept with the rows.

Correctness rests on turns being only added or settled: what a store reported is true as long as the program is active, and the union over a write quorum is therefore the same as with full replies.

Weighed: sums in place of rows of old turns (stores that lack different turns can't be united); hashes of buckets of rows (the buckets that change differ for a moment at each store).

--- a/include/trayrock/internal/decide/token_budget.h
+++ b/include/trayrock/internal/decide/token_budget.h
@@ -45,10 +45,17 @@
   // were refused or failed at their start.
   bool has_other_turns(std::string_view attempt) const;
 
-  std::uint64_t used() const;  // tokens of settled turns
-  std::uint64_t open() const;  // tokens reserved by open turns
+  std::uint64_t used() const { return used_; }  // tokens of settled turns
+  std::uint64_t open() const { return open_; }  // reserved by open turns
+
+  std::size_t turns() const { return turns_.size(); }
 
  private:
+  void count(const turn_usage& turn);
+  void discount(const turn_usage& turn);
+
+  std::uint64_t used_ = 0;
+  std::uint64_t open_ = 0;
   std::map<std::string, turn_usage, std::less<>> turns_;
 };
 
--- a/include/trayrock/internal/records/record_client.h
+++ b/include/trayrock/internal/records/record_client.h
@@ -25,11 +25,12 @@
 #include "trayrock/internal/metrics.h"
 #include "trayrock/internal/net/rpc.h"
 #include "trayrock/internal/records/store_calls.h"
+#include "trayrock/internal/records/usage_cache.h"
 
 namespace trayrock {
 
 struct reserved_turn {
-  program_usage usage;
+  std::shared_ptr<const program_usage> usage;
   bool chain_found = false;  // false: a read quorum of voters lacks it
   std::string text;          // of the chain, oldest turn first
   std::string endpoint;      // that produced the newest turn's output
@@ -91,6 +92,7 @@
   std::string data_centre_;
   records::Group group_;
   std::set<std::shared_ptr<operation>> running_;
+  usage_cache usages_;
 };
 
 }  // namespace trayrock
--- a/include/trayrock/internal/records/record_index.h
+++ b/include/trayrock/internal/records/record_index.h
@@ -118,8 +118,16 @@
   turn_chain chain(std::string_view attempt,
                    std::size_t max_turns = max_chain_turns) const;
 
-  // All turns of a program; an attempt is identified by the bytes of its id.
-  std::vector<turn_usage> usage(std::string_view program) const;
+  // The turns of a program that were added or settled after a position; an
+  // attempt is identified by the bytes of its id.
+  std::vector<turn_usage> usage(std::string_view program,
+                                std::uint64_t after = 0) const;
+
+  // Position of the last change of any program's usage.
+  std::uint64_t usage_position() const { return usage_position_; }
+
+  // How many turns of a program are stored.
+  std::size_t turns_of(std::string_view program) const;
 
   // The endpoint of the last turn of the line, or of the program if the line is
   // not known. Valid until the index changes.
@@ -167,9 +175,13 @@
     std::uint64_t line = 0;
     std::uint32_t endpoint = 0;  // index into endpoints_
   };
+  struct usage_change {
+    record_id attempt;
+    std::uint64_t position = 0;
+  };
   struct program_state {
-    std::vector<record_id> attempts;
-    std::vector<line_placement> lines;  // the last one used is at the end
+    std::vector<usage_change> attempts;  // the last change of each, in order
+    std::vector<line_placement> lines;   // the last one used is at the end
     std::uint32_t placed_turns = 0;
     std::uint32_t stored_attempts = 0;
     std::uint64_t active_ms = 0;  // when its last record was added
@@ -187,6 +199,7 @@
              attempt_state& state);
   void add_to_program(const std::string& program, const record_id& attempt,
                       std::uint64_t active_ms, attempt_state& state);
+  void move_to_end(program_state& program, const record_id& attempt);
   void place(const records::Settlement& made);
   std::uint32_t number_of(const std::string& endpoint);
 
@@ -214,6 +227,7 @@
   std::map<std::uint32_t, std::size_t> retentions_;  // turns by retention_s
   std::uint32_t retention_s_ = default_retention_s;  // the longest one
   std::uint64_t expiry_margin_ms_ = 60000;
+  std::uint64_t usage_position_ = 0;
 };
 
 }  // namespace trayrock
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -121,6 +121,8 @@
                        const rpc_reply_ptr& reply);
   void send_write_reply(const records::WriteRequest& request,
                         records::Outcome outcome, const rpc_reply_ptr& reply);
+  void add_usage(const records::WriteRequest& request,
+                 records::WriteReply& message) const;
   void add_last_endpoint(const records::Reservation& made,
                          records::WriteReply& message) const;
   void add_chain(const records::WriteRequest& request,
--- a/src/decide/token_budget.cc
+++ b/src/decide/token_budget.cc
@@ -6,29 +6,22 @@
 
 void program_usage::add(const turn_usage& turn) {
   auto [found, added] = turns_.try_emplace(turn.attempt, turn);
-  if (added) {
-    return;
-  }
   turn_usage& known = found->second;
-  known.reserved = std::max(known.reserved, turn.reserved);
-  known.used = std::max(known.used, turn.used);
-  known.settled = known.settled || turn.settled;
+  if (!added) {
+    discount(known);
+    known.reserved = std::max(known.reserved, turn.reserved);
+    known.used = std::max(known.used, turn.used);
+    known.settled = known.settled || turn.settled;
+  }
+  count(known);
 }
 
-std::uint64_t program_usage::used() const {
-  std::uint64_t sum = 0;
-  for (const auto& [attempt, turn] : turns_) {
-    sum += turn.settled ? turn.used : 0;
-  }
-  return sum;
+void program_usage::count(const turn_usage& turn) {
+  (turn.settled ? used_ : open_) += turn.settled ? turn.used : turn.reserved;
 }
 
-std::uint64_t program_usage::open() const {
-  std::uint64_t sum = 0;
-  for (const auto& [attempt, turn] : turns_) {
-    sum += turn.settled ? 0 : turn.reserved;
-  }
-  return sum;
+void program_usage::discount(const turn_usage& turn) {
+  (turn.settled ? used_ : open_) -= turn.settled ? turn.used : turn.reserved;
 }
 
 budget_verdict program_usage::decide(std::string_view attempt,
--- a/src/gateway/turn_history.cc
+++ b/src/gateway/turn_history.cc
@@ -62,7 +62,7 @@
   }
   last_endpoint_ = reserved.value().last_endpoint;
   last_of_line_ = reserved.value().last_of_line;
-  first_turn_ = reserved_ && !reserved.value().usage.has_other_turns(
+  first_turn_ = reserved_ && !reserved.value().usage->has_other_turns(
                                  bytes_of(id_of(attempt_)));
   if (!requested_chain_.empty()) {
     if (!reserved.value().chain_found) {
@@ -77,7 +77,7 @@
   if (!has_budget()) {
     return std::nullopt;
   }
-  const std::optional<errc> error = check_budget(reserved.value().usage);
+  const std::optional<errc> error = check_budget(*reserved.value().usage);
   if (error) {
     settle(0);
   }
--- a/src/records/record_client.cc
+++ b/src/records/record_client.cc
@@ -25,6 +25,8 @@
 constexpr milliseconds progress_check_period{100};
 // An operation fails after this even if the voters are still writing.
 constexpr milliseconds max_duration{20000};
+// Bounds what is cached of programs with many turns, at some 150 bytes a turn.
+constexpr std::size_t max_cached_turns = 50000;
 
 }  // namespace
 
@@ -43,7 +45,7 @@
   std::uint64_t began_ms = 0;
   chain_reader chain;
   bool done = false;
-  program_usage usage;
+  known_usage usage;
   std::string last_endpoint;
   bool last_of_line = false;
   std::uint32_t placed_turns = 0;  // of the reply with last_endpoint
@@ -94,6 +96,11 @@
     sent.set_store(to.id());
     sent.set_chain_of(chain.wanted());
     sent.set_send_chain(with_text);
+    const auto known = usage.positions.find(to.id());
+    if (known != usage.positions.end()) {
+      sent.set_usage_log(known->second.log);
+      sent.set_usage_position(known->second.position);
+    }
     if (with_text) {
       chain.on_text_requested(to.id());
       text_timer = client.connectivity_.loop.after_attended(
@@ -233,7 +240,11 @@
                            const records::WriteReply& reply) {
     acknowledged.insert(id);
     for (const records::Usage& each : reply.program()) {
-      usage.add({each.attempt(), each.reserved(), each.settled(), each.used()});
+      usage.usage->add(
+          {each.attempt(), each.reserved(), each.settled(), each.used()});
+    }
+    if (reply.usage_log() != 0) {
+      usage.positions[id] = {reply.usage_log(), reply.usage_position()};
     }
     if (reply.placed_turns() > placed_turns) {
       placed_turns = reply.placed_turns();
@@ -298,7 +309,7 @@
 
   reserved_turn make_reserved_turn() {
     reserved_turn made;
-    made.usage = std::move(usage);
+    made.usage = usage.usage;
     made.chain_found = chain.complete();
     made.endpoint = chain.endpoint();
     made.last_endpoint = std::move(last_endpoint);
@@ -327,6 +338,9 @@
           client.running_.erase(last);
           linger_timer.cancel();
         });
+    if (!usage.positions.empty()) {
+      client.usages_.put(request.record().reservation().program(), usage);
+    }
     if (on_reserved) {
       auto callback = std::move(on_reserved);
       failed ? callback(errc::history_unavailable)
@@ -344,7 +358,8 @@
 record_client::record_client(event_loop& loop, rpc_pool& pool,
                              std::string data_centre, metrics_registry& metrics)
     : connectivity_(loop, pool, metrics),
-      data_centre_(std::move(data_centre)) {}
+      data_centre_(std::move(data_centre)),
+      usages_(max_cached_turns) {}
 
 record_client::~record_client() = default;
 
@@ -394,6 +409,7 @@
   auto made = std::make_shared<operation>(*this);
   if (!reservation.program().empty()) {
     *made->request.mutable_record()->mutable_reservation() = reservation;
+    made->usage = usages_.find(reservation.program());
   }
   made->chain = chain_reader(previous);
   made->on_reserved = std::move(done);
--- a/src/records/record_index.cc
+++ b/src/records/record_index.cc
@@ -1,6 +1,7 @@
 #include "trayrock/internal/records/record_index.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "record_kinds.h"
 
@@ -123,9 +124,23 @@
   program_state& made = programs_[state.program];
   made.active_ms = std::max(made.active_ms, active_ms);
   if (is_new) {
-    made.attempts.push_back(attempt);
+    made.attempts.push_back({attempt, ++usage_position_});
     ++made.stored_attempts;
+  } else {
+    move_to_end(made, attempt);
+  }
+}
+
+// The attempt has changed. It is usually one of the last ones.
+void record_index::move_to_end(program_state& program,
+                               const record_id& attempt) {
+  const auto found = std::find_if(
+      program.attempts.rbegin(), program.attempts.rend(),
+      [&](const usage_change& each) { return each.attempt == attempt; });
+  if (found != program.attempts.rend()) {
+    program.attempts.erase(std::prev(found.base()));
   }
+  program.attempts.push_back({attempt, ++usage_position_});
 }
 
 void record_index::place(const records::Settlement& made) {
@@ -197,22 +212,32 @@
   return made;
 }
 
-std::vector<turn_usage> record_index::usage(std::string_view program) const {
+std::vector<turn_usage> record_index::usage(std::string_view program,
+                                            std::uint64_t after) const {
   std::vector<turn_usage> found;
   const auto known = programs_.find(id_of(program));
   if (known == programs_.end()) {
     return found;
   }
-  for (const record_id& attempt : known->second.attempts) {
-    const auto state = attempts_.find(attempt);
+  const auto& attempts = known->second.attempts;
+  const auto first = std::partition_point(
+      attempts.begin(), attempts.end(),
+      [after](const usage_change& each) { return each.position <= after; });
+  for (auto each = first; each != attempts.end(); ++each) {
+    const auto state = attempts_.find(each->attempt);
     if (state != attempts_.end()) {
-      found.push_back({bytes_of(attempt), state->second.reserved,
+      found.push_back({bytes_of(each->attempt), state->second.reserved,
                        state->second.settled, state->second.used});
     }
   }
   return found;
 }
 
+std::size_t record_index::turns_of(std::string_view program) const {
+  const auto known = programs_.find(id_of(program));
+  return known == programs_.end() ? 0 : known->second.stored_attempts;
+}
+
 last_placement record_index::last_endpoint(std::string_view program,
                                            std::uint64_t line) const {
   const auto known = programs_.find(id_of(program));
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -20,6 +20,8 @@
 // Records or keys per pull reply.
 constexpr std::size_t max_pulled_records = 5000;
 constexpr milliseconds expiry_period{5000};
+// Of a program with fewer turns, each reply has all.
+constexpr std::size_t min_tracked_turns = 32;
 
 std::string new_id() {
   return boost::uuids::to_string(boost::uuids::random_generator()());
@@ -291,14 +293,7 @@
     *message.mutable_group() = state_.group();
   }
   if (request.has_record() && request.record().has_reservation()) {
-    const std::string& program = request.record().reservation().program();
-    for (const turn_usage& each : index_.usage(program)) {
-      records::Usage& usage = *message.add_program();
-      usage.set_attempt(each.attempt);
-      usage.set_reserved(each.reserved);
-      usage.set_settled(each.settled);
-      usage.set_used(each.used);
-    }
+    add_usage(request, message);
     add_last_endpoint(request.record().reservation(), message);
   }
   if (!request.chain_of().empty()) {
@@ -308,6 +303,25 @@
   reply->finish();
 }
 
+// Of a large program, only what the gateway does not know yet.
+void record_server::add_usage(const records::WriteRequest& request,
+                              records::WriteReply& message) const {
+  const std::string& program = request.record().reservation().program();
+  const std::uint64_t known =
+      request.usage_log() == log_ ? request.usage_position() : 0;
+  for (const turn_usage& each : index_.usage(program, known)) {
+    records::Usage& usage = *message.add_program();
+    usage.set_attempt(each.attempt);
+    usage.set_reserved(each.reserved);
+    usage.set_settled(each.settled);
+    usage.set_used(each.used);
+  }
+  if (index_.turns_of(program) >= min_tracked_turns) {
+    message.set_usage_log(log_);
+    message.set_usage_position(index_.usage_position());
+  }
+}
+
 void record_server::add_last_endpoint(const records::Reservation& made,
                                       records::WriteReply& message) const {
   if (made.line() == 0) {
--- a/test/record_client_test.cc
+++ b/test/record_client_test.cc
@@ -12,6 +12,7 @@
 
 class record_client_test : public record_store_fixture {
   CPPUNIT_TEST_SUITE(record_client_test);
+  CPPUNIT_TEST(usage_of_a_large_program_is_complete_at_each_gateway);
   CPPUNIT_TEST(two_of_three_stores_make_a_record_durable);
   CPPUNIT_TEST(one_of_three_stores_does_not_make_a_record_durable);
   CPPUNIT_TEST(reservations_see_each_other);
@@ -59,13 +60,45 @@
     CPPUNIT_ASSERT(second && second->has_value());
     const auto fits = [](const result<reserved_turn>& made,
                          const std::string& attempt) {
-      return made.value().usage.decide(bytes_of(id_of(attempt)), 60, 100) ==
+      return made.value().usage->decide(bytes_of(id_of(attempt)), 60, 100) ==
              budget_verdict::fits;
     };
     TRAYROCK_CHECK(!(fits(*first, "a1") && fits(*second, "a2")),
                    "expected at most one of two to fit");
   }
 
+  // Guards against a budget that misses turns: stores send a large program's
+  // usage in parts, to several gateways, and forget what they sent in a
+  // restart.
+  void usage_of_a_large_program_is_complete_at_each_gateway() {
+    start_group();
+    record_client other(*loop_, *pool_, "dc-1", metrics_);
+    other.adopt(client_->group());
+    constexpr int turns = 120;
+    for (int i = 0; i < turns; ++i) {
+      if (i == 60) {
+        stores_[0].reset();
+        stores_[0] = std::make_unique<store>(*loop_, folder_ + "/0", ports_[0]);
+      }
+      const std::string attempt = "t" + std::to_string(i);
+      record_client& at = i % 7 < 4 ? *client_ : other;
+      std::optional<result<reserved_turn>> reply;
+      at.reserve(reservation(attempt, 10), "", call_timeout,
+                 [&](const result<reserved_turn>& made) {
+                   reply = made;
+                   loop_->stop();
+                 });
+      run();
+      CPPUNIT_ASSERT(reply && reply->has_value());
+      const program_usage& usage = *reply->value().usage;
+      TRAYROCK_CHECK(
+          usage.used() + usage.open() >= 3 * i + 10U && usage.used() <= 3U * i,
+          "turn " << i << ": expected " << 3 * i << " tokens used, seen "
+                  << usage.used() << " and " << usage.open() << " open");
+      CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(settlement(attempt, 3)));
+    }
+  }
+
   void missing_turn_requires_replies_of_a_read_quorum() {
     start_group();
     CPPUNIT_ASSERT(!read("t1").chain_found);
--- a/test/record_index_test.cc
+++ b/test/record_index_test.cc
@@ -84,6 +84,7 @@
   CPPUNIT_TEST(lowered_retention_applies_once_older_turns_are_gone);
   CPPUNIT_TEST(programs_without_stored_turns_expire);
   CPPUNIT_TEST(kept_record_gets_a_new_position);
+  CPPUNIT_TEST(usage_after_a_position_is_what_changed_since);
   CPPUNIT_TEST(size_is_bounded_beside_a_long_conversation);
   CPPUNIT_TEST(whether_a_turn_is_stored_takes_one_read);
   CPPUNIT_TEST(last_endpoint_is_that_of_the_line);
@@ -508,6 +509,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, keys_after(0, 10).size());
   }
 
+  void usage_after_a_position_is_what_changed_since() {
+    index_.add(reservation("a", 10), 0);
+    index_.add(reservation("b", 10), 0);
+    const std::uint64_t known = index_.usage_position();
+    CPPUNIT_ASSERT(index_.usage("p", known).empty());
+
+    index_.add(settlement("a", 4, 0, ""), 0);
+    index_.add(of_program("q", reservation("other", 10)), 0);
+    const auto changed = index_.usage("p", known);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changed.size());
+    CPPUNIT_ASSERT_EQUAL(bytes_of(id_of("a")), changed[0].attempt);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, changed[0].used);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, index_.usage("p").size());
+  }
+
   void size_is_bounded_beside_a_long_conversation() {
     std::string previous;
     std::size_t most = 0;
--- a/test/record_store_fixture.h
+++ b/test/record_store_fixture.h
@@ -74,6 +74,15 @@
   return made;
 }
 
+inline records::Record settlement(const std::string& attempt,
+                                  std::uint64_t tokens) {
+  records::Record made;
+  made.mutable_settlement()->set_program("program");
+  made.mutable_settlement()->set_attempt(attempt);
+  made.mutable_settlement()->set_tokens(tokens);
+  return made;
+}
+
 inline records::Reservation reservation(const std::string& attempt,
                                         std::uint64_t tokens) {
   records::Reservation made;
