Endpoints that ended count as long as a program repeats the request

A program could end three more endpoints every two minutes. Once three had ended under one of its requests, gateways refused it, but each record expired 120 s after its endpoint had ended, while the program went on repeating the request. The same cause as conversations that were older than their retention: state that is dropped by its own age while something living refers to it.

A refusal of a program's request now renews the records that are older than 30 s and reports them to the other gateways, so the next one that the program comes to has them too. A report that is older than a renewal no longer sets it back. Requests outside of programs go by age as before: copies of them may come from many callers, and those have to be let through again. Not covered: a program that pauses for more than 120 s between two attempts.

Evidence: ended_endpoints_count_while_the_request_is_repeated repeats a request for 800 s, here and at another gateway; old_report_does_not_undo_a_renewal. poison_requests_test passes with both, and poison_request_test.

--- a/include/trayrock/internal/decide/poison_requests.h
+++ b/include/trayrock/internal/decide/poison_requests.h
@@ -6,8 +6,9 @@
 // multiply. So tries are counted by the content of the request
 // (gateway/request_fingerprint.h) and not by the client's attempt. Once
 // `max_ended` endpoints have ended under a request, it is refused until the
-// record expires. While endpoints may still end under tries that are open, a
-// suspected request waits, so that copies side by side stay within the bound.
+// record expires; while a program repeats it, the record does not. While
+// endpoints may still end under tries that are open, a suspected request waits,
+// so that copies side by side stay within the bound.
 //
 // Evidence is an endpoint whose process is known to have ended while it had the
 // request, or shortly after the gateway had left it. A reset, a cut link, an
@@ -69,6 +70,8 @@
   static constexpr std::uint64_t last_try_pause_ms = 500;
   // How long an endpoint that ended counts.
   static constexpr std::uint64_t ended_lifetime_ms = 120000;
+  // A record that is older is renewed while its request is still repeated.
+  static constexpr std::uint64_t renewal_age_ms = ended_lifetime_ms / 4;
   // An endpoint that ends within this time after it was left may have ended
   // under the request.
   static constexpr std::uint64_t left_lifetime_ms = 5000;
@@ -109,6 +112,12 @@
   std::vector<request_fingerprint> record_ended(const endpoint_identity& at,
                                                 std::uint64_t now_ms);
 
+  // A program still repeats a request that is refused, so that the records of
+  // its ended endpoints don't expire. Returns those that were renewed, for the
+  // other gateways.
+  std::vector<request_try> renew_ended(request_fingerprint request,
+                                       std::uint64_t now_ms);
+
   // A try that another gateway reports. One that it has left is not kept: that
   // gateway watches the endpoint's end itself.
   void record_peer_try(const request_try& reported, std::uint64_t now_ms);
--- a/include/trayrock/internal/gateway/poison_guard.h
+++ b/include/trayrock/internal/gateway/poison_guard.h
@@ -60,6 +60,9 @@
   // Whether the request is refused, by what is known now.
   bool refuses(request_fingerprint request) const;
 
+  // A program's request was refused, and is likely to be repeated.
+  void renew(request_fingerprint request);
+
   // The number of endpoints that ended under the request.
   std::size_t ended(request_fingerprint request) const;
 
--- a/src/decide/poison_requests.cc
+++ b/src/decide/poison_requests.cc
@@ -213,6 +213,24 @@
   return counted;
 }
 
+std::vector<request_try> poison_requests::renew_ended(
+    request_fingerprint request, std::uint64_t now_ms) {
+  std::vector<request_try> renewed;
+  const auto found = tries_.find(request);
+  if (found == tries_.end()) {
+    return renewed;
+  }
+  for (tracked_try& each : found->second) {
+    const bool counts =
+        each.stage == try_stage::ended && !is_expired(each, now_ms);
+    if (counts && each.at_ms + renewal_age_ms <= now_ms) {
+      each.at_ms = now_ms;
+      renewed.push_back({request, each.endpoint, try_stage::ended});
+    }
+  }
+  return renewed;
+}
+
 void poison_requests::record_peer_try(const request_try& reported,
                                       std::uint64_t now_ms) {
   tracked_try* const known = find(reported.request, reported.endpoint);
@@ -227,8 +245,11 @@
     return;
   }
   tracked_try& made = entry(reported.request, reported.endpoint, now_ms);
+  const std::uint64_t at_ms = now_ms - std::min(reported.age_ms, now_ms);
+  // A report may be older than a renewal.
+  made.at_ms =
+      made.stage == try_stage::ended ? std::max(made.at_ms, at_ms) : at_ms;
   made.stage = reported.stage;
-  made.at_ms = now_ms - std::min(reported.age_ms, now_ms);
 }
 
 void poison_requests::erase(request_fingerprint request,
--- a/src/gateway/poison_guard.cc
+++ b/src/gateway/poison_guard.cc
@@ -131,6 +131,17 @@
   return ended(request) >= poison_requests::max_ended;
 }
 
+void poison_guard::renew(request_fingerprint request) {
+  records::RequestTries message;
+  for (const request_try& each : tries_.renew_ended(request, loop_.now_ms())) {
+    *message.add_tries() = message_of(each);
+  }
+  if (message.tries_size() > 0) {
+    metrics_.add("request_tries_renewed_total");
+    report(message, nullptr);
+  }
+}
+
 std::size_t poison_guard::ended(request_fingerprint request) const {
   return tries_.ended(request, loop_.now_ms());
 }
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -80,6 +80,10 @@
 }
 
 void request_flow::refuse_as_poison() {
+  // Other requests may be alike, of many callers, and are let through again.
+  if (!metadata_.program.empty()) {
+    context_.poison.renew(fingerprint_);
+  }
   context_.metrics.add("poison_requests_refused_total",
                        {{"route", routing_.route().name}});
   log_warn("poison_request",
--- a/test/poison_requests_test.cc
+++ b/test/poison_requests_test.cc
@@ -53,6 +53,8 @@
   CPPUNIT_TEST(reported_survival_closes_a_try_of_another_gateway);
   CPPUNIT_TEST(closed_try_of_another_gateway_does_not_count_later);
   CPPUNIT_TEST(ended_endpoints_expire);
+  CPPUNIT_TEST(ended_endpoints_count_while_the_request_is_repeated);
+  CPPUNIT_TEST(old_report_does_not_undo_a_renewal);
   CPPUNIT_TEST(number_of_requests_is_bounded);
   CPPUNIT_TEST(fingerprint_ignores_the_attempt);
   CPPUNIT_TEST(fingerprint_tells_contents_apart);
@@ -240,6 +242,47 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, tries.size());
   }
 
+  // Guards against a program that ends three more endpoints each time that the
+  // records of the former ones have expired.
+  void ended_endpoints_count_while_the_request_is_repeated() {
+    poison_requests here;
+    poison_requests elsewhere;
+    for (int i = 1; i <= 3; ++i) {
+      end_under(here, request, i);
+    }
+    std::uint64_t time = now;
+    for (int i = 0; i < 20; ++i) {
+      time += 40000;
+      CPPUNIT_ASSERT(here.decide(request, in_program, time) ==
+                     try_verdict::refuse);
+      const auto renewed = here.renew_ended(request, time);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, renewed.size());
+      for (const request_try& each : renewed) {
+        elsewhere.record_peer_try(each, time);
+      }
+      CPPUNIT_ASSERT(here.renew_ended(request, time + 1000).empty());
+      CPPUNIT_ASSERT(elsewhere.decide(request, in_program, time) ==
+                     try_verdict::refuse);
+    }
+    time += poison_requests::ended_lifetime_ms + 1;
+    CPPUNIT_ASSERT(here.decide(request, in_program, time) == try_verdict::send);
+  }
+
+  void old_report_does_not_undo_a_renewal() {
+    poison_requests tries;
+    for (int i = 1; i <= 3; ++i) {
+      end_under(tries, request, i);
+    }
+    const std::uint64_t renewed = now + 100000;
+    tries.renew_ended(request, renewed);
+    for (int i = 1; i <= 3; ++i) {
+      tries.record_peer_try(
+          {request, endpoint_named(i), try_stage::ended, 110000}, renewed);
+    }
+    CPPUNIT_ASSERT(tries.decide(request, in_program, renewed + 60000) ==
+                   try_verdict::refuse);
+  }
+
   void number_of_requests_is_bounded() {
     poison_requests tries;
     tries.record_sent(request, endpoint_named(1), now);
