Records last while the longest turn of any route may run

A long turn was covered only by the time limit of the route that its predecessor had used, and an open reservation only by its age. So a turn on a route with a longer limit could still lose its chain while it ran, and turns beside a long one could miss what it had reserved and exceed the program's budget.

Turns are now stored for their retention and the longest time limit of the configuration's streaming routes. A reservation names that limit, and its program counts as active until then.

program_is_active_while_a_long_turn_may_run: a reservation of 600 s is there at 700 s, with a retention of 60 s, and gone after 721 s. turn_is_stored_until_one_that_goes_on_from_it_has_ended now passes the longest limit in place of the route's; its expected value is the same.

--- a/include/trayrock/internal/gateway/configuration.h
+++ b/include/trayrock/internal/gateway/configuration.h
@@ -106,6 +106,9 @@
 const route* find_route(const configuration& from, std::string_view host,
                         std::string_view path);
 
+// The longest time that a turn may take, on any route.
+std::chrono::milliseconds longest_turn(const configuration& from);
+
 // Sets `gets_resent_conversations` of the services, by the routes to them.
 void mark_resent_conversations(configuration& of);
 
--- a/include/trayrock/internal/gateway/turn_history.h
+++ b/include/trayrock/internal/gateway/turn_history.h
@@ -8,7 +8,7 @@
 //
 // Example:
 //   turn_history history(loop, records, chains, metadata);
-//   if (history.begin(route, workspace)) {
+//   if (history.begin(route, workspace, longest_turn(configuration))) {
 //     history.reserve(timeout, [&](result<reserved_turn> reserved) {
 //       const std::optional<errc> error =
 //           history.check_reservation(std::move(reserved));
@@ -55,8 +55,10 @@
   // Looks up the previous chain in the cache, if the route keeps history. True
   // when `reserve` must be called before the turn is sent: there is a budget,
   // which turns of all routes share, or the chain is not cached.
-  // The names of turns and programs are separate for each workspace.
-  bool begin(const route& from, std::string_view workspace);
+  // The names of turns and programs are separate for each workspace. Records
+  // are stored until a turn of this length may have ended.
+  bool begin(const route& from, std::string_view workspace,
+             milliseconds longest_turn);
 
   // Requests the reservation, and the chain if needed, from the record stores.
   void reserve(milliseconds timeout, record_client::reserve_callback done);
@@ -105,7 +107,7 @@
   chain_cache& chains_;
   const request_metadata& metadata_;
   std::chrono::seconds retention_{0};
-  std::chrono::seconds stored_retention_{0};
+  std::chrono::seconds longest_turn_{0};
   // Names in the record stores, see record_name().
   std::string attempt_;
   std::string program_;
--- a/include/trayrock/internal/records/record_index.h
+++ b/include/trayrock/internal/records/record_index.h
@@ -184,7 +184,8 @@
     std::vector<line_placement> lines;   // the last one used is at the end
     std::uint32_t placed_turns = 0;
     std::uint32_t stored_attempts = 0;
-    std::uint64_t active_ms = 0;  // when its last record was added
+    // When its last record was added, or its longest open turn ends.
+    std::uint64_t active_ms = 0;
   };
   struct log_entry {
     record_id attempt;
--- a/src/gateway/configuration.cc
+++ b/src/gateway/configuration.cc
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace trayrock {
 
 const route* find_route(const configuration& from, std::string_view host,
@@ -20,6 +22,16 @@
   return best;
 }
 
+std::chrono::milliseconds longest_turn(const configuration& from) {
+  std::chrono::milliseconds longest{0};
+  for (const route& each : from.routes) {
+    if (each.kind == repetition::stream) {
+      longest = std::max(longest, each.timeout);
+    }
+  }
+  return longest;
+}
+
 void mark_resent_conversations(configuration& of) {
   for (const route& each : of.routes) {
     if (each.kind != repetition::stream || each.keeps_history) {
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -72,7 +72,8 @@
   if (is_placed_by_prompt()) {
     history_.track_line(hash_of_line(line()));
   }
-  needs_record_ = history_.begin(routing_.route(), routing_.workspace_name());
+  needs_record_ = history_.begin(routing_.route(), routing_.workspace_name(),
+                                 longest_turn(*routing_.configuration()));
   const bool needs_stores = needs_record_ || needs_permit();
   if (needs_stores && context_.isolated_for() > milliseconds(0)) {
     reject(errc::cut_off);
--- a/src/gateway/turn_history.cc
+++ b/src/gateway/turn_history.cc
@@ -25,18 +25,17 @@
   return metadata_.token_budget.has_value() && !metadata_.program.empty();
 }
 
-bool turn_history::begin(const route& from, std::string_view workspace) {
+bool turn_history::begin(const route& from, std::string_view workspace,
+                         milliseconds longest_turn) {
   attempt_ = record_name(workspace, metadata_.attempt);
   program_ = record_name(workspace, metadata_.program);
   previous_turn_ = record_name(workspace, metadata_.previous_turn);
   reserved_ = has_budget();
+  longest_turn_ = std::chrono::ceil<std::chrono::seconds>(longest_turn);
   if (!from.keeps_history) {
     return reserved_;
   }
   retention_ = from.retention;
-  // A turn that goes on from this one may begin at the end of its retention.
-  stored_retention_ =
-      from.retention + std::chrono::ceil<std::chrono::seconds>(from.timeout);
   chain_ = chains_.find(previous_turn_, loop_.now_ms());
   requested_chain_ = chain_ == nullptr ? previous_turn_ : std::string();
   return reserved_ || !requested_chain_.empty();
@@ -50,6 +49,8 @@
     reservation.set_attempt(attempt_);
     reservation.set_tokens(metadata_.max_output_tokens);
     reservation.set_line(line_);
+    reservation.set_time_limit_s(
+        static_cast<std::uint32_t>(longest_turn_.count()));
   }
   records_.reserve(reservation, requested_chain_, timeout, std::move(done));
 }
@@ -150,7 +151,9 @@
   made.set_output(turn.output.data(), turn.output.size());
   made.set_tokens(turn.tokens);
   made.set_endpoint(turn.endpoint);
-  made.set_retention_s(static_cast<std::uint32_t>(stored_retention_.count()));
+  // A turn that goes on from this one may begin at the end of its retention.
+  made.set_retention_s(
+      static_cast<std::uint32_t>((retention_ + longest_turn_).count()));
   return record;
 }
 
--- a/src/records/record_index.cc
+++ b/src/records/record_index.cc
@@ -86,7 +86,9 @@
   if (record.has_reservation()) {
     const records::Reservation& made = record.reservation();
     state.reserved = static_cast<std::uint32_t>(made.tokens());
-    add_to_program(made.program(), id_of(made.attempt()), active_ms, state);
+    constexpr std::uint64_t ms_per_second = 1000;
+    add_to_program(made.program(), id_of(made.attempt()),
+                   active_ms + made.time_limit_s() * ms_per_second, state);
   } else if (record.has_settlement()) {
     const records::Settlement& made = record.settlement();
     state.settled = true;
--- a/test/record_index_test.cc
+++ b/test/record_index_test.cc
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(turn_of_an_active_program_is_replaced_by_its_settlement);
   CPPUNIT_TEST(replacement_is_no_activity_of_its_program);
   CPPUNIT_TEST(open_reservation_lasts_as_long_as_its_program);
+  CPPUNIT_TEST(program_is_active_while_a_long_turn_may_run);
   CPPUNIT_TEST(lowered_retention_applies_once_older_turns_are_gone);
   CPPUNIT_TEST(programs_without_stored_turns_expire);
   CPPUNIT_TEST(kept_record_gets_a_new_position);
@@ -472,6 +473,21 @@
     CPPUNIT_ASSERT(!usage[0].settled);
   }
 
+  // Guards against turns that run beside a long one and do not see what it has
+  // reserved.
+  void program_is_active_while_a_long_turn_may_run() {
+    index_.add(of_program("q", turn("other", "", "", "")), 0);
+    records::Record open = reservation("long", 10);
+    open.mutable_reservation()->set_time_limit_s(600);
+    index_.add(open, 0);
+    index_.expire(130 * second);
+    index_.expire(700 * second);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, index_.usage("p").size());
+    index_.expire(721 * second);
+    index_.expire(850 * second);
+    CPPUNIT_ASSERT(index_.usage("p").empty());
+  }
+
   void lowered_retention_applies_once_older_turns_are_gone() {
     records::Record before = of_program("", turn("before", "", "", ""));
     before.mutable_turn()->set_retention_s(600);
--- a/test/store_expiry_test.cc
+++ b/test/store_expiry_test.cc
@@ -123,9 +123,8 @@
     route made;
     made.keeps_history = true;
     made.retention = std::chrono::seconds(60);
-    made.timeout = milliseconds(300500);
     turn_history history(*loop_, *client_, chains, metadata);
-    history.begin(made, "");
+    history.begin(made, "", milliseconds(300500));
     bool stored = false;
     history.store({"input", "output", 1, "e"}, call_timeout,
                   [&](std::error_code failed) { stored = !failed; });
