A turn that is read is kept for the turn that goes on from it

A turn that came late, beyond the retention of the one before it but within the stores' margin, was answered, and its chain could expire while it ran. The next turn, in time and by another gateway, then got 404. A gateway that had read a chain cached it for a whole retention, beyond the time for which the stores kept it, with the same result.

Reading a chain begins the retention of its newest turn anew at each store that is asked; one that was released already is needed again, with those before it. Every chain that a gateway may use was read or stored less than a retention before, so the stores have it until the turn has ended.

--- a/include/trayrock/internal/records/record_index.h
+++ b/include/trayrock/internal/records/record_index.h
@@ -118,6 +118,9 @@
   turn_chain chain(std::string_view attempt,
                    std::size_t max_turns = max_chain_turns) const;
 
+  // Begins the retention of a stored turn anew: another one may go on from it.
+  void touch(std::string_view attempt, std::uint64_t now_ms);
+
   // The turns of a program that were added or settled after a position; an
   // attempt is identified by the bytes of its id.
   std::vector<turn_usage> usage(std::string_view program,
@@ -165,6 +168,7 @@
     // may arrive before this one.
     std::uint32_t successors = 0;
     std::uint32_t retention_s = 0;  // of the turn
+    std::uint32_t touched_s = 0;    // when the turn was read last; 0: never
     std::uint8_t kinds = 0;  // a bit for each kind of record that is stored
     bool settled = false;
     bool due = false;  // the turn has reached the end of its retention
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -126,7 +126,7 @@
   void add_last_endpoint(const records::Reservation& made,
                          records::WriteReply& message) const;
   void add_chain(const records::WriteRequest& request,
-                 records::WriteReply& message) const;
+                 records::WriteReply& message);
   void pull(const records::PullRequest& request, const rpc_reply_ptr& reply);
   void add_records_after(const records::PullRequest& request,
                          records::PullReply& message) const;
--- a/src/records/record_index_expiry.cc
+++ b/src/records/record_index_expiry.cc
@@ -1,6 +1,7 @@
 // Which records of a store have reached the end of their retention, and which
 // of them are still needed.
 #include <algorithm>
+#include <utility>
 
 #include "record_kinds.h"
 #include "trayrock/internal/records/record_index.h"
@@ -79,6 +80,20 @@
   }
 }
 
+void record_index::touch(std::string_view attempt, std::uint64_t now_ms) {
+  const auto found = attempts_.find(id_of(attempt));
+  if (found == attempts_.end() ||
+      (found->second.kinds & bit_of(turn_kind)) == 0) {
+    return;
+  }
+  attempt_state& state = found->second;
+  state.touched_s = static_cast<std::uint32_t>(now_ms / ms_per_second);
+  state.due = false;
+  if (std::exchange(state.released, false)) {
+    hold(state.previous);
+  }
+}
+
 // ---- Expiry ----------------------------------------------------------------
 
 bool record_index::is_expiry_due(std::uint64_t now_ms) const {
@@ -129,6 +144,10 @@
 
 record_index::fate record_index::decide_turn_expiry(attempt_state& state,
                                                     std::uint64_t now_ms) {
+  if (state.touched_s * ms_per_second + retention_ms() >= now_ms &&
+      state.touched_s > 0) {
+    return fate::kept;
+  }
   state.due = true;
   if (!state.released && state.successors == 0) {
     release(state);
@@ -158,6 +177,7 @@
   if (kind == turn_kind) {
     remove_retention(state.retention_s);
     state.previous = {};
+    state.touched_s = 0;
     state.due = false;
     state.released = false;
   }
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -336,12 +336,13 @@
 }
 
 void record_server::add_chain(const records::WriteRequest& request,
-                              records::WriteReply& message) const {
+                              records::WriteReply& message) {
   // Whether the turn is here needs no walk of its chain.
   constexpr std::size_t turn_only = 1;
   turn_chain chain = index_.chain(
       request.chain_of(),
       request.send_chain() ? record_index::max_chain_turns : turn_only);
+  index_.touch(request.chain_of(), loop_.now_ms());
   if (chain.unreadable) {
     return;  // no result: CHAIN_MISSING would deny a turn that is stored
   }
--- a/test/record_index_test.cc
+++ b/test/record_index_test.cc
@@ -74,6 +74,8 @@
   CPPUNIT_TEST(ended_branch_expires_beside_a_living_one);
   CPPUNIT_TEST(order_of_arrival_does_not_change_what_is_kept);
   CPPUNIT_TEST(late_successor_of_a_released_turn_keeps_its_chain);
+  CPPUNIT_TEST(turn_that_was_read_is_kept_for_one_that_goes_on_from_it);
+  CPPUNIT_TEST(released_turn_that_is_read_keeps_its_chain);
   CPPUNIT_TEST(random_trees_keep_what_a_walk_finds_needed);
   CPPUNIT_TEST(long_chain_is_visited_once_a_retention);
   CPPUNIT_TEST(tokens_used_are_counted_as_long_as_the_program_is_active);
@@ -351,6 +353,35 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, index_.size());
   }
 
+  // Guards against a turn that is accepted at the very end of the retention of
+  // the one before it, and whose chain expires while it runs.
+  void turn_that_was_read_is_kept_for_one_that_goes_on_from_it() {
+    index_.add(turn("a", "", "", ""), 0);
+    index_.add(turn("b", "a", "", ""), 0);
+    index_.touch("b", 119 * second);
+    index_.expire(130 * second);
+    index_.add(turn("c", "b", "", ""), 180 * second);
+    index_.expire(290 * second);
+    CPPUNIT_ASSERT_EQUAL(std::string(), index_.chain("c").gap);
+    index_.expire(301 * second);
+    index_.expire(430 * second);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, index_.size());
+  }
+
+  void released_turn_that_is_read_keeps_its_chain() {
+    index_.add(turn("a", "", "", ""), 0);
+    index_.add(turn("b", "a", "", ""), 0);
+    index_.add(turn("c", "b", "", ""), 100 * second);
+    index_.expire(130 * second);
+    index_.expire(222 * second);  // releases a and b, which stay until 250 s
+    index_.touch("b", 240 * second);
+    index_.expire(300 * second);
+    CPPUNIT_ASSERT_EQUAL(std::string(), index_.chain("b").gap);
+    index_.expire(700 * second);
+    index_.expire(900 * second);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, index_.size());
+  }
+
   // Compares with a walk over all turns, in trees that grow at random.
   void random_trees_keep_what_a_walk_finds_needed() {
     constexpr std::uint64_t seeds = 40;
