--- a/test/record_stores_test.cc
+++ b/test/record_stores_test.cc
@@ -75,7 +75,7 @@
       system.replace_disk(lost);
       wait_until("a new voter in place of " + lost,
                  [&] { return system.group()["epoch"] > group["epoch"]; });
-      wait_counting(system);
+      system.wait_counting();
     }
     CPPUNIT_ASSERT_EQUAL(200, turn_with_retries(system, "t4", "t3").status);
     const std::string body = system.body_of("t4");
@@ -94,7 +94,7 @@
     system.start("store-4");
     wait_until("store-4 votes", [&] { return is_voter(system, "store-4"); });
     CPPUNIT_ASSERT(!is_voter(system, "store-2"));
-    wait_counting(system);
+    system.wait_counting();
     system.kill("store-1");
     CPPUNIT_ASSERT_EQUAL(200, turn_with_retries(system, "t2", "t1").status);
   }
@@ -140,7 +140,7 @@
     system.replace_disk("store-1");
     wait_until("a new voter",
                [&] { return system.group()["epoch"] > group["epoch"]; });
-    wait_counting(system);
+    system.wait_counting();
     system.kill("store-2");
     CPPUNIT_ASSERT_EQUAL(200, turn_with_retries(system, "t2", "t1").status);
   }
@@ -197,20 +197,6 @@
   }
 
   // Waits until every voter of the current group has read all required records.
-  static void wait_counting(service_deployment& system) {
-    wait_until("every voter counts", [&] {
-      const json group = system.group();
-      for (const json& each : group["voters"]) {
-        const std::string box = each["box"];
-        if (!system.running(box) || system.metric(box, "store_counts") != 1 ||
-            system.metric(box, "store_epoch") != group["epoch"]) {
-          return false;
-        }
-      }
-      return true;
-    });
-  }
-
   static void wait_retired(service_deployment& system, const std::string& box) {
     wait_until(box + " is retired", [&] {
       const json held = system.object("retirements", box);
--- a/test/retention_soak_test.cc
+++ b/test/retention_soak_test.cc
@@ -279,20 +279,10 @@
 
   // Until all voters of the group are there and count.
   void wait_for_voters() {
-    wait_until("every voter counts", [&] {
-      const json group = system_.group();
-      if (group["voters"].size() != stores) {
-        return false;
-      }
-      for (const json& each : group["voters"]) {
-        const std::string box = each["box"];
-        if (!system_.running(box) || system_.metric(box, "store_counts") != 1 ||
-            system_.metric(box, "store_epoch") != group["epoch"]) {
-          return false;
-        }
-      }
-      return true;
+    wait_until("the group is full", [&] {
+      return system_.group()["voters"].size() == std::size_t{stores};
     });
+    system_.wait_counting();
   }
 
   void sleep(std::mt19937& random, long least_ms, long most_ms) const {
--- a/test/retention_test.cc
+++ b/test/retention_test.cc
@@ -129,7 +129,7 @@
       system.kill(store);
       talk.take_turn("gateway-1");
       system.start(store);
-      wait_counting(system);
+      system.wait_counting();
     }
     const std::string before = talk.text();
     for (const char* each : {"gateway-1", "store-1", "store-2", "store-3"}) {
@@ -151,7 +151,7 @@
     system.replace_disk("store-1");
     wait_until("a new voter in place of store-1",
                [&] { return system.group()["epoch"] > epoch; });
-    wait_counting(system);
+    system.wait_counting();
     wait_until("store-1 has the turns", [&] {
       return system.metric("store-1", "records_held") >= talk.turns();
     });
@@ -221,20 +221,6 @@
                    "expected " << before.size()
                                << " bytes of turns before it, seen: " << body);
   }
-
-  static void wait_counting(service_deployment& system) {
-    wait_until("every voter counts", [&] {
-      const json group = system.group();
-      for (const json& each : group["voters"]) {
-        const std::string box = each["box"];
-        if (!system.running(box) || system.metric(box, "store_counts") != 1 ||
-            system.metric(box, "store_epoch") != group["epoch"]) {
-          return false;
-        }
-      }
-      return true;
-    });
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(retention_test);
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -253,6 +253,20 @@
   start(store);
 }
 
+void service_deployment::wait_counting() {
+  wait_until("every voter counts", [&] {
+    const json current = group();
+    for (const json& each : current["voters"]) {
+      const std::string box = each["box"];
+      if (!running(box) || metric(box, "store_counts") != 1 ||
+          metric(box, "store_epoch") != current["epoch"]) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
 void service_deployment::put_object(const std::string& kind,
                                     const std::string& name, const json& spec) {
   const std::string where = "/objects/" + kind;
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -61,6 +61,9 @@
   // Stops a store, empties its disk and starts it again.
   void replace_disk(const std::string& store);
 
+  // Until every voter of the group runs and counts.
+  void wait_counting();
+
   // Adds a process that start_all() has not started.
   void add_store(const std::string& name);
 
