--- a/include/trayrock/internal/records/record_index.h
+++ b/include/trayrock/internal/records/record_index.h
@@ -7,7 +7,7 @@
 // another store can resume reading from a position.
 //
 // A record expires at the end of its retention, unless something in use depends
-// on it: a turn is kept for the turns that go on from it, and what a program
+// on it: a turn is kept for the turns that continue it, and what a program
 // has used is kept for as long as the program has activity. A kept record gets
 // a new position, so that each is visited once a retention, and a turn that is
 // added visits no other turn than the one before it.
@@ -118,7 +118,7 @@
   turn_chain chain(std::string_view attempt,
                    std::size_t max_turns = max_chain_turns) const;
 
-  // Begins the retention of a stored turn anew: another one may go on from it.
+  // Restarts the retention of a stored turn: another one may continue it.
   void touch(std::string_view attempt, std::uint64_t now_ms);
 
   // The turns of a program that were added or settled after a position; an
@@ -161,19 +161,18 @@
 
   struct attempt_state {
     record_id program;
-    record_id previous;  // that the turn goes on from; zero: none
+    record_id previous;  // that the turn continues; zero: none
     std::uint32_t reserved = 0;
     std::uint32_t used = 0;
-    // Turns in the index that go on from this one and are not released. They
+    // Turns in the index that continue this one and are not released. They
     // may arrive before this one.
     std::uint32_t successors = 0;
     std::uint32_t retention_s = 0;  // of the turn
     std::uint32_t touched_s = 0;    // when the turn was read last; 0: never
     std::uint8_t kinds = 0;  // a bit for each kind of record that is stored
     bool settled = false;
-    bool due = false;  // the turn has reached the end of its retention
-    bool released =
-        false;  // the turn is due, and so is all that goes on from it
+    bool due = false;       // the turn has reached the end of its retention
+    bool released = false;  // the turn is due, and so are all its successors
   };
   struct line_placement {
     std::uint64_t line = 0;
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -165,7 +165,7 @@
   std::vector<std::function<void()>> group_observers_;
   std::function<void(const records::GivenPermits&)> on_permits_;
   std::optional<std::uint64_t> expiry_due_;
-  std::deque<std::string> sparse_;  // keys of records to be written anew
+  std::deque<std::string> sparse_;  // keys of records to be rewritten
   bool rewriting_ = false;
   timer expiry_;
 };
--- a/include/trayrock/internal/records/segment_log.h
+++ b/include/trayrock/internal/records/segment_log.h
@@ -3,7 +3,7 @@
 // Records are never sorted or merged, so that the cost of a write does not grow
 // with the size of the log. Most records of a file expire at about the same
 // time, and the file is removed with the last of them. A file of which little
-// is still in use is sparse: the caller writes its records anew, so that space
+// is still in use is sparse: the caller rewrites its records, so that space
 // on disk is bounded by the records in use.
 //
 // A file starts with a header, and each record has a checksum. Data that was
--- a/src/gateway/turn_history.cc
+++ b/src/gateway/turn_history.cc
@@ -151,7 +151,7 @@
   made.set_output(turn.output.data(), turn.output.size());
   made.set_tokens(turn.tokens);
   made.set_endpoint(turn.endpoint);
-  // A turn that goes on from this one may begin at the end of its retention.
+  // A turn that continues this one may begin at the end of its retention.
   made.set_retention_s(
       static_cast<std::uint32_t>((retention_ + longest_turn_).count()));
   return record;
--- a/src/records/record_index_expiry.cc
+++ b/src/records/record_index_expiry.cc
@@ -40,9 +40,9 @@
   return retention_s_ * ms_per_second + expiry_margin_ms_;
 }
 
-// ---- Turns that go on from others ------------------------------------------
+// ---- Turns and their successors ------------------------------------------
 
-// Counts one more turn that goes on from this one. A released turn is needed
+// Counts one more turn that continues this one. A released turn is needed
 // again, and so are those before it.
 void record_index::hold(record_id turn) {
   while (turn != record_id{}) {
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -79,7 +79,7 @@
     return;
   }
   // Reuses one object to avoid allocations; the texts stay on disk. A record
-  // that was written anew may be there twice.
+  // that was rewritten may be there twice.
   if (!reading_.ParseFromArray(value.data(), size) ||
       (!index_.add_durable(reading_, loop_.now_ms()) &&
        !index_.has(record_key(reading_)))) {
--- a/test/record_index_expiry_test.cc
+++ b/test/record_index_expiry_test.cc
@@ -17,10 +17,10 @@
   CPPUNIT_TEST(chain_lasts_as_long_as_its_newest_turn);
   CPPUNIT_TEST(chain_expires_with_its_newest_turn);
   CPPUNIT_TEST(turn_with_two_successors_lasts_as_long_as_either);
-  CPPUNIT_TEST(ended_branch_expires_beside_a_living_one);
+  CPPUNIT_TEST(ended_branch_expires_beside_an_active_one);
   CPPUNIT_TEST(order_of_arrival_does_not_change_what_is_kept);
   CPPUNIT_TEST(late_successor_of_a_released_turn_keeps_its_chain);
-  CPPUNIT_TEST(turn_that_was_read_is_kept_for_one_that_goes_on_from_it);
+  CPPUNIT_TEST(turn_that_was_read_is_kept_for_its_successor);
   CPPUNIT_TEST(released_turn_that_is_read_keeps_its_chain);
   CPPUNIT_TEST(random_trees_keep_what_a_walk_finds_needed);
   CPPUNIT_TEST(long_chain_is_visited_once_a_retention);
@@ -86,28 +86,28 @@
   }
 
   // Guards against a store that keeps all that ever went on from a common turn.
-  void ended_branch_expires_beside_a_living_one() {
+  void ended_branch_expires_beside_an_active_one() {
     index_.add(turn("root", "", "", ""), 0);
     std::uint64_t now = 0;
-    std::string living = "root";
+    std::string active = "root";
     for (int i = 0; i < 100; ++i) {
       now += 10 * second;
       const std::string number = std::to_string(i);
-      const std::string next = "living" + number;
+      const std::string next = "active" + number;
       index_.add(of_program("p" + number, turn("a" + number, "root", "", "")),
                  now);
       index_.add(
           of_program("p" + number, turn("b" + number, "a" + number, "", "")),
           now);
-      index_.add(turn(next, living, "", ""), now);
-      living = next;
+      index_.add(turn(next, active, "", ""), now);
+      active = next;
       index_.expire(now);
     }
-    CPPUNIT_ASSERT_EQUAL(std::string(), index_.chain(living).gap);
+    CPPUNIT_ASSERT_EQUAL(std::string(), index_.chain(active).gap);
     // Of the ended ones, those of two retentions at most.
     CPPUNIT_ASSERT(!index_.chain("b70").found);
     TRAYROCK_CHECK(index_.size() < 101 + 2 * 25,
-                   "expected 101 turns of the living conversation and those of "
+                   "expected 101 turns of the active conversation and those of "
                    "25 others, seen "
                        << index_.size());
   }
@@ -142,7 +142,7 @@
 
   // Guards against a turn that is accepted at the very end of the retention of
   // the one before it, and whose chain expires while it runs.
-  void turn_that_was_read_is_kept_for_one_that_goes_on_from_it() {
+  void turn_that_was_read_is_kept_for_its_successor() {
     index_.add(turn("a", "", "", ""), 0);
     index_.add(turn("b", "a", "", ""), 0);
     index_.touch("b", 119 * second);
@@ -219,7 +219,7 @@
     CPPUNIT_ASSERT_EQUAL(0, reads_);
   }
 
-  // Guards against a program whose budget begins anew while it lasts.
+  // Guards against a program whose budget is reset while it lasts.
   void tokens_used_are_counted_as_long_as_the_program_is_active() {
     for (int i = 0; i < 40; ++i) {
       const std::string name = "t" + std::to_string(i);
@@ -330,7 +330,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, index_.size());
   }
 
-  // Another store that reads from a position must meet a kept record.
+  // Another store that reads from a position must receive a kept record.
   void kept_record_gets_a_new_position() {
     index_.add(turn("a", "", "", ""), 0);
     index_.add(turn("b", "a", "", ""), 100 * second);
--- a/test/retention_soak_test.cc
+++ b/test/retention_soak_test.cc
@@ -1,7 +1,7 @@
 // A randomized soak of conversations that last many times as long as the
 // retention of their turns.
 //
-// Each client takes turns that go on from its last one, each at a random
+// Each client takes turns that continue its last one, each at a random
 // gateway, with pauses up to just under the retention and branches that end.
 // Meanwhile gateways are killed, and stores are killed, frozen, or lose their
 // disks and join again. Checked: a turn whose previous one was answered within
--- a/test/retention_test.cc
+++ b/test/retention_test.cc
@@ -12,7 +12,7 @@
 using std::chrono::steady_clock;
 
 // A turn is kept for 5 s, and its record for 8 s by its own age: with the
-// time limit of a turn that goes on from it, and the stores' margin.
+// time limit of a turn that continues it, and the stores' margin.
 constexpr int retention_s = 5;
 // Longer than the record of the first turn lasts by its own age, with the time
 // between two checks.
@@ -96,7 +96,7 @@
   CPPUNIT_TEST(conversation_continues_after_restarts_of_all_processes);
   CPPUNIT_TEST(conversation_continues_at_a_store_that_lost_its_disk);
   CPPUNIT_TEST(budget_lasts_as_long_as_its_program);
-  CPPUNIT_TEST(ended_conversations_expire_beside_a_living_one);
+  CPPUNIT_TEST(ended_conversations_expire_beside_an_active_one);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -107,7 +107,7 @@
     system.start_all();
     conversation talk(system, "talk");
     talk.converse("gateway-1", conversation_time);
-    // Two turns go on from one.
+    // Two turns continue the same one.
     const http_answer branch = talk.request(
         "gateway-2", "branch", talk.newest_turn(), "input of the branch");
     const std::string before = talk.text();
@@ -188,7 +188,7 @@
   }
 
   // Guards against stores that grow with all conversations that ever were.
-  void ended_conversations_expire_beside_a_living_one() {
+  void ended_conversations_expire_beside_an_active_one() {
     service_deployment system(short_retention());
     system.start_all();
     constexpr int ended = 60;
@@ -200,7 +200,7 @@
     wait_until("the ended conversations are removed", [&] {
       talk.converse("gateway-1", std::chrono::seconds(1));
       for (const char* store : {"store-1", "store-2", "store-3"}) {
-        // A turn of the living one has a turn's record and a reservation.
+        // A turn of the active one has a turn's record and a reservation.
         if (system.metric(store, "records_held") > 2 * talk.turns()) {
           return false;
         }
--- a/test/segment_log_test.cc
+++ b/test/segment_log_test.cc
@@ -184,7 +184,7 @@
     CPPUNIT_ASSERT(log->is_sparse(keys.back()));
     CPPUNIT_ASSERT(!log->is_sparse(keys.front()));
 
-    // Written anew, its records no longer keep the file.
+    // Rewritten, its records no longer keep the file.
     for (std::size_t i = half + 1; i < keys.size(); ++i) {
       write(*log, {{keys[i], log->read(keys[i]).value()}});
     }
--- a/test/store_expiry_test.cc
+++ b/test/store_expiry_test.cc
@@ -18,7 +18,7 @@
   CPPUNIT_TEST(sparse_files_are_removed_and_their_needed_records_kept);
   CPPUNIT_TEST(rewritten_records_are_read_once_after_a_restart);
   CPPUNIT_TEST(turn_of_an_active_program_becomes_a_settlement);
-  CPPUNIT_TEST(turn_is_stored_until_one_that_goes_on_from_it_has_ended);
+  CPPUNIT_TEST(turn_is_stored_until_a_successor_may_have_ended);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -28,7 +28,7 @@
   }
 
   // Guards against the loss of a turn with the disk of one store: another store
-  // has missed the turn that goes on from it, and drops it by its own age.
+  // has missed the turn that continues it, and drops it by its own age.
   void voter_reads_missed_turns_before_its_records_expire() {
     start();
     store& away = *stores_[2];
@@ -115,7 +115,7 @@
 
   // Guards against a long turn whose chain expires while it runs: it may begin
   // at the end of the retention, and is stored when it ends.
-  void turn_is_stored_until_one_that_goes_on_from_it_has_ended() {
+  void turn_is_stored_until_a_successor_may_have_ended() {
     start();
     chain_cache chains(1U << 20);
     request_metadata metadata;
