Copies of records are no activity of their program

Records of an ended program could stay at stores for ever. Stores of a group copy from each other what they lack before records expire, and the copy counted as activity of the program. Stores that removed the records of an ended program at different times therefore copied them again from one another: each copy kept the other records, which were listed anew, and so on.

A copied record now carries when its program was active last, as the sender knows it, and the receiver takes that over. It is negative while a turn may still run. So the last activity spreads to a store that was away, and is not renewed on the way.

--- a/bench/retention_bench.cc
+++ b/bench/retention_bench.cc
@@ -73,7 +73,7 @@
       made.mutable_settlement()->set_program(turn->turn().program());
       made.mutable_settlement()->set_attempt(turn->turn().attempt());
       made.mutable_settlement()->set_tokens(turn->turn().tokens());
-      index_.add_replacement(made, now_ms);
+      index_.add_copy(made, now_ms, 0);
       write({{record_key(made), made.SerializeAsString()}});
       index_.durable(record_key(made));
     }
--- a/include/trayrock/internal/records/record_index.h
+++ b/include/trayrock/internal/records/record_index.h
@@ -93,9 +93,11 @@
   // Returns false if the record is stored already or has no kind.
   bool add(const records::Record& record, std::uint64_t now_ms);
 
-  // As above, for a settlement that replaces a turn (expired_records). It is no
-  // activity of the program.
-  bool add_replacement(const records::Record& record, std::uint64_t now_ms);
+  // As above, for a record that is no activity of its program by itself, whose
+  // last activity was at `active_ms`: a copy from another store, or a
+  // settlement that replaces a turn (expired_records).
+  bool add_copy(const records::Record& record, std::uint64_t now_ms,
+                std::uint64_t active_ms);
 
   // As above, for a record that is on disk already.
   bool add_durable(const records::Record& record, std::uint64_t now_ms);
@@ -129,6 +131,10 @@
   // Position of the last change of any program's usage.
   std::uint64_t usage_position() const { return usage_position_; }
 
+  // When the program of a stored record was active last; in the future while a
+  // turn may run. Nothing if it has no program.
+  std::optional<std::uint64_t> program_active_ms(std::string_view key) const;
+
   // How many turns of a program are stored.
   std::size_t turns_of(std::string_view program) const;
 
--- a/include/trayrock/internal/records/record_server.h
+++ b/include/trayrock/internal/records/record_server.h
@@ -132,6 +132,8 @@
                          records::PullReply& message) const;
   void add_named_records(const records::PullRequest& request,
                          records::PullReply& message) const;
+  void add_program_age(const std::string& key,
+                       records::PulledRecord& pulled) const;
   bool has_pending(const records::PullReply& pulled) const;
   void fence(const records::FenceRequest& request, const rpc_reply_ptr& reply);
   void when_state_durable(std::function<void()> then);
--- a/src/records/record_index.cc
+++ b/src/records/record_index.cc
@@ -35,6 +35,13 @@
   return {};
 }
 
+// A reserved turn may run until its time limit.
+std::uint64_t active_until_ms(const records::Record& record,
+                              std::uint64_t now_ms) {
+  constexpr std::uint64_t ms_per_second = 1000;
+  return now_ms + record.reservation().time_limit_s() * ms_per_second;
+}
+
 }  // namespace
 
 std::string record_key(const records::Record& record) {
@@ -43,16 +50,12 @@
 }
 
 bool record_index::add(const records::Record& record, std::uint64_t now_ms) {
-  if (!insert(record, now_ms, now_ms)) {
-    return false;
-  }
-  pending_.emplace(record_key(record), record);
-  return true;
+  return add_copy(record, now_ms, active_until_ms(record, now_ms));
 }
 
-bool record_index::add_replacement(const records::Record& record,
-                                   std::uint64_t now_ms) {
-  if (!insert(record, now_ms, 0)) {
+bool record_index::add_copy(const records::Record& record, std::uint64_t now_ms,
+                            std::uint64_t active_ms) {
+  if (!insert(record, now_ms, active_ms)) {
     return false;
   }
   pending_.emplace(record_key(record), record);
@@ -61,7 +64,7 @@
 
 bool record_index::add_durable(const records::Record& record,
                                std::uint64_t now_ms) {
-  return insert(record, now_ms, now_ms);
+  return insert(record, now_ms, active_until_ms(record, now_ms));
 }
 
 // Adds everything except the record's text.
@@ -86,9 +89,7 @@
   if (record.has_reservation()) {
     const records::Reservation& made = record.reservation();
     state.reserved = static_cast<std::uint32_t>(made.tokens());
-    constexpr std::uint64_t ms_per_second = 1000;
-    add_to_program(made.program(), id_of(made.attempt()),
-                   active_ms + made.time_limit_s() * ms_per_second, state);
+    add_to_program(made.program(), id_of(made.attempt()), active_ms, state);
   } else if (record.has_settlement()) {
     const records::Settlement& made = record.settlement();
     state.settled = true;
@@ -235,6 +236,17 @@
   return found;
 }
 
+std::optional<std::uint64_t> record_index::program_active_ms(
+    std::string_view key) const {
+  const auto state = attempts_.find(id_from_bytes(key.substr(1)));
+  if (state == attempts_.end()) {
+    return std::nullopt;
+  }
+  const auto program = programs_.find(state->second.program);
+  return program == programs_.end() ? std::nullopt
+                                    : std::optional(program->second.active_ms);
+}
+
 std::size_t record_index::turns_of(std::string_view program) const {
   const auto known = programs_.find(id_of(program));
   return known == programs_.end() ? 0 : known->second.stored_attempts;
--- a/src/records/record_server.cc
+++ b/src/records/record_server.cc
@@ -30,6 +30,17 @@
          outcome == records::OUTCOME_CATCHING_UP;
 }
 
+// When the program of a copied record was active last.
+std::uint64_t activity_of(const records::PulledRecord& pulled,
+                          std::uint64_t now_ms) {
+  if (!pulled.has_program_age_ms()) {
+    return now_ms - std::min(pulled.age_ms(), now_ms);
+  }
+  const auto now = static_cast<std::int64_t>(now_ms);
+  return static_cast<std::uint64_t>(
+      std::max<std::int64_t>(now - pulled.program_age_ms(), 0));
+}
+
 std::uint64_t new_log() {
   std::random_device source;
   return (std::uint64_t{source()} << 32U) | source() | 1U;
@@ -332,6 +343,7 @@
       records::PulledRecord& pulled = *message.add_records();
       *pulled.mutable_record() = std::move(*record);
       pulled.set_age_ms(now - each.added_at_ms);
+      add_program_age(each.key, pulled);
     }
     ++count;
     message.set_position(each.position);
@@ -345,11 +357,25 @@
   for (const std::string& key : request.keys()) {
     const std::optional<records::Record> record = index_.find(key);
     if (record) {
-      *message.add_records()->mutable_record() = *record;
+      records::PulledRecord& pulled = *message.add_records();
+      *pulled.mutable_record() = *record;
+      add_program_age(key, pulled);
     }
   }
 }
 
+// A copy is no activity of its program. If it counted as such, stores that
+// remove the records of an ended program at different times would copy them
+// from each other for ever.
+void record_server::add_program_age(const std::string& key,
+                                    records::PulledRecord& pulled) const {
+  const std::optional<std::uint64_t> active = index_.program_active_ms(key);
+  if (active) {
+    pulled.set_program_age_ms(static_cast<std::int64_t>(loop_.now_ms()) -
+                              static_cast<std::int64_t>(*active));
+  }
+}
+
 void record_server::store_pulled(const records::PullReply& pulled,
                                  std::function<void()> durable) {
   if (disk_failed_) {
@@ -360,7 +386,7 @@
   const std::uint64_t now = loop_.now_ms();
   for (const records::PulledRecord& each : pulled.records()) {
     const std::uint64_t age = std::min(each.age_ms(), now);
-    if (index_.add(each.record(), now - age)) {
+    if (index_.add_copy(each.record(), now - age, activity_of(each, now))) {
       keys.push_back(record_key(each.record()));
       changes.push_back({keys.back(), each.record().SerializeAsString()});
     }
--- a/src/records/record_server_expiry.cc
+++ b/src/records/record_server_expiry.cc
@@ -66,7 +66,7 @@
       continue;
     }
     const records::Record made = settlement_of(turn->turn());
-    if (index_.add_replacement(made, as_of_ms)) {
+    if (index_.add_copy(made, as_of_ms, 0)) {
       keys.push_back(record_key(made));
       changes.push_back({keys.back(), made.SerializeAsString()});
     }
--- a/test/record_index_expiry_test.cc
+++ b/test/record_index_expiry_test.cc
@@ -1,8 +1,10 @@
 // Which records of a store's index expire, and which are kept since others
 // depend on them.
+#include <array>
 #include <map>
 #include <random>
 #include <set>
+#include <span>
 
 #include "index_records.h"
 #include "test_support.h"
@@ -11,6 +13,46 @@
 namespace trayrock::testing {
 namespace {
 
+// A store that reads the keys of others from a position and copies what it
+// lacks.
+struct copying_store {
+  record_index index{[](const std::string&) { return std::nullopt; }};
+  std::map<const copying_store*, std::uint64_t> positions;
+
+  void read(const copying_store& from, std::uint64_t now_ms) {
+    std::uint64_t& position = positions[&from];
+    from.index.visit_after(
+        position, [&](const record_index::numbered_key& each) {
+          const auto record = from.index.find(each.key);
+          const auto active = from.index.program_active_ms(each.key);
+          if (!index.has(each.key)) {
+            index.add_copy(*record, now_ms, active.value_or(now_ms));
+          }
+          position = each.position;
+          return true;
+        });
+  }
+
+  void expire(std::uint64_t now_ms) {
+    for (const std::string& key : index.expire(now_ms).to_settle) {
+      const records::Turn made = index.find(key)->turn();
+      index.add_copy(settlement(made.attempt(), made.tokens(), 0, ""), now_ms,
+                     0);
+    }
+  }
+};
+
+void run_stores(std::span<copying_store> stores, std::uint64_t now_ms) {
+  for (copying_store& each : stores) {
+    for (const copying_store& other : stores) {
+      if (&each != &other) {
+        each.read(other, now_ms);
+      }
+    }
+    each.expire(now_ms);
+  }
+}
+
 class record_index_expiry_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(record_index_expiry_test);
   CPPUNIT_TEST(old_records_and_their_programs_expire);
@@ -28,6 +70,8 @@
   CPPUNIT_TEST(tokens_used_expire_with_the_program);
   CPPUNIT_TEST(turn_of_an_active_program_is_replaced_by_its_settlement);
   CPPUNIT_TEST(replacement_is_no_activity_of_its_program);
+  CPPUNIT_TEST(ended_program_expires_at_stores_that_copy_from_each_other);
+  CPPUNIT_TEST(copies_of_records_keep_an_active_program);
   CPPUNIT_TEST(open_reservation_lasts_as_long_as_its_program);
   CPPUNIT_TEST(program_is_active_while_a_long_turn_may_run);
   CPPUNIT_TEST(lowered_retention_applies_once_older_turns_are_gone);
@@ -263,7 +307,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("text"),
                          index_.find(first.to_settle[0])->turn().input());
 
-    index_.add_replacement(settlement("t", 7, 0, ""), 121 * second);
+    index_.add_copy(settlement("t", 7, 0, ""), 121 * second, 0);
     index_.add(reservation("next", 10), 200 * second);
     const expired_records second_visit = index_.expire(242 * second);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second_visit.removed.size());
@@ -276,12 +320,52 @@
     index_.add(turn("t", "", "text", ""), 0);
     index_.add(reservation("open", 10), 100 * second);
     index_.expire(121 * second);
-    index_.add_replacement(settlement("t", 7, 0, ""), 121 * second);
+    index_.add_copy(settlement("t", 7, 0, ""), 121 * second, 0);
     index_.expire(222 * second);  // the program's last activity was at 100 s
     index_.expire(243 * second);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, index_.size());
   }
 
+  // Guards against stores that keep the records of an ended program for ever,
+  // since each copies what another one still has.
+  void ended_program_expires_at_stores_that_copy_from_each_other() {
+    std::array<copying_store, 3> stores;
+    std::mt19937_64 random(1);
+    std::uint64_t now = 1000 * second;
+    for (int i = 0; i < 60; ++i) {
+      const std::string name = "t" + std::to_string(i);
+      const std::string previous =
+          i % 5 == 0 ? "" : "t" + std::to_string(i - 1);
+      now += 3 * second;
+      for (copying_store& each : stores) {
+        if (random() % 8 != 0) {  // else the store is away
+          each.index.add(reservation(name, 10), now);
+          each.index.add(turn(name, previous, "", ""), now + second);
+        }
+      }
+      run_stores(stores, now);
+    }
+    const std::uint64_t end = now;
+    while (now < end + 3 * 121 * second) {
+      now += 5 * second;
+      run_stores(stores, now);
+    }
+    for (const copying_store& each : stores) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, each.index.size());
+    }
+  }
+
+  void copies_of_records_keep_an_active_program() {
+    index_.add(of_program("q", turn("other", "", "", "")), 0);
+    index_.add(settlement("old", 4, 0, ""), 0);
+    index_.add_copy(reservation("missed", 10), 125 * second, 100 * second);
+    index_.expire(126 * second);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, used_by("p", "old"));
+    index_.expire(221 * second);
+    index_.expire(247 * second);
+    CPPUNIT_ASSERT(index_.usage("p").empty());
+  }
+
   void open_reservation_lasts_as_long_as_its_program() {
     index_.add(reservation("lost", 10), 0);
     index_.add(turn("t", "", "", ""), 100 * second);
