--- a/bench/retention_bench.cc
+++ b/bench/retention_bench.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <filesystem>
+#include <utility>
 
 #include "trayrock/internal/records/record_index.h"
 #include "trayrock/internal/records/segment_log.h"
@@ -156,9 +157,10 @@
     for (std::size_t i = 0; i < newest.size(); ++i) {
       if ((second + i) % chosen.pause_s == 0) {
         const std::string program = "long-" + std::to_string(i);
-        const std::string attempt = program + "-" + number;
+        std::string attempt = program;
+        attempt.append("-").append(number);
         add_turn(store, chosen, program, attempt, newest[i], now_ms);
-        newest[i] = attempt;
+        newest[i] = std::move(attempt);
       }
     }
     for (std::size_t i = 0; i < chosen.short_turns; ++i) {
