--- a/src/records/record_server_expiry.cc
+++ b/src/records/record_server_expiry.cc
@@ -95,6 +95,7 @@
     return;
   }
   std::vector<std::string> keys;
+  keys.reserve(records.size());
   for (const disk_record& each : records) {
     keys.push_back(each.key);
   }
