--- a/test/record_index_expiry_test.cc
+++ b/test/record_index_expiry_test.cc
@@ -248,8 +248,8 @@
   void long_chain_is_visited_once_a_retention() {
     std::size_t visits = 0;
     std::string previous;
-    constexpr int turns = 3000;
-    for (int i = 0; i < turns; ++i) {
+    constexpr std::size_t turns = 3000;
+    for (std::size_t i = 0; i < turns; ++i) {
       const std::string name = "t" + std::to_string(i);
       index_.add(of_program("", turn(name, previous, "", "")), i * second);
       previous = name;
@@ -267,7 +267,7 @@
   void tokens_used_are_counted_as_long_as_the_program_is_active() {
     for (int i = 0; i < 40; ++i) {
       const std::string name = "t" + std::to_string(i);
-      const std::uint64_t now = i * 30 * second;
+      const std::uint64_t now = 30 * second * i;
       index_.add(reservation(name, 10), now);
       index_.add(settlement(name, 4, 1, "e"), now + second);
       index_.expire(now + second);
@@ -286,12 +286,12 @@
     index_.add(turn("other", "", "", ""), 0);  // sets the retention
     for (int i = 0; i < 40; ++i) {
       index_.add(of_program("q", reservation("r" + std::to_string(i), 10)),
-                 i * 30 * second);
-      index_.expire(i * 30 * second);
+                 30 * second * i);
+      index_.expire(30 * second * i);
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{40}, index_.usage("q").size());
-    index_.expire(39 * 30 * second + 121 * second);
-    index_.expire(39 * 30 * second + 242 * second);
+    index_.expire(39 * (30 * second) + 121 * second);
+    index_.expire(39 * (30 * second) + 242 * second);
     CPPUNIT_ASSERT(index_.usage("q").empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, index_.size());
   }
@@ -346,7 +346,7 @@
       run_stores(stores, now);
     }
     const std::uint64_t end = now;
-    while (now < end + 3 * 121 * second) {
+    while (now < end + 3 * (121 * second)) {
       now += 5 * second;
       run_stores(stores, now);
     }
--- a/test/store_expiry_test.cc
+++ b/test/store_expiry_test.cc
@@ -177,6 +177,7 @@
     int ended = 0;
     for (int i = 0; i < 20; ++i) {
       std::vector<records::PulledRecord> pulled;
+      pulled.reserve(5);
       for (int j = 0; j < 4; ++j) {
         pulled.push_back(with_age(
             without_program(turn("ended-" + std::to_string(ended++), "", text)),
