A connection reset while an endpoint ends is probed again

Cause: the gateway probes the address of an endpoint whose response broke off. The kernel of an ending process may accept the probe's connection and reset it before the probe sees that it was established. Any failure but a refusal counted as silence, which is no evidence, so that the endpoint's end was not known.

Change: a connection that fails otherwise than by a refusal is made once more, as one that was accepted and closed already was.

--- a/include/trayrock/internal/net/connect_probe.h
+++ b/include/trayrock/internal/net/connect_probe.h
@@ -3,8 +3,8 @@
 //
 // A refused connection shows that the process has ended. Silence shows nothing:
 // the path may be cut. A process that is ending may still accept a connection
-// and closes it at once, so an accepted one is watched for a moment, and a
-// connection that was closed is made once more.
+// and closes or resets it at once, so an accepted one is watched for a moment,
+// and a connection that failed otherwise than by a refusal is made once more.
 //
 // Example:
 //   connect_probe probe(loop, "10.0.0.1:8040", limit,
--- a/src/net/connect_probe.cc
+++ b/src/net/connect_probe.cc
@@ -41,19 +41,19 @@
 
 void connect_probe::on_event(bufferevent*, short what, void* context) {
   auto& me = *static_cast<connect_probe*>(context);
+  const bool refused = !me.connected_ && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
   if ((what & BEV_EVENT_CONNECTED) != 0) {
     me.connected_ = true;
     bufferevent_enable(me.bev_.get(), EV_READ);
     me.limit_ =
         me.loop_.after(watched_for, [&me] { me.end(probe_result::accepted); });
-  } else if (!me.connected_) {
-    const bool refused = EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
-    me.end(refused ? probe_result::refused : probe_result::silent);
+  } else if (refused) {
+    me.end(probe_result::refused);
   } else if (!std::exchange(me.repeated_, true)) {
     me.limit_ = me.loop_.after(milliseconds(0), [&me] { me.connect(); });
   } else {
     // A process that runs closes connections beyond its limit.
-    me.end(probe_result::accepted);
+    me.end(me.connected_ ? probe_result::accepted : probe_result::silent);
   }
 }
 
