A new instance at the address of an ended endpoint is not taken for it

Cause: when an endpoint had ended and another instance had started at its address, a probe was accepted by the new one, and the former one's try counted as survived. The gateway already knew better: the platform listed the new instance in place of the former one, and another gateway had reported a 421 from that address 0.4 s earlier.

Change: an accepted probe counts as the end of the former instance if it is no longer listed and another one is listed at its address, or if an answer has shown another one there; and the report of a 421 by another gateway counts like an own one. The log has the result of each probe and names gateways that don't confirm a report.

--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -124,6 +124,11 @@
   // Returns true if the instance is listed and was not marked before.
   bool mark_superseded(const endpoint_identity& former);
 
+  // Whether another instance is known to have taken over the address of this
+  // one: a request was answered so, or this one is no longer listed and another
+  // one is listed there.
+  bool is_replaced(const endpoint_identity& at, std::string_view address) const;
+
   // The known instance of that id, or nullptr.
   const endpoint* find(const std::string& id) const;
 
--- a/include/trayrock/internal/gateway/platform_view.h
+++ b/include/trayrock/internal/gateway/platform_view.h
@@ -44,6 +44,8 @@
   metrics_registry& metrics;
   // Called before an instance that the platform has removed is dropped.
   std::function<void(const endpoint_identity&)> on_removed;
+  // Called when another gateway has found another instance at its address.
+  std::function<void(const endpoint_identity&)> on_superseded;
   // Called once the other gateways are known.
   std::function<void()> on_peers_listed;
 };
--- a/include/trayrock/internal/gateway/poison_guard.h
+++ b/include/trayrock/internal/gateway/poison_guard.h
@@ -43,6 +43,9 @@
     std::function<std::vector<relay_peer>()> peers;  // the other gateways
     // The address of a listed instance; empty: none.
     std::function<std::string(const endpoint_identity&)> address_of;
+    // Whether another instance has taken over the address of this one.
+    std::function<bool(const endpoint_identity&, std::string_view address)>
+        is_replaced;
   };
 
   // All references must outlive the object.
@@ -106,6 +109,7 @@
   };
 
   void start_check(const endpoint_identity& at, callback then);
+  std::string address_of(const endpoint_identity& at) const;
   void end_check(const endpoint_identity& at, probe_result result);
   void on_ended(const endpoint_identity& at, callback then);
   void report(const records::RequestTries& tries, callback then);
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -348,6 +348,22 @@
          known->second->health.record_peer_failure(gateway, now_ms);
 }
 
+bool endpoint_directory::is_replaced(const endpoint_identity& at,
+                                     std::string_view address) const {
+  const endpoint_state_ptr state = known_instance(at);
+  if (state != nullptr && state->superseded) {
+    return true;
+  }
+  const endpoint* const current = find(at.id);
+  if (current != nullptr && current->identity == at) {
+    return false;
+  }
+  return std::any_of(by_id_.begin(), by_id_.end(), [&](const auto& known) {
+    return known.second->kept_until_ms == 0 &&
+           known.second->record.address == address;
+  });
+}
+
 bool endpoint_directory::mark_superseded(const endpoint_identity& former) {
   endpoint_state_ptr state = known_instance(former);
   if (state == nullptr) {
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -478,9 +478,11 @@
   }
   for (const records::EndpointIdentity& each : report.superseded()) {
     targets_.metrics.add("superseded_endpoints_reported_total");
-    if (targets_.endpoints.mark_superseded(decode(each))) {
+    const endpoint_identity former = decode(each);
+    if (targets_.endpoints.mark_superseded(former)) {
       log_avoided(each, report);
     }
+    targets_.on_superseded(former);
   }
 }
 
--- a/src/gateway/poison_guard.cc
+++ b/src/gateway/poison_guard.cc
@@ -54,6 +54,17 @@
   return made;
 }
 
+std::string text_of(probe_result result) {
+  switch (result) {
+    case probe_result::refused:
+      return "refused";
+    case probe_result::accepted:
+      return "accepted";
+    default:
+      return "silent";
+  }
+}
+
 request_try try_of(const records::RequestTry& from) {
   return {from.request(), decode(from.endpoint()), stage_of(from.stage()),
           from.age_ms()};
@@ -231,17 +242,25 @@
     return;
   }
   metrics_.add("endpoint_end_checks_total");
-  const auto known = addresses_.find(at);
-  const std::string address =
-      known == addresses_.end() ? own_.address_of(at) : known->second;
   found->second.probe = std::make_unique<connect_probe>(
-      loop_, address, check_limit, [this, at](probe_result result) {
+      loop_, address_of(at), check_limit, [this, at](probe_result result) {
         // The probe is still in use here.
         loop_.post([this, at, result] { end_check(at, result); });
       });
 }
 
+std::string poison_guard::address_of(const endpoint_identity& at) const {
+  const auto known = addresses_.find(at);
+  return known == addresses_.end() ? own_.address_of(at) : known->second;
+}
+
+// A process that accepts connections at the address may be another one.
 void poison_guard::end_check(const endpoint_identity& at, probe_result result) {
+  const bool replaced =
+      result == probe_result::accepted && own_.is_replaced(at, address_of(at));
+  log_info("endpoint_checked",
+           {{"endpoint", at.id},
+            {"result", replaced ? "replaced" : text_of(result)}});
   const auto found = checks_.find(at);
   const std::vector<callback> waiting = std::move(found->second.waiting);
   checks_.erase(found);
@@ -250,7 +269,7 @@
       each();
     }
   };
-  if (result == probe_result::refused) {
+  if (result == probe_result::refused || replaced) {
     on_ended(at, run_waiting);
     return;
   }
@@ -315,11 +334,13 @@
   for (const std::string& peer : peers) {
     made.calls.push_back(pool_.ask<records::RequestTriesReply>(
         peer, "RequestTries", message, confirm_limit,
-        [this, number](const result<records::RequestTriesReply>& reply) {
+        [this, number, peer](const result<records::RequestTriesReply>& reply) {
           if (reply) {
             receive(reply.value());
           } else {
             metrics_.add("request_tries_unconfirmed_total");
+            log_info("request_tries_unconfirmed",
+                     {{"gateway", peer}, {"error", reply.error().message()}});
           }
           end_call(number);
         }));
--- a/test/endpoint_directory_test.cc
+++ b/test/endpoint_directory_test.cc
@@ -9,6 +9,7 @@
 
 constexpr std::uint64_t start_ms = 10000;
 constexpr const char* service = "ledger";
+constexpr const char* address = "10.0.0.1:8040";
 
 class endpoint_directory_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(endpoint_directory_test);
@@ -27,6 +28,9 @@
   CPPUNIT_TEST(few_removals_do_not_count_as_expired);
   CPPUNIT_TEST(draining_endpoint_missing_after_a_loss_is_removed_at_once);
   CPPUNIT_TEST(expired_endpoint_is_not_chosen_after_the_grace_period);
+  CPPUNIT_TEST(instance_whose_address_another_one_has_is_replaced);
+  CPPUNIT_TEST(listed_instance_is_not_replaced);
+  CPPUNIT_TEST(instance_is_not_replaced_by_an_expired_one);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -162,7 +166,40 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(endpoints, start_ms + 10));
   }
 
+  void instance_whose_address_another_one_has_is_replaced() {
+    endpoint_directory endpoints;
+    endpoints.replace({at_address("a"), named("c")}, false, {start_ms});
+    endpoints.remove({"a"}, 1);
+    CPPUNIT_ASSERT(!endpoints.is_replaced({"a"}, address));
+    endpoints.update(at_address("b"), start_ms);
+    CPPUNIT_ASSERT(endpoints.is_replaced({"a"}, address));
+    endpoints.mark_superseded({"c"});
+    CPPUNIT_ASSERT(endpoints.is_replaced({"c"}, ""));
+  }
+
+  // The record of its predecessor may still be listed.
+  void listed_instance_is_not_replaced() {
+    endpoint_directory endpoints;
+    endpoints.replace({at_address("a"), at_address("b")}, false, {start_ms});
+    CPPUNIT_ASSERT(!endpoints.is_replaced({"a"}, address));
+    CPPUNIT_ASSERT(!endpoints.is_replaced({"b"}, address));
+  }
+
+  void instance_is_not_replaced_by_an_expired_one() {
+    endpoint_directory endpoints;
+    endpoints.replace({at_address("a"), at_address("b")}, false, {start_ms});
+    endpoints.remove({"a"}, 1);
+    endpoints.expire({"b"}, 1, {start_ms});
+    CPPUNIT_ASSERT(!endpoints.is_replaced({"a"}, address));
+  }
+
  private:
+  static endpoint at_address(const std::string& id) {
+    endpoint made = named(id);
+    made.address = address;
+    return made;
+  }
+
   static endpoint named(const std::string& id) {
     endpoint made;
     made.identity.id = id;
--- a/test/poison_request_test.cc
+++ b/test/poison_request_test.cc
@@ -1,6 +1,8 @@
 // Tests how many endpoints end under a request that ends each process that
 // runs it, and that other requests stay served.
 #include <algorithm>
+#include <map>
+#include <string>
 #include <thread>
 
 #include "service_deployment.h"
@@ -34,6 +36,8 @@
   CPPUNIT_TEST(copies_side_by_side_at_a_gateway_end_three_endpoints);
   CPPUNIT_TEST(repeats_end_three_endpoints_when_a_gateway_is_killed);
   CPPUNIT_TEST(endpoints_that_end_after_their_client_has_left_count);
+  CPPUNIT_TEST(endpoints_that_start_again_at_their_address_count);
+  CPPUNIT_TEST(replaced_endpoint_counts_at_the_gateway_that_sent_the_request);
   CPPUNIT_TEST(gateway_that_starts_later_refuses_a_known_poison_request);
   CPPUNIT_TEST(refusal_is_immediate_and_names_its_cause);
   CPPUNIT_TEST(cut_and_reset_responses_do_not_condemn_a_request);
@@ -117,14 +121,52 @@
     service_deployment system(many_runners());
     system.start_all();
     for (int repeat = 0; repeat < repeats; ++repeat) {
-      system.request("gateway-1", "/unsafe/fatal-late",
-                     "a" + std::to_string(repeat),
-                     {{"Trayrock-Deadline-Ms", "200"}}, "body");
-      std::this_thread::sleep_for(std::chrono::milliseconds(700));
+      leave_late_request(system, "a" + std::to_string(repeat));
     }
     check_bound(system);
   }
 
+  // A new instance that accepts connections at the address of one that has
+  // ended was taken for it, so that a fourth endpoint ended.
+  void endpoints_that_start_again_at_their_address_count() {
+    service_deployment system(many_runners());
+    system.start_all();
+    std::map<std::string, std::string> ids;  // of restarted endpoints
+    for (int repeat = 0; repeat < repeats; ++repeat) {
+      leave_late_request(system, "a" + std::to_string(repeat));
+      for (int i = 1; i <= runners; ++i) {
+        const std::string name = "runner-" + std::to_string(i);
+        if (!system.running(name)) {
+          restart(system, name, ids.try_emplace(name, name).first->second);
+        }
+      }
+    }
+    int count = 0;
+    for (int i = 1; i <= runners; ++i) {
+      count += static_cast<int>(system.log_lines(
+          "runner-" + std::to_string(i), "ends under /unsafe/fatal-late "));
+    }
+    CPPUNIT_ASSERT_EQUAL(max_ended, count);
+  }
+
+  // Another gateway sees the new instance first. The platform still lists the
+  // former one.
+  void replaced_endpoint_counts_at_the_gateway_that_sent_the_request() {
+    service_options one_runner;
+    one_runner.runners = 1;
+    service_deployment system(one_runner);
+    system.start_all();
+    leave_late_request(system, "a");
+    CPPUNIT_ASSERT(!system.running("runner-1"));
+    system.restart_runner_unlisted("runner-1");
+    int number = 0;
+    wait_until("the first gateway counts the endpoint", [&] {
+      system.request("gateway-2", "/safe/innocent",
+                     "innocent-" + std::to_string(++number));
+      return system.log_lines("gateway-1", "\"endpoint_ended\"") > 0;
+    });
+  }
+
   void gateway_that_starts_later_refuses_a_known_poison_request() {
     service_deployment system(many_runners());
     system.start_all();
@@ -194,6 +236,29 @@
     return count;
   }
 
+  // Its endpoint ends after its client has left.
+  static void leave_late_request(service_deployment& system,
+                                 const std::string& attempt) {
+    system.request("gateway-1", "/unsafe/fatal-late", attempt,
+                   {{"Trayrock-Deadline-Ms", "200"}}, "body");
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  }
+
+  // The platform lists the new instance once it runs. Returns when the gateway
+  // knows it.
+  static void restart(service_deployment& system, const std::string& name,
+                      std::string& id) {
+    const std::string former = id;
+    id = system.restart_runner_unlisted(name);
+    system.remove_object("servers", former);
+    system.put_object(
+        "servers", id,
+        service_deployment::endpoint_entry(
+            "127.0.0.1:" + std::to_string(system.port(name)), "ready"));
+    wait_until("the gateway knows " + id,
+               [&] { return system.log_lines("gateway-1", id) > 0; });
+  }
+
   static void check_bound(service_deployment& system) {
     const int count = ended(system);
     TRAYROCK_CHECK(count <= max_ended, "expected at most "
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -304,15 +304,24 @@
 }
 
 void service_deployment::restart_runner(const std::string& name) {
+  const process& each = processes_.at(name);
+  remove_object(
+      "servers",
+      *(std::find(each.command.begin(), each.command.end(), "--id") + 1));
+  const std::string id = restart_runner_unlisted(name);
+  put_object("servers", id,
+             endpoint_entry(local(reached_at(name, port(name))), "ready"));
+}
+
+std::string service_deployment::restart_runner_unlisted(
+    const std::string& name) {
   process& each = processes_.at(name);
-  const auto id =
-      std::find(each.command.begin(), each.command.end(), "--id") + 1;
-  remove_object("servers", *id);
-  *id = name + "-" + std::to_string(++each.restarts);
+  std::string& id =
+      *(std::find(each.command.begin(), each.command.end(), "--id") + 1);
+  id = name + "-" + std::to_string(++each.restarts);
   start(name);
   wait_until(name + " answers", [&] { return counts(name).is_object(); });
-  put_object("servers", *id,
-             endpoint_entry(local(reached_at(name, port(name))), "ready"));
+  return id;
 }
 
 json service_deployment::endpoint_entry(const std::string& address,
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -75,6 +75,9 @@
   void register_runner(const std::string& name, const std::string& phase);
   // Starts a runner that has ended as a new instance at its former address.
   void restart_runner(const std::string& name);
+  // The same, but the platform goes on listing the former instance. Returns the
+  // id of the new one.
+  std::string restart_runner_unlisted(const std::string& name);
   static json endpoint_entry(const std::string& address,
                              const std::string& phase);
   void configure(std::uint64_t version, const json& more_routes = {});
