--- a/test/fault_soak_test.cc
+++ b/test/fault_soak_test.cc
@@ -20,7 +20,6 @@
 #include <array>
 #include <atomic>
 #include <csignal>
-#include <cstdlib>
 #include <deque>
 #include <iostream>
 #include <memory>
@@ -33,6 +32,7 @@
 #include "persistent_connection.h"
 #include "received_response.h"
 #include "service_deployment.h"
+#include "soak_seeds.h"
 #include "stalled_reader.h"
 #include "test_support.h"
 
@@ -685,16 +685,11 @@
  public:
   void promises_hold_under_random_faults() {
     std::vector<unsigned> seeds = regression_seeds;
-    const char* chosen = std::getenv("TRAYROCK_SOAK_SEEDS");
-    std::istringstream wanted(chosen == nullptr ? std::to_string(ci_seed)
-                                                : std::string(chosen));
-    for (unsigned seed = 0; wanted >> seed;) {
+    for (const unsigned seed : soak_seeds(ci_seed)) {
       seeds.push_back(seed);
     }
-    const char* length = std::getenv("TRAYROCK_SOAK_SECONDS");
-    const int seconds = length == nullptr ? default_seconds : std::atoi(length);
     for (const unsigned seed : seeds) {
-      soak(seed, seconds).run();
+      soak(seed, soak_seconds(default_seconds)).run();
     }
   }
 };
--- a/test/index_records.h
+++ b/test/index_records.h
@@ -3,8 +3,10 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "records.pb.h"
+#include "trayrock/internal/records/record_index.h"
 
 namespace trayrock::testing {
 
@@ -59,4 +61,15 @@
   return made;
 }
 
+// The first records behind a position.
+inline std::vector<record_index::numbered_key> keys_after(
+    const record_index& index, std::uint64_t position, std::size_t max_count) {
+  std::vector<record_index::numbered_key> found;
+  index.visit_after(position, [&](const record_index::numbered_key& each) {
+    found.push_back(each);
+    return found.size() < max_count;
+  });
+  return found;
+}
+
 }  // namespace trayrock::testing
--- a/test/poison_soak_test.cc
+++ b/test/poison_soak_test.cc
@@ -15,16 +15,15 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
 #include <map>
 #include <mutex>
 #include <random>
 #include <set>
-#include <sstream>
 #include <thread>
 
 #include "service_deployment.h"
+#include "soak_seeds.h"
 #include "test_support.h"
 
 namespace trayrock::testing {
@@ -296,13 +295,8 @@
 
  public:
   void poison_requests_end_three_endpoints_under_random_faults() {
-    const char* chosen = std::getenv("TRAYROCK_SOAK_SEEDS");
-    std::istringstream wanted(chosen == nullptr ? std::to_string(ci_seed)
-                                                : std::string(chosen));
-    const char* length = std::getenv("TRAYROCK_SOAK_SECONDS");
-    const int seconds = length == nullptr ? default_seconds : std::atoi(length);
-    for (unsigned seed = 0; wanted >> seed;) {
-      poison_soak(seed, seconds).run();
+    for (const unsigned seed : soak_seeds(ci_seed)) {
+      poison_soak(seed, soak_seconds(default_seconds)).run();
     }
   }
 };
--- a/test/record_index_expiry_test.cc
+++ b/test/record_index_expiry_test.cc
@@ -94,7 +94,7 @@
     CPPUNIT_ASSERT(!index_.chain("a").found);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, index_.usage("p").size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, index_.usage("q").size());
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, keys_after(0, 10).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, keys_after(index_, 0, 10).size());
   }
 
   // Guards against 404 for a turn of a conversation that is older than the
@@ -421,10 +421,10 @@
     const std::uint64_t read = index_.position();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                          index_.expire(130 * second).kept.size());
-    const auto rest = keys_after(read, 10);
+    const auto rest = keys_after(index_, read, 10);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rest.size());
     CPPUNIT_ASSERT_EQUAL(record_key(turn("a", "", "", "")), rest[0].key);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, keys_after(0, 10).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, keys_after(index_, 0, 10).size());
   }
 
   void size_is_bounded_beside_a_long_conversation() {
@@ -502,16 +502,6 @@
     }
   }
 
-  std::vector<record_index::numbered_key> keys_after(std::uint64_t position,
-                                                     std::size_t max_count) {
-    std::vector<record_index::numbered_key> found;
-    index_.visit_after(position, [&](const record_index::numbered_key& each) {
-      found.push_back(each);
-      return found.size() < max_count;
-    });
-    return found;
-  }
-
   std::map<std::string, records::Record> disk_;
   int reads_ = 0;
   record_index index_{[this](const std::string& key) {
--- a/test/record_index_test.cc
+++ b/test/record_index_test.cc
@@ -153,14 +153,14 @@
   void reading_resumes_from_a_position() {
     index_.add(reservation("a", 10), 5);
     index_.add(reservation("b", 10), 6);
-    const auto first = keys_after(0, 1);
-    const auto rest = keys_after(first[0].position, 10);
+    const auto first = keys_after(index_, 0, 1);
+    const auto rest = keys_after(index_, first[0].position, 10);
 
     CPPUNIT_ASSERT_EQUAL(record_key(reservation("a", 0)), first[0].key);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rest.size());
     CPPUNIT_ASSERT_EQUAL(record_key(reservation("b", 0)), rest[0].key);
     CPPUNIT_ASSERT_EQUAL(index_.position(), rest[0].position);
-    CPPUNIT_ASSERT(keys_after(index_.position(), 10).empty());
+    CPPUNIT_ASSERT(keys_after(index_, index_.position(), 10).empty());
   }
 
   // Guards against pulls that name all records for each few that they send.
@@ -204,16 +204,6 @@
   }
 
  private:
-  std::vector<record_index::numbered_key> keys_after(std::uint64_t position,
-                                                     std::size_t max_count) {
-    std::vector<record_index::numbered_key> found;
-    index_.visit_after(position, [&](const record_index::numbered_key& each) {
-      found.push_back(each);
-      return found.size() < max_count;
-    });
-    return found;
-  }
-
   std::map<std::string, records::Record> disk_;
   int reads_ = 0;
   record_index index_{[this](const std::string& key) {
--- a/test/retention_soak_test.cc
+++ b/test/retention_soak_test.cc
@@ -14,14 +14,13 @@
 #include <array>
 #include <atomic>
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
 #include <mutex>
 #include <random>
-#include <sstream>
 #include <thread>
 
 #include "service_deployment.h"
+#include "soak_seeds.h"
 #include "test_support.h"
 
 namespace trayrock::testing {
@@ -314,13 +313,8 @@
 
  public:
   void conversations_outlast_their_retention_under_random_faults() {
-    const char* chosen = std::getenv("TRAYROCK_SOAK_SEEDS");
-    std::istringstream wanted(chosen == nullptr ? std::to_string(ci_seed)
-                                                : std::string(chosen));
-    const char* length = std::getenv("TRAYROCK_SOAK_SECONDS");
-    const int seconds = length == nullptr ? default_seconds : std::atoi(length);
-    for (unsigned seed = 0; wanted >> seed;) {
-      retention_soak(seed, seconds).run();
+    for (const unsigned seed : soak_seeds(ci_seed)) {
+      retention_soak(seed, soak_seconds(default_seconds)).run();
     }
   }
 };
