--- a/src/records/record_server_expiry.cc
+++ b/src/records/record_server_expiry.cc
@@ -83,8 +83,7 @@
                });
 }
 
-// ---- Sparse files
-// ------------------------------------------------------------
+// ---- Sparse files ----------------------------------------------------------
 
 void record_server::rewrite_sparse() {
   if (rewriting_ || disk_failed_) {
