The last try of a suspected request waits for an endpoint that was just left

The connection of the third try broke at once (a fault of the soak), its endpoint accepted a probe 20 ms later and another one 46 ms after the break, so that the try counted as survived and the request was sent to one more endpoint. Both ended under it, the former 50 ms after its connection broke.

Change: the pause of 0.5 s before the last endpoint that may end counts also from a try that broke or was left, so that an end shortly after it is seen by the check before the next try. Requests under which fewer than two endpoints have ended do not wait.

--- a/include/trayrock/internal/decide/poison_requests.h
+++ b/include/trayrock/internal/decide/poison_requests.h
@@ -65,8 +65,9 @@
   // Requests whose tries are kept, besides those with open tries of this
   // gateway.
   static constexpr std::size_t max_requests = 4096;
-  // Pause before the last endpoint that may end. Endpoints that end for another
-  // cause often do so close together.
+  // Pause before the last endpoint that may end, after another one has ended or
+  // was left. Endpoints that end for another cause often do so close together,
+  // and the process of a broken connection may end a moment after it.
   static constexpr std::uint64_t last_try_pause_ms = 500;
   // How long an endpoint that ended counts.
   static constexpr std::uint64_t ended_lifetime_ms = 120000;
@@ -156,7 +157,7 @@
     std::size_t ended = 0;
     std::size_t at_risk = 0;  // open or broken
     std::size_t broken = 0;
-    std::uint64_t last_ended_ms = 0;
+    std::uint64_t last_ended_ms = 0;  // or may still end, since it was left
   };
   using tracked_tries = std::vector<tracked_try>;
 
--- a/src/decide/poison_requests.cc
+++ b/src/decide/poison_requests.cc
@@ -49,6 +49,7 @@
         ++made.at_risk;
         break;
       case try_stage::left:
+        made.last_ended_ms = std::max(made.last_ended_ms, each.left_ms);
         break;
     }
   }
--- a/test/poison_requests_test.cc
+++ b/test/poison_requests_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST_SUITE(poison_requests_test);
   CPPUNIT_TEST(request_is_refused_after_three_endpoints_ended);
   CPPUNIT_TEST(last_try_waits_for_a_pause);
+  CPPUNIT_TEST(last_try_waits_for_an_endpoint_that_was_just_left);
   CPPUNIT_TEST(other_requests_are_not_refused);
   CPPUNIT_TEST(all_requests_at_an_ended_endpoint_count_it);
   CPPUNIT_TEST(try_that_never_reached_its_endpoint_does_not_count);
@@ -83,6 +84,26 @@
                    try_verdict::send);
   }
 
+  // Its connection broke, it still accepted another one, and it ended a moment
+  // later: the fourth endpoint under the request.
+  void last_try_waits_for_an_endpoint_that_was_just_left() {
+    poison_requests tries;
+    end_under(tries, request, 1);
+    end_under(tries, request, 2);
+    tries.record_sent(request, endpoint_named(3), after_pause);
+    tries.record_broken(request, endpoint_named(3), after_pause);
+    tries.record_alive(endpoint_named(3), after_pause);
+    CPPUNIT_ASSERT(tries.decide(request, in_program, after_pause + 1) ==
+                   try_verdict::wait);
+    const std::uint64_t later =
+        after_pause + poison_requests::last_try_pause_ms;
+    CPPUNIT_ASSERT(tries.decide(request, in_program, later) ==
+                   try_verdict::send);
+    tries.record_ended(endpoint_named(3), later);
+    CPPUNIT_ASSERT(tries.decide(request, in_program, later) ==
+                   try_verdict::refuse);
+  }
+
   void other_requests_are_not_refused() {
     poison_requests tries;
     for (int i = 1; i <= 3; ++i) {
