--- a/test/deployment.cc
+++ b/test/deployment.cc
@@ -18,6 +18,7 @@
 #include <thread>
 
 #include "loopback.h"
+#include "test_folder.h"
 #include "test_support.h"
 
 namespace trayrock::testing {
@@ -249,9 +250,7 @@
 deployment::deployment(const deployment_options& options) : options_(options) {
   binaries_ =
       std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
-  std::string pattern =
-      (std::filesystem::temp_directory_path() / "trayrock-XXXXXX").string();
-  folder_ = mkdtemp(pattern.data());
+  folder_ = make_test_folder();
   constexpr std::size_t ports_a_process = 3;
   constexpr std::size_t other_ports = 20;
   std::vector<int> ports = free_ports(
--- a/test/record_store_fixture.h
+++ b/test/record_store_fixture.h
@@ -17,6 +17,7 @@
 
 #include "deployment.h"
 #include "slow_files.h"
+#include "test_folder.h"
 #include "test_support.h"
 #include "trayrock/internal/records/record_client.h"
 #include "trayrock/internal/records/record_server.h"
@@ -95,9 +96,7 @@
 class record_store_fixture : public CppUnit::TestFixture {
  public:
   void setUp() override {
-    std::string pattern =
-        (std::filesystem::temp_directory_path() / "trayrock-XXXXXX").string();
-    folder_ = mkdtemp(pattern.data());
+    folder_ = make_test_folder();
     loop_ = std::make_unique<event_loop>();
     ports_ = free_ports(6);
     pool_ = std::make_unique<rpc_pool>(*loop_, rpc_limits{});
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <thread>
 
+#include "test_folder.h"
 #include "test_support.h"
 
 namespace trayrock::testing {
@@ -30,9 +31,7 @@
     : options_(options), ports_(free_ports(ports_of_a_test)) {
   binaries_ =
       std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
-  std::string pattern =
-      (std::filesystem::temp_directory_path() / "trayrock-XXXXXX").string();
-  folder_ = mkdtemp(pattern.data());
+  folder_ = make_test_folder();
   process& objects = processes_["objects"];
   objects.port = take_port();
   objects.second_port = take_port();
