--- a/test/record_client_test.cc
+++ b/test/record_client_test.cc
@@ -91,9 +91,10 @@
       run();
       CPPUNIT_ASSERT(reply && reply->has_value());
       const program_usage& usage = *reply->value().usage;
+      const std::uint64_t used = 3 * static_cast<std::uint64_t>(i);
       TRAYROCK_CHECK(
-          usage.used() + usage.open() >= 3 * i + 10U && usage.used() <= 3U * i,
-          "turn " << i << ": expected " << 3 * i << " tokens used, seen "
+          usage.used() + usage.open() >= used + 10 && usage.used() <= used,
+          "turn " << i << ": expected " << used << " tokens used, seen "
                   << usage.used() << " and " << usage.open() << " open");
       CPPUNIT_ASSERT_EQUAL(std::error_code(), keep(settlement(attempt, 3)));
     }
