--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -24,6 +24,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 LOCAL = "127.0.0.1"
 MOST_SECONDS = 110  # of one case
+HEARTBEAT_S = 1.2
 REASONS = {200: "OK", 201: "Created", 404: "Not Found", 409: "Conflict",
            410: "Gone", 421: "Misdirected Request", 503: "Service Unavailable"}
 
@@ -52,6 +53,16 @@
         print(text, flush=True)
 
 
+TASKS = set()
+
+
+def keep_task():
+    """asyncio itself keeps no reference to the tasks of connections."""
+    task = asyncio.current_task()
+    TASKS.add(task)
+    task.add_done_callback(TASKS.discard)
+
+
 # ---- HTTP/1.1 ---------------------------------------------------------------
 
 
@@ -90,12 +101,15 @@
 
     def __init__(self):
         self.port = 0
+        self.open = set()
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self.serve, LOCAL, port)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def serve(self, reader, writer):
+        keep_task()
+        self.open.add(writer)
         try:
             while True:
                 first, headers, body = await read_message(reader)
@@ -105,6 +119,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, ValueError):
             pass
         finally:
+            self.open.discard(writer)
             writer.close()
 
 
@@ -231,8 +246,31 @@
         self.id = "i-" + name
         self.runs = []  # (time, attempt, path, body)
         self.events, self.pause = 5, 0.02
+        self.starts = 0
         self.work = 0.03
 
+    async def crash(self):
+        """The process ends: its address refuses, its channels are reset."""
+        self.server.close()
+        for writer in list(self.open):
+            writer.transport.abort()
+        self.record.line("crash", runner=self.name)
+        TASKS.add(asyncio.create_task(self.lapse(self.id)))
+
+    async def lapse(self, former):
+        """The entry goes after three status reports of silence."""
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        await self.platform.remove("servers", former)
+
+    async def restart(self):
+        """A new incarnation at the same address."""
+        self.starts += 1
+        self.id = f"i-{self.name}-{self.starts}"
+        await self.start(self.real_port)
+        self.port = self.shown_port
+        self.record.line("restart", runner=self.name, id=self.id)
+        await self.register()
+
     async def register(self, phase="ready"):
         await self.platform.put("servers", self.id, {
             "service": self.service, "address": f"{LOCAL}:{self.port}",
@@ -295,6 +333,7 @@
         return len(self.open)
 
     async def serve(self, reader, writer):
+        keep_task()
         me = object()
         source = ""
         if self.network is not None:
@@ -526,12 +565,8 @@
     async def add_runner(self, name, service, zone):
         made = Runner(self.record, self.platform, name, service, zone)
         await made.start()
-        proxy = Proxy(made.port)
-        await proxy.start()
-        self.proxies[f"to {name}"] = proxy
         self.runners[name] = made
-        real, made.port = made.port, proxy.port
-        made.real_port = real
+        made.real_port = made.shown_port = made.port
         await made.register()
         return made
 
