--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import os
+import queue
 import random
 import re
 import shutil
@@ -16,6 +17,7 @@
 import socket
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 import traceback
@@ -34,19 +36,31 @@
 
 
 class Record:
-    """Writes record.txt: what was sent, answered and run."""
+    """Writes record.txt: what was sent, answered and run. A thread writes, so that
+    a slow disk doesn't hold up the stand-ins."""
 
     def __init__(self, path):
         self.file = open(path, "w", encoding="utf-8")
         self.began = time.monotonic()
+        self.lines = queue.SimpleQueue()
+        self.writer = threading.Thread(target=self.write, daemon=True)
+        self.writer.start()
+
+    def write(self):
+        while (text := self.lines.get()) is not None:
+            self.file.write(text)
+            self.file.flush()
+
+    def end(self):
+        self.lines.put(None)
+        self.writer.join()
 
     def now(self):
         return time.monotonic() - self.began
 
     def line(self, what, **facts):
         text = " ".join(f"{key}={value}" for key, value in facts.items())
-        self.file.write(f"{self.now():8.3f} {what} {text}".rstrip() + "\n")
-        self.file.flush()
+        self.lines.put(f"{self.now():8.3f} {what} {text}".rstrip() + "\n")
 
     def say(self, text):
         self.line("#", text=text)
@@ -338,7 +352,8 @@
         source = ""
         if self.network is not None:
             peer = writer.get_extra_info("peername")
-            source = self.network.owner_of(peer[1], self.port)
+            source = await asyncio.to_thread(self.network.owner_of, peer[1],
+                                             self.port)
         try:
             await self.way(source)
             far_reader, far_writer = await asyncio.open_connection(
@@ -479,18 +494,6 @@
                    "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
 
 
-def temporary_folder():
-    """In memory where there is room: a sync of a disk that others use may need
-    seconds, which is longer than the bounds of the deployment. TMPDIR chooses
-    another place."""
-    memory = "/dev/shm"
-    place = None
-    if "TMPDIR" not in os.environ and os.access(memory, os.W_OK | os.X_OK):
-        if shutil.disk_usage(memory).free >= 2 << 30:
-            place = memory
-    return tempfile.mkdtemp(prefix="trayrock-review-", dir=place)
-
-
 class Machine:
     """One gateway or store process, with the proxies on the ways to it."""
 
@@ -503,7 +506,7 @@
 class Deployment:
     def __init__(self, record, gateways, stores):
         self.record = record
-        self.folder = temporary_folder()
+        self.folder = tempfile.mkdtemp(prefix="trayrock-review-")
         self.platform = Platform()
         self.machines = {}
         self.proxies = {}  # name -> Proxy
@@ -531,14 +534,14 @@
 
     def owner_of(self, port, proxy_port):
         """The machine whose process has the connection from this port."""
-        inode = ""
-        wanted = (f"0100007F:{port:04X}", f"0100007F:{proxy_port:04X}")
-        with open("/proc/net/tcp", encoding="ascii") as table:
-            for line in table:
-                fields = line.split()
-                if (fields[1], fields[2]) == wanted:
-                    inode = f"socket:[{fields[9]}]"
-        for machine in self.machines.values():
+        # The table is long while other programs open many connections, so that
+        # it is read in a thread and not taken apart line by line.
+        wanted = f" 0100007F:{port:04X} 0100007F:{proxy_port:04X} ".encode()
+        with open("/proc/net/tcp", "rb") as table:
+            found = [rest.split(maxsplit=7)[6].decode()
+                     for rest in table.read().split(wanted)[1:]]
+        inode = f"socket:[{found[-1] if found else 0}]"
+        for machine in list(self.machines.values()):
             if machine.process is None or machine.process.returncode is not None:
                 continue
             folder = f"/proc/{machine.process.pid}/fd"
@@ -649,7 +652,10 @@
             if all([await self.ready(each) for each in gateways]):
                 return
             await asyncio.sleep(0.1)
-        raise CannotRun("the gateways are not ready")
+        waiting = [each for each in gateways if not await self.ready(each)]
+        ended = [m.name for m in self.machines.values()
+                 if m.process is not None and m.process.returncode is not None]
+        raise CannotRun(f"not ready: {waiting}; ended: {ended}")
 
     async def start_all(self, models=6, plain=3):
         """The small deployment, with one configuration, ready."""
@@ -769,7 +775,16 @@
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
+    async def watch_delays():
+        """Tells when the machine didn't let the stand-ins run."""
+        while True:
+            before = record.now()
+            await asyncio.sleep(0.1)
+            if record.now() - before > 0.6:
+                record.line("held_up", seconds=f"{record.now() - before - 0.1:.1f}")
+
     async def run():
+        watching = asyncio.create_task(watch_delays())
         try:
             held = await asyncio.wait_for(case(record, trouble), MOST_SECONDS)
         except CannotRun as why:
@@ -779,12 +794,14 @@
             traceback.print_exc()
             record.say(f"could not run: {why!r}")
             return 2
+        finally:
+            watching.cancel()
         record.say("the rule held" if held else "the rule was broken")
         return 0 if held else 1
 
     async def run_and_exit():
         code = await run()
-        record.file.flush()
+        record.end()
         sys.stdout.flush()
         sys.stderr.flush()
         os._exit(code)  # the stand-ins' connections need no orderly end
