Review scripts search the table of connections without a thread

Now the table is searched as a whole, at once, and not for the connections to the platform, whose owner is known; a file that is closed meanwhile doesn't end the search of its process.

--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -331,8 +331,10 @@
     connections can also be made silent for good.
     """
 
-    def __init__(self, target_port, network=None, to=""):
+    def __init__(self, target_port, network=None, to="", source=""):
+        """`source`: the machine that connects, if it is always the same."""
         self.target_port, self.network, self.to = target_port, network, to
+        self.source = source
         self.open = set()
         self.silent = set()
         self.port = 0
@@ -349,11 +351,17 @@
     async def serve(self, reader, writer):
         keep_task()
         me = object()
-        source = ""
-        if self.network is not None:
+        source = self.source
+        if self.network is not None and not source:
             peer = writer.get_extra_info("peername")
-            source = await asyncio.to_thread(self.network.owner_of, peer[1],
-                                             self.port)
+            for _ in range(5):
+                source = self.network.owner_of(peer[1], self.port)
+                if source:
+                    break
+                await asyncio.sleep(0.005)
+            else:  # closed by its owner, or that one has ended
+                writer.transport.abort()
+                return
         try:
             await self.way(source)
             far_reader, far_writer = await asyncio.open_connection(
@@ -535,7 +543,7 @@
     def owner_of(self, port, proxy_port):
         """The machine whose process has the connection from this port."""
         # The table is long while other programs open many connections, so that
-        # it is read in a thread and not taken apart line by line.
+        # it is not taken apart line by line.
         wanted = f" 0100007F:{port:04X} 0100007F:{proxy_port:04X} ".encode()
         with open("/proc/net/tcp", "rb") as table:
             found = [rest.split(maxsplit=7)[6].decode()
@@ -546,11 +554,15 @@
                 continue
             folder = f"/proc/{machine.process.pid}/fd"
             try:
-                for each in os.listdir(folder):
+                files = os.listdir(folder)
+            except OSError:  # the process has ended
+                continue
+            for each in files:
+                try:
                     if os.readlink(f"{folder}/{each}") == inode:
                         return machine.name
-            except OSError:
-                continue
+                except OSError:  # this file was closed meanwhile
+                    continue
         return ""
 
     def zone_of(self, name):
@@ -588,10 +600,10 @@
     async def start(self, name):
         machine = self.machines[name]
         if f"to {name}" not in self.proxies:
-            for key, port, to in (
-                    (f"to {name}", machine.ports["rpc"], name),
-                    (f"platform of {name}", self.platform.port, "platform")):
-                self.proxies[key] = Proxy(port, self, to)
+            for key, port, to, source in (
+                    (f"to {name}", machine.ports["rpc"], name, ""),
+                    (f"platform of {name}", self.platform.port, "platform", name)):
+                self.proxies[key] = Proxy(port, self, to, source)
                 await self.proxies[key].start()
         machine.data = os.path.join(self.folder, name)
         os.makedirs(machine.data, exist_ok=True)
