Test of ending nodes waits for the engine to drop the call

poison_call_test::call_that_ends_its_nodes_ends_three failed in about one of 20 runs: it got 200 in place of error 1409 after two nodes had ended.

Cause: after a node had ended, the test waited for another engine to run the call. The next attempt may go to the same engine, which still counts the cancelled attempt for up to a step of the slowed engine.

The test waits for the engine's count of cancelled calls to rise instead. Both checks stay as they are: at most three nodes end, and the call gets error 1409.

--- a/test/poison_call_test.cc
+++ b/test/poison_call_test.cc
@@ -69,11 +69,14 @@
       const int at = running_engine(system);
       if (at > 0) {
         const std::string node = node_of(at);
+        const int cancelled = cancelled_calls(system, at);
         system.kill(node);
         system.start(node);
         ++ended;
-        wait_until("the engine has noticed",
-                   [&] { return answered || running_engine(system) != at; });
+        // The next attempt may run at the same engine.
+        wait_until("the engine has dropped the call", [&] {
+          return answered || cancelled_calls(system, at) > cancelled;
+        });
       }
     }
     caller.join();
@@ -92,6 +95,11 @@
     return std::string("box-") + static_cast<char>('a' + engine - 1);
   }
 
+  static int cancelled_calls(deployment& system, int engine) {
+    const json counts = system.counts("engine-" + std::to_string(engine));
+    return counts.is_object() ? counts["cancelled"].get<int>() : 0;
+  }
+
   // The number of the engine that runs a call; 0: none does.
   static int running_engine(deployment& system) {
     for (int i = 1; i <= boxes; ++i) {
