Failing tests: endpoints whose end no refused connection shows

The stand-in runner stops its process under "fatal-dark". Deployments of tests can put proxies between gateways (peer_links).

--- a/fakes/fake_runner.cc
+++ b/fakes/fake_runner.cc
@@ -9,9 +9,11 @@
 //
 // A request whose target holds "fatal" ends the process; one that holds
 // "fatal-midway", after the first event of its stream, and "fatal-late", half a
-// second later, whether its caller waits or not.
+// second later, whether its caller waits or not. "fatal-dark" stops the process
+// with its connections open, as when its box loses power.
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <map>
@@ -174,6 +176,9 @@
     } else if (holds("fatal-late")) {
       faults_.hang = 1;
       end_process_after(late, request.target);
+    } else if (holds("fatal-dark")) {
+      std::fprintf(stderr, "ends under %s \n", request.target.c_str());
+      raise(SIGSTOP);
     } else if (holds("fatal")) {
       end_process(request.target);
     }
--- /dev/null
+++ b/test/poison_evidence_test.cc
@@ -0,0 +1,291 @@
+// Tests the bound on endpoints that end under one request where no refused
+// connection shows that they have ended, and where gateways don't know of each
+// other's tries.
+#include <algorithm>
+#include <array>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "loopback.h"
+#include "service_deployment.h"
+#include "test_support.h"
+
+namespace trayrock::testing {
+namespace {
+
+constexpr int runners = 10;
+constexpr int max_ended = 3;
+constexpr int repeats = 9;
+constexpr int code_poison_request = 1409;
+
+using header_map = std::map<std::string, std::string>;
+
+std::string runner_name(int number) {
+  return "runner-" + std::to_string(number);
+}
+
+std::string gateway_name(int number) {
+  return "gateway-" + std::to_string(number);
+}
+
+header_map program_headers() {
+  return {{"Trayrock-Program-Id", "program"},
+          {"Trayrock-Session-Id", "session"}};
+}
+
+// Occupies the queue of connections of a stopped process, so that further
+// connections to it get no reply.
+class full_backlog {
+ public:
+  explicit full_backlog(int port) {
+    constexpr int more_than_any_backlog = 600;
+    const sockaddr_in to = loopback(port);
+    for (int i = 0; i < more_than_any_backlog; ++i) {
+      const int made = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect(made, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+      sockets_.push_back(made);
+    }
+  }
+  full_backlog(const full_backlog&) = delete;
+  full_backlog& operator=(const full_backlog&) = delete;
+  ~full_backlog() {
+    for (const int each : sockets_) {
+      close(each);
+    }
+  }
+
+ private:
+  std::vector<int> sockets_;
+};
+
+// Processes that ended under fatal requests, counted by their logs.
+int ended(const service_deployment& system) {
+  std::size_t count = 0;
+  for (int i = 1; i <= runners; ++i) {
+    count += system.log_lines(runner_name(i), "ends under ");
+  }
+  return static_cast<int>(count);
+}
+
+void check_ended(const service_deployment& system) {
+  const int count = ended(system);
+  TRAYROCK_CHECK(count > 0, "no endpoint has ended");
+  TRAYROCK_CHECK(count <= max_ended,
+                 "expected at most "
+                     << max_ended << " endpoints to have ended, saw " << count);
+}
+
+class poison_evidence_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(poison_evidence_test);
+  CPPUNIT_TEST(boxes_that_go_dark_count);
+  CPPUNIT_TEST(boxes_that_go_dark_under_a_programs_call_count);
+  CPPUNIT_TEST(endpoints_behind_proxies_that_accept_connections_count);
+  CPPUNIT_TEST(copies_at_six_gateways_end_three_endpoints);
+  CPPUNIT_TEST(turns_copied_to_six_gateways_end_three_endpoints);
+  CPPUNIT_TEST(gateways_that_cannot_reach_each_other_share_the_bound);
+  CPPUNIT_TEST(gateways_that_are_killed_during_their_tries_share_the_bound);
+  CPPUNIT_TEST(ends_of_one_endpoint_under_the_same_id_count);
+  CPPUNIT_TEST(program_is_served_after_boxes_went_dark);
+  CPPUNIT_TEST(program_is_served_without_record_stores);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void boxes_that_go_dark_count() { check_dark_boxes({}); }
+
+  void boxes_that_go_dark_under_a_programs_call_count() {
+    check_dark_boxes(program_headers());
+  }
+
+  void endpoints_behind_proxies_that_accept_connections_count() {
+    service_options options;
+    options.runners = runners;
+    options.links = true;
+    service_deployment system(options);
+    system.start_all();
+    for (int repeat = 0; repeat < repeats; ++repeat) {
+      system.request(gateway_name(1 + repeat % 2), "/safe/fatal",
+                     "a" + std::to_string(repeat), program_headers());
+    }
+    check_ended(system);
+  }
+
+  void copies_at_six_gateways_end_three_endpoints() {
+    check_copies([](service_deployment& system, int gateway, int copy) {
+      system.request(gateway_name(gateway), "/safe/fatal-late",
+                     "c" + std::to_string(gateway) + "-" + std::to_string(copy),
+                     program_headers());
+    });
+  }
+
+  void turns_copied_to_six_gateways_end_three_endpoints() {
+    check_copies([](service_deployment& system, int gateway, int copy) {
+      system.turn(gateway_name(gateway),
+                  "c" + std::to_string(gateway) + "-" + std::to_string(copy),
+                  "", "in", 1000, "/stream/fatal-late");
+    });
+  }
+
+  void gateways_that_cannot_reach_each_other_share_the_bound() {
+    constexpr int gateways = 4;
+    service_options options;
+    options.runners = runners;
+    options.gateways = gateways;
+    options.peer_links = true;
+    service_deployment system(options);
+    system.start_all();
+    for (int i = 1; i <= gateways; ++i) {
+      fault_proxy& peers = system.link("peers of " + gateway_name(i));
+      peers.set(link_fault::silence);
+    }
+    for (int repeat = 0; repeat < repeats; ++repeat) {
+      system.request(gateway_name(1 + repeat % gateways), "/unsafe/fatal",
+                     "a" + std::to_string(repeat), program_headers(), "body");
+    }
+    check_ended(system);
+  }
+
+  void gateways_that_are_killed_during_their_tries_share_the_bound() {
+    constexpr int gateways = 6;
+    service_options options;
+    options.runners = runners;
+    options.gateways = gateways;
+    service_deployment system(options);
+    system.start_all();
+    for (int i = 1; i <= gateways; ++i) {
+      std::jthread client([&system, i] {
+        system.request(gateway_name(i), "/unsafe/fatal-late",
+                       "a" + std::to_string(i), program_headers(), "body");
+      });
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));
+      system.kill(gateway_name(i));
+      std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    }
+    check_ended(system);
+  }
+
+  // Operators restart processes under their ids.
+  void ends_of_one_endpoint_under_the_same_id_count() {
+    service_options options;
+    options.runners = 2;
+    service_deployment system(options);
+    system.start_all();
+    for (int repeat = 0; repeat < repeats; ++repeat) {
+      system.request(gateway_name(1 + repeat % 2), "/safe/fatal",
+                     "a" + std::to_string(repeat), program_headers());
+      std::this_thread::sleep_for(std::chrono::milliseconds(400));
+      for (int i = 1; i <= options.runners; ++i) {
+        if (!system.running(runner_name(i))) {
+          system.start(runner_name(i));
+        }
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    }
+    std::size_t count = 0;
+    for (int i = 1; i <= options.runners; ++i) {
+      count += system.log_lines(runner_name(i), "ends under ");
+    }
+    TRAYROCK_CHECK(count > 0 && count <= max_ended,
+                   "expected at most " << max_ended << " ends, saw " << count);
+  }
+
+  void program_is_served_after_boxes_went_dark() {
+    service_options options;
+    options.runners = runners;
+    service_deployment system(options);
+    system.start_all();
+    for (int repeat = 0; repeat < 2; ++repeat) {
+      system.request("gateway-1", "/unsafe/fatal-dark",
+                     "dark" + std::to_string(repeat),
+                     {{"Trayrock-Deadline-Ms", "400"}}, "body");
+    }
+    for (int number = 0; number < 20; ++number) {
+      const std::string attempt = "a" + std::to_string(number);
+      const http_answer answer =
+          system.request(gateway_name(1 + number % 2), "/safe/" + attempt,
+                         attempt, program_headers());
+      TRAYROCK_CHECK(answer.status == 200, "request " << number << " got "
+                                                      << answer.status << ": "
+                                                      << answer.body);
+    }
+  }
+
+  void program_is_served_without_record_stores() {
+    service_deployment system;
+    system.start_all();
+    for (int i = 1; i <= 3; ++i) {
+      system.kill("store-" + std::to_string(i));
+    }
+    const http_answer answer =
+        system.request("gateway-1", "/safe/a", "a", program_headers());
+    CPPUNIT_ASSERT_EQUAL(200, answer.status);
+  }
+
+ private:
+  using send_copy = std::function<void(service_deployment&, int, int)>;
+
+  static void check_dark_boxes(header_map headers) {
+    service_options options;
+    options.runners = runners;
+    service_deployment system(options);
+    system.start_all();
+    headers["Trayrock-Deadline-Ms"] = "400";
+    std::map<int, full_backlog> dark;
+    http_answer answer;
+    // An endpoint that is dark already may be chosen again.
+    for (int repeat = 0; repeat < 2 * repeats; ++repeat) {
+      answer =
+          system.request(gateway_name(1 + repeat % 2), "/unsafe/fatal-dark",
+                         "a" + std::to_string(repeat), headers, "body");
+      for (int i = 1; i <= runners; ++i) {
+        const std::string name = runner_name(i);
+        if (!dark.contains(i) && system.log_lines(name, "ends under ") > 0) {
+          dark.try_emplace(i, system.port(name));
+        }
+      }
+    }
+    check_ended(system);
+    CPPUNIT_ASSERT(answer.status != 200);
+  }
+
+  // Each gateway prefers endpoints of its own data centre.
+  static void spread_over_data_centres(service_deployment& system, int count) {
+    for (int i = 1; i <= runners; ++i) {
+      json entry = service_deployment::endpoint_entry(
+          "127.0.0.1:" + std::to_string(system.port(runner_name(i))), "ready");
+      entry["zone"] = "dc-" + std::to_string(1 + i % count);
+      system.put_object("servers", runner_name(i), entry);
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+  }
+
+  static void check_copies(const send_copy& send) {
+    constexpr int gateways = 6;
+    constexpr int copies = 2;
+    constexpr int repeats_of_a_copy = 3;
+    service_options options;
+    options.runners = runners;
+    options.gateways = gateways;
+    service_deployment system(options);
+    system.start_all();
+    spread_over_data_centres(system, gateways);
+    {
+      std::vector<std::jthread> running;
+      running.reserve(gateways * copies);
+      for (int i = 0; i < gateways * copies; ++i) {
+        running.emplace_back([&system, &send, i] {
+          for (int repeat = 0; repeat < repeats_of_a_copy; ++repeat) {
+            send(system, 1 + i % gateways, i / gateways + copies * repeat);
+          }
+        });
+      }
+    }
+    check_ended(system);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(poison_evidence_test);
+
+}  // namespace
+}  // namespace trayrock::testing
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -85,9 +85,10 @@
 }
 
 int service_deployment::reached_at(const std::string& link, int port) {
-  if (!options_.links) {
-    return port;
-  }
+  return options_.links ? add_link(link, port) : port;
+}
+
+int service_deployment::add_link(const std::string& link, int port) {
   const auto held = link_ports_.find(link);
   if (held != link_ports_.end()) {
     return held->second;
@@ -140,6 +141,7 @@
   gateway.port = take_port();
   gateway.second_port = take_port();
   gateway.metrics_port = take_port();
+  const int rpc_port = take_port();
   gateway.command = {binaries_ + "/trayrock-gateway", "--settings",
                      folder_ + "/" + name + ".json"};
   json settings = {
@@ -149,10 +151,13 @@
        options_.gateways_together ? together : data_centre(name)},
       {"http_listen", local(gateway.port)},
       {"ready_listen", local(gateway.second_port)},
-      {"rpc_listen", local(take_port())},
+      {"rpc_listen", local(rpc_port)},
       {"metrics_listen", local(gateway.metrics_port)},
       {"platform", local(reached_at("platform of " + name, port("objects")))},
       {"stop_limit_s", options_.stop_limit_s}};
+  if (options_.peer_links) {
+    settings["rpc_address"] = local(add_link("peers of " + name, rpc_port));
+  }
   if (options_.revocation_limit_ms > 0) {
     settings["revocation_limit_ms"] = options_.revocation_limit_ms;
   }
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -26,6 +26,7 @@
   bool gateways_together = false;  // all in one data centre
   int gateways_elsewhere = 0;      // but for the last so many, in another one
   bool links = false;  // calls between processes go through fault proxies
+  bool peer_links = false;  // those between gateways too: "peers of gateway-1"
   json workspaces;     // of the first configuration; null: none
   json more_routes;    // of the first configuration
   int revocation_limit_ms = 0;             // 0: no such promise
@@ -153,6 +154,7 @@
 
   // The port at which others reach what listens on `port`.
   int reached_at(const std::string& link, int port);
+  int add_link(const std::string& link, int port);
 };
 
 }  // namespace trayrock::testing
