Tries of unknown outcome count, and are registered before they are sent

Cause: only a refused connection was evidence, and every other outcome was dropped, also one that nobody knows: no reply from a dark box, a proxy that accepts connections, an endpoint that the gateway left, a gateway that was killed. Gateways knew of the tries of others only after an end was reported, and only from gateways that they reached. And a set of endpoints was counted, not ends.

Change: a try counts like an end until something shows that the endpoint was alive at a time at which it could no longer end under it: a response to a later request, or the platform's list after the time in which it removes silent endpoints. That something accepts a connection shows nothing any more. Tries of programs, and of suspected requests, are registered in the memory of a majority of the record stores before they are sent; one that sees others is registered twice, so that of any number at the same moment three are sent. A gateway that reaches no majority sends a program's request once. Ends under the same id add up.

--- a/include/trayrock/internal/gateway/endpoint_attempt.h
+++ b/include/trayrock/internal/gateway/endpoint_attempt.h
@@ -70,7 +70,7 @@
 
   bool in_flight() const { return in_flight_; }
 
-  // Since it was begun.
+  // Since it was sent, or begun and not sent yet.
   milliseconds age() const;
 
   // The head must belong to this request.
--- a/include/trayrock/internal/gateway/endpoint_directory.h
+++ b/include/trayrock/internal/gateway/endpoint_directory.h
@@ -132,6 +132,10 @@
   // The known instance of that id, or nullptr.
   const endpoint* find(const std::string& id) const;
 
+  // Whether the platform lists this instance. Instances that are kept since
+  // their records may have expired in an outage are not listed.
+  bool is_listed(const endpoint_identity& at) const;
+
   std::size_t count(std::string_view service) const;
   std::size_t size() const { return by_id_.size(); }
 
--- a/include/trayrock/internal/gateway/endpoint_records.h
+++ b/include/trayrock/internal/gateway/endpoint_records.h
@@ -7,6 +7,7 @@
 
 #include "records.pb.h"
 #include "trayrock/internal/gateway/configuration.h"
+#include "trayrock/internal/records/request_tries.h"
 #include "trayrock/result.h"
 
 namespace trayrock {
@@ -17,9 +18,6 @@
 // else.
 endpoint_identity identity_of(const records::EndpointRecord& from);
 
-records::EndpointIdentity encode(const endpoint_identity& from);
-endpoint_identity decode(const records::EndpointIdentity& from);
-
 // Errors: errc::wire_garbled for a record without id, service or address.
 result<endpoint> decode(const records::EndpointRecord& from);
 
--- a/include/trayrock/internal/gateway/platform_view.h
+++ b/include/trayrock/internal/gateway/platform_view.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "platform/collection_watcher.h"
@@ -79,6 +80,12 @@
   // or the gateway that watches it.
   std::uint64_t endpoints_age_ms() const { return endpoints_.silence_ms(); }
 
+  // Until when the list shows that this instance was running, by the time in
+  // which the platform removes endpoints that are silent; nothing: it shows
+  // nothing.
+  std::optional<std::uint64_t> listed_alive_ms(
+      const endpoint_identity& at) const;
+
   // Reports to other gateways that a request failed at the endpoint, or that
   // another instance has its address.
   void report_failure(const endpoint_identity& at) {
@@ -138,6 +145,8 @@
   evacuation_view evacuations_;
   endpoint_entry_decoder decoder_;
   watch_log log_;
+  milliseconds endpoint_heartbeat_;
+  std::uint64_t listed_after_loss_ms_ = 0;  // 0: never
   watch_follower follower_;
   watch_server server_;
   peer_notifier notifier_;
--- a/include/trayrock/internal/gateway/poison_guard.h
+++ b/include/trayrock/internal/gateway/poison_guard.h
@@ -2,16 +2,22 @@
 // (decide/poison_requests.h).
 //
 // A broken connection doesn't show whether the endpoint's process has ended, so
-// the guard tries to connect: a refused connection shows that it has. The other
-// gateways receive a report and confirm it before the request is sent again or
-// its client gets a response. Their replies bring the tries of the same request
-// that they have open.
+// the guard tries to connect: a refused connection shows that it has. That
+// something accepts the connection shows nothing, since that may be a proxy. An
+// endpoint is alive if it responds to a request, or if the platform still lists
+// it after the time in which it would have removed an endpoint that is silent.
+//
+// Tries of programs, and of suspected requests, are registered at the record
+// stores before they are sent (records/try_ledger_client.h). If these are out
+// of reach, a program's request may have no other try that this gateway knows
+// of. The other gateways receive a report of what has ended and confirm it
+// before the request is sent again or its client gets a response.
 //
 // Example:
-//   poison_guard guard(loop, pool, metrics, peers, address_of);
+//   poison_guard guard(loop, pool, metrics, own);
 //   guard.serve(rpc);
-//   guard.admit(request, in_program, [&](try_verdict verdict) { ... });
-//   guard.sent(request, endpoint, [&] { send(); });
+//   guard.admit(request, [&](try_verdict verdict) { ... });
+//   guard.sent(request, endpoint, [&](bool admitted) { ... });
 //   guard.broken(request, endpoint, [&] { send_to_another(); });
 #pragma once
 
@@ -19,6 +25,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,13 +36,21 @@
 #include "trayrock/internal/net/connect_probe.h"
 #include "trayrock/internal/net/loop.h"
 #include "trayrock/internal/net/rpc.h"
+#include "trayrock/internal/records/try_ledger_client.h"
 
 namespace trayrock {
 
+// A request, as far as its tries are counted.
+struct guarded_request {
+  request_fingerprint content = 0;
+  request_scope scope = request_scope::shared;
+};
+
 class poison_guard {
  public:
   using verdict_callback = std::function<void(try_verdict)>;
   using callback = std::function<void()>;
+  using admission_callback = std::function<void(bool admitted)>;
 
   struct own_gateway {
     std::string name;                                // its name
@@ -46,6 +61,11 @@
     // Whether another instance has taken over the address of this one.
     std::function<bool(const endpoint_identity&, std::string_view address)>
         is_replaced;
+    // Until when the platform's list shows that this instance was running;
+    // nothing: it shows nothing.
+    std::function<std::optional<std::uint64_t>(const endpoint_identity&)>
+        listed_alive_ms;
+    std::function<const records::Group&()> group;  // of the record stores
   };
 
   // All references must outlive the object.
@@ -71,25 +91,30 @@
 
   // Calls back with the verdict: at once for a request without suspicion, else
   // after its earlier endpoints have been checked.
-  void admit(request_fingerprint request, bool in_program,
-             const verdict_callback& done);
+  void admit(const guarded_request& request, const verdict_callback& done);
 
-  // The request is about to be sent. Calls back at once, or for a suspected
-  // request once the other gateways have confirmed its report.
-  void sent(request_fingerprint request, const endpoint_identity& at,
-            const callback& then);
+  // The request is about to be sent. Calls back once its try is registered, at
+  // once where that is not needed. One that is not admitted must not be sent,
+  // and is no longer recorded.
+  void sent(const guarded_request& request, const endpoint_identity& at,
+            const admission_callback& then);
 
-  // The connection ended before the response did. Calls back once it is known
-  // whether the endpoint has ended, and the other gateways have confirmed it.
-  void broken(request_fingerprint request, const endpoint_identity& at,
+  // The connection ended before the response did. Calls back once the endpoint
+  // has been checked, and the other gateways have confirmed its end.
+  void broken(const guarded_request& request, const endpoint_identity& at,
               callback then);
 
   // The gateway no longer waits for the endpoint, which may still run the
   // request.
-  void left(request_fingerprint request, const endpoint_identity& at);
+  void left(const guarded_request& request, const endpoint_identity& at);
 
   // The endpoint responded, refused, or never received the request.
-  void survived(request_fingerprint request, const endpoint_identity& at);
+  void survived(const guarded_request& request, const endpoint_identity& at);
+
+  // The endpoint responded to a request that was sent at that time.
+  void record_alive(const endpoint_identity& at, std::uint64_t sent_ms) {
+    tries_.record_alive(at, sent_ms);
+  }
 
   // The endpoint does not accept connections, or is no longer listed.
   void check_endpoint(const endpoint_identity& at);
@@ -108,16 +133,30 @@
     callback then;
   };
 
+  void decide(const guarded_request& request, const verdict_callback& done);
+  void register_try(const guarded_request& request, const endpoint_identity& at,
+                    bool repeated, const admission_callback& then);
+  void end_registration(const guarded_request& request,
+                        const endpoint_identity& at, registration outcome,
+                        const admission_callback& then);
+  void admit_or_withdraw(const guarded_request& request,
+                         const endpoint_identity& at, bool within_bound,
+                         const admission_callback& then);
   void start_check(const endpoint_identity& at, callback then);
   std::string address_of(const endpoint_identity& at) const;
   void end_check(const endpoint_identity& at, probe_result result);
   void on_ended(const endpoint_identity& at, callback then);
+  void log_ended(const endpoint_identity& at, request_fingerprint request,
+                 std::string_view seen_by) const;
   void report(const records::RequestTries& tries, callback then);
   void send(const records::RequestTries& message,
             const std::vector<std::string>& peers, callback then);
   void end_call(std::uint64_t round_number);
-  void close_announced(request_fingerprint request,
-                       const endpoint_identity& at);
+  void post_unknown(const guarded_request& request,
+                    const endpoint_identity& at);
+  void report_unknown(const request_try& unknown);
+  void flush_unknown();
+  void refresh_alive(request_fingerprint request);
   std::vector<std::string> receivers() const;
   void receive(const records::RequestTriesReply& reply);
   records::RequestTriesReply reply_to(const records::RequestTries& message);
@@ -127,11 +166,15 @@
   rpc_pool& pool_;
   metrics_registry& metrics_;
   own_gateway own_;
+  std::uint64_t own_id_;
   poison_requests tries_;
+  try_ledger_client ledger_;
   std::map<endpoint_identity, std::string> addresses_;  // of tries
   std::map<endpoint_identity, check> checks_;           // in progress
   std::map<std::uint64_t, round> rounds_;               // of notifications
   std::uint64_t next_round_ = 0;
+  records::RequestTries unknown_;  // not reported yet
+  timer unknown_timer_;            // until the next such report
   timer expiry_;
 };
 
--- a/include/trayrock/internal/settings/service_settings.h
+++ b/include/trayrock/internal/settings/service_settings.h
@@ -39,6 +39,8 @@
   // From the end of a trouble of the platform, or of the way to it, until this
   // gateway has to know all that the platform does.
   milliseconds reconnect_limit{3000};
+  // Between two heartbeats of an endpoint at the platform.
+  milliseconds endpoint_heartbeat{1200};
   // A request that is sent later than this after its key was taken away does
   // not run, wherever this gateway is cut off. Nothing: no such promise.
   std::optional<milliseconds> revocation_limit;
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -52,6 +52,7 @@
 void endpoint_attempt::send(const http1_request& request,
                             http1_observer observer) {
   const endpoint& target = endpoint_->record;
+  sent_at_us_ = loop_.now_us();
   call_ = pool_.start(target.address, target.identity.text(), request,
                       std::move(observer));
 }
--- a/src/gateway/endpoint_directory.cc
+++ b/src/gateway/endpoint_directory.cc
@@ -101,6 +101,12 @@
   return known == by_id_.end() ? nullptr : &known->second->record;
 }
 
+bool endpoint_directory::is_listed(const endpoint_identity& at) const {
+  const auto known = by_id_.find(at.id);
+  return known != by_id_.end() && known->second->record.identity == at &&
+         known->second->kept_until_ms == 0;
+}
+
 // The state of an instance, listed or former, or nullptr.
 endpoint_state_ptr endpoint_directory::known_instance(
     const endpoint_identity& wanted) const {
--- a/src/gateway/endpoint_records.cc
+++ b/src/gateway/endpoint_records.cc
@@ -27,17 +27,6 @@
   return {from.id(), from.started_ms()};
 }
 
-endpoint_identity decode(const records::EndpointIdentity& from) {
-  return {from.id(), from.started_ms()};
-}
-
-records::EndpointIdentity encode(const endpoint_identity& from) {
-  records::EndpointIdentity made;
-  made.set_id(from.id);
-  made.set_started_ms(from.started_ms);
-  return made;
-}
-
 result<endpoint> decode(const records::EndpointRecord& from) {
   if (from.id().empty() || from.service().empty() || from.address().empty()) {
     return errc::wire_garbled;
--- a/src/gateway/gateway_main.cc
+++ b/src/gateway/gateway_main.cc
@@ -67,13 +67,18 @@
                  poison_.instance_ended(at);
                },
                [this] { poison_.fetch_ended_tries(); }}),
-        poison_(loop_, rpc_, metrics_,
-                {settings.service.name, settings.service.data_centre,
-                 [this] { return view_.relays().peers(); },
-                 [this](const endpoint_identity& at) { return address_of(at); },
-                 [this](const endpoint_identity& at, std::string_view address) {
-                   return endpoints_.is_replaced(at, address);
-                 }}),
+        poison_(
+            loop_, rpc_, metrics_,
+            {settings.service.name, settings.service.data_centre,
+             [this] { return view_.relays().peers(); },
+             [this](const endpoint_identity& at) { return address_of(at); },
+             [this](const endpoint_identity& at, std::string_view address) {
+               return endpoints_.is_replaced(at, address);
+             },
+             [this](const endpoint_identity& at) {
+               return view_.listed_alive_ms(at);
+             },
+             [this]() -> const records::Group& { return records_.group(); }}),
         context_{
             loop_,
             pool_,
--- a/src/gateway/platform_view.cc
+++ b/src/gateway/platform_view.cc
@@ -32,6 +32,9 @@
 // gateways' clocks differ.
 constexpr std::uint64_t report_memory_ms = 3000;
 constexpr milliseconds sweep_period{250};
+// The platform removes an endpoint after three heartbeats without a sign of
+// life; the fourth is for its own delay.
+constexpr std::uint64_t heartbeats_to_removal = 4;
 constexpr milliseconds probe_timeout{250};
 
 platform::gateway_entry entry_of(const service_settings& from) {
@@ -91,6 +94,7 @@
       evacuations_(loop, objects, evacuation_pace(settings, policy)),
       decoder_(targets.metrics),
       log_(random_number()),
+      endpoint_heartbeat_(settings.endpoint_heartbeat),
       follower_(loop, pool, relays_, entry_of(settings.service), policy.watches,
                 timing_within(settings.endpoint_notice)),
       server_(
@@ -189,6 +193,25 @@
       loop_.now_ms());
 }
 
+// Endpoints that ended in an outage of the platform are listed for some time
+// after it.
+std::optional<std::uint64_t> platform_view::listed_alive_ms(
+    const endpoint_identity& at) const {
+  if (!targets_.endpoints.is_listed(at)) {
+    return std::nullopt;
+  }
+  const std::uint64_t confirmed_ms = loop_.now_ms() - endpoints_age_ms();
+  const std::uint64_t removal_ms =
+      heartbeats_to_removal *
+      static_cast<std::uint64_t>(endpoint_heartbeat_.count());
+  const std::uint64_t loss_ms =
+      std::max(objects_.unserved_at_ms(), listed_after_loss_ms_);
+  if (confirmed_ms < loss_ms + removal_ms) {
+    return std::nullopt;
+  }
+  return confirmed_ms - removal_ms;
+}
+
 void platform_view::watch_endpoints() {
   endpoints_.on_snapshot([this](const platform::object_listing& found,
                                 bool after_loss) {
@@ -368,6 +391,9 @@
 void platform_view::apply(const records::EndpointChanges& changes,
                           const reply_times& times) {
   endpoints_.advance(changes.revision());
+  if (changes.after_loss()) {
+    listed_after_loss_ms_ = times.now_ms;
+  }
   std::uint64_t kept_until = 0;
   if (changes.whole()) {
     kept_until = apply_listing(changes, times);
--- a/src/gateway/poison_guard.cc
+++ b/src/gateway/poison_guard.cc
@@ -1,11 +1,12 @@
 #include "trayrock/internal/gateway/poison_guard.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
-#include "trayrock/internal/gateway/endpoint_records.h"
 #include "trayrock/internal/gateway/request_fingerprint.h"
 #include "trayrock/internal/log.h"
+#include "trayrock/internal/records/request_tries.h"
 
 namespace trayrock {
 namespace {
@@ -20,40 +21,11 @@
 constexpr std::size_t max_receivers = 64;
 // Gateways that are asked after the start.
 constexpr std::size_t asked_after_start = 3;
-constexpr std::size_t max_message_tries = 1024;
+// Pause between two reports of tries whose outcome is unknown: after a box went
+// dark there are many, and each report goes to all receivers.
+constexpr milliseconds unknown_report_pause{500};
 constexpr milliseconds expiry_period{1000};
 
-try_stage stage_of(records::TryStage from) {
-  switch (from) {
-    case records::TRY_ENDED:
-      return try_stage::ended;
-    case records::TRY_OPEN:
-      return try_stage::open;
-    default:
-      return try_stage::left;
-  }
-}
-
-records::TryStage stage_of(try_stage from) {
-  switch (from) {
-    case try_stage::ended:
-      return records::TRY_ENDED;
-    case try_stage::open:
-      return records::TRY_OPEN;
-    default:
-      return records::TRY_LEFT;
-  }
-}
-
-records::RequestTry message_of(const request_try& from) {
-  records::RequestTry made;
-  made.set_request(from.request);
-  *made.mutable_endpoint() = encode(from.endpoint);
-  made.set_stage(stage_of(from.stage));
-  made.set_age_ms(static_cast<std::uint32_t>(from.age_ms));
-  return made;
-}
-
 std::string text_of(probe_result result) {
   switch (result) {
     case probe_result::refused:
@@ -65,16 +37,23 @@
   }
 }
 
-request_try try_of(const records::RequestTry& from) {
-  return {from.request(), decode(from.endpoint()), stage_of(from.stage()),
-          from.age_ms()};
+// Not 0 or 1, which stand for processes without tries of their own.
+std::uint64_t random_id() {
+  std::random_device source;
+  return (std::uint64_t{source()} << 32U) | source() | 2U;
 }
 
 }  // namespace
 
 poison_guard::poison_guard(event_loop& loop, rpc_pool& pool,
                            metrics_registry& metrics, own_gateway own)
-    : loop_(loop), pool_(pool), metrics_(metrics), own_(std::move(own)) {
+    : loop_(loop),
+      pool_(pool),
+      metrics_(metrics),
+      own_(std::move(own)),
+      own_id_(random_id()),
+      tries_(own_id_),
+      ledger_(loop, pool, metrics, own_.group) {
   expiry_ = loop_.every(expiry_period, [this] { remove_expired(); });
 }
 
@@ -90,7 +69,7 @@
 records::RequestTriesReply poison_guard::reply_to(
     const records::RequestTries& message) {
   records::RequestTriesReply made;
-  if (static_cast<std::size_t>(message.tries_size()) > max_message_tries) {
+  if (message.tries_size() > max_message_tries) {
     log_warn(
         "request_tries_refused",
         {{"tries", std::to_string(message.tries_size())},
@@ -98,19 +77,24 @@
     return made;
   }
   for (const records::RequestTry& each : message.tries()) {
-    tries_.record_peer_try(try_of(each), loop_.now_ms());
+    const std::size_t before = ended(each.request());
+    tries_.record_peer_try(decode(each), loop_.now_ms());
+    if (ended(each.request()) > before) {
+      log_ended(decode(each.endpoint()), each.request(), "another gateway");
+    }
     if (each.stage() == records::TRY_ENDED) {
-      for (const request_try& own : tries_.own_open_tries(each.request())) {
-        *made.add_tries() = message_of(own);
+      for (const request_try& own :
+           tries_.own_tries(each.request(), loop_.now_ms())) {
+        *made.add_tries() = encode(own);
       }
     }
   }
   if (message.wants_ended()) {
     for (const request_try& each : tries_.ended_tries(loop_.now_ms())) {
-      if (static_cast<std::size_t>(made.tries_size()) == max_message_tries) {
+      if (made.tries_size() == max_message_tries) {
         break;
       }
-      *made.add_tries() = message_of(each);
+      *made.add_tries() = encode(each);
     }
   }
   return made;
@@ -131,10 +115,9 @@
     log_info("request_tries_received",
              {{"tries", std::to_string(reply.tries_size())}});
   }
-  const int count =
-      std::min(reply.tries_size(), static_cast<int>(max_message_tries));
+  const int count = std::min(reply.tries_size(), max_message_tries);
   for (int i = 0; i < count; ++i) {
-    tries_.record_peer_try(try_of(reply.tries(i)), loop_.now_ms());
+    tries_.record_peer_try(decode(reply.tries(i)), loop_.now_ms());
   }
 }
 
@@ -145,7 +128,7 @@
 void poison_guard::renew(request_fingerprint request) {
   records::RequestTries message;
   for (const request_try& each : tries_.renew_ended(request, loop_.now_ms())) {
-    *message.add_tries() = message_of(each);
+    *message.add_tries() = encode(each);
   }
   if (message.tries_size() > 0) {
     metrics_.add("request_tries_renewed_total");
@@ -157,70 +140,207 @@
   return tries_.ended(request, loop_.now_ms());
 }
 
-void poison_guard::admit(request_fingerprint request, bool in_program,
+void poison_guard::admit(const guarded_request& request,
                          const verdict_callback& done) {
   const std::uint64_t now = loop_.now_ms();
+  refresh_alive(request.content);
   const std::vector<endpoint_identity> unresolved =
-      tries_.unresolved_endpoints(request, now);
-  if (!tries_.is_suspected(request, now) || unresolved.empty()) {
-    for (const endpoint_identity& each : unresolved) {
-      check_endpoint(each);
-    }
-    done(tries_.decide(request, in_program, now));
+      tries_.unresolved_endpoints(request.content, now);
+  if (unresolved.empty()) {
+    decide(request, done);
     return;
   }
   const auto open = std::make_shared<std::size_t>(unresolved.size());
   for (const endpoint_identity& each : unresolved) {
-    start_check(each, [this, request, in_program, open, done] {
+    start_check(each, [this, request, open, done] {
       if (--*open == 0) {
-        done(tries_.decide(request, in_program, loop_.now_ms()));
+        decide(request, done);
       }
     });
   }
 }
 
-void poison_guard::sent(request_fingerprint request,
-                        const endpoint_identity& at, const callback& then) {
+// A request that would wait may do so for tries that have been closed since.
+void poison_guard::decide(const guarded_request& request,
+                          const verdict_callback& done) {
+  const try_verdict verdict =
+      tries_.decide(request.content, request.scope, loop_.now_ms());
+  if (verdict != try_verdict::wait || !ledger_.is_reachable()) {
+    done(verdict);
+    return;
+  }
+  ledger_.query(request.content,
+                [this, request, done](registration outcome,
+                                      std::span<const request_try> known) {
+                  const std::uint64_t now = loop_.now_ms();
+                  if (outcome == registration::confirmed) {
+                    tries_.replace_peer_tries(request.content, known, now);
+                    refresh_alive(request.content);
+                  }
+                  done(tries_.decide(request.content, request.scope, now));
+                });
+}
+
+// The platform removes endpoints that are silent for some time.
+void poison_guard::refresh_alive(request_fingerprint request) {
+  for (const endpoint_identity& each :
+       tries_.unresolved_endpoints(request, loop_.now_ms())) {
+    if (const auto alive_ms = own_.listed_alive_ms(each)) {
+      tries_.record_alive(each, *alive_ms);
+    }
+  }
+}
+
+void poison_guard::sent(const guarded_request& request,
+                        const endpoint_identity& at,
+                        const admission_callback& then) {
   const std::uint64_t now = loop_.now_ms();
-  const bool suspected = tries_.is_suspected(request, now);
+  const bool suspected = tries_.is_suspected(request.content, now);
   addresses_[at] = own_.address_of(at);
-  tries_.record_sent(request, at, now);
+  tries_.record_sent(request.content, at, now);
+  if (!suspected && request.scope == request_scope::shared) {
+    then(true);
+    return;
+  }
+  if (!suspected && !ledger_.is_reachable()) {
+    register_try(request, at, true, [](bool) {});
+    admit_or_withdraw(request, at,
+                      !tries_.has_other_tries(request.content, at, now), then);
+    return;
+  }
   if (!suspected) {
-    then();
+    register_try(request, at, false, then);
     return;
   }
+  request_try made{request.content, at};
+  made.owner = own_id_;
   records::RequestTries message;
-  *message.add_tries() = message_of(request_try{request, at, try_stage::open});
-  report(message, then);
+  *message.add_tries() = encode(made);
+  report(message,
+         [this, request, at, then] { register_try(request, at, false, then); });
+}
+
+// A try that sees another one at the stores is registered twice. Of several
+// that are registered at the same time, the last one to be registered for the
+// first time then sees all others.
+void poison_guard::register_try(const guarded_request& request,
+                                const endpoint_identity& at, bool repeated,
+                                const admission_callback& then) {
+  request_try made{request.content, at};
+  made.owner = own_id_;
+  ledger_.open(
+      made, [this, request, at, repeated, then](
+                registration outcome, std::span<const request_try> known) {
+        const std::uint64_t now = loop_.now_ms();
+        if (outcome == registration::confirmed) {
+          tries_.replace_peer_tries(request.content, known, now);
+          refresh_alive(request.content);
+          if (!repeated && tries_.has_other_tries(request.content, at, now)) {
+            register_try(request, at, true, then);
+            return;
+          }
+        }
+        end_registration(request, at, outcome, then);
+      });
+}
+
+void poison_guard::end_registration(const guarded_request& request,
+                                    const endpoint_identity& at,
+                                    registration outcome,
+                                    const admission_callback& then) {
+  const std::uint64_t now = loop_.now_ms();
+  const bool alone = outcome == registration::unreachable &&
+                     request.scope == request_scope::program;
+  const bool within_bound =
+      alone ? !tries_.has_other_tries(request.content, at, now)
+            : tries_.is_within_bound(request.content, now);
+  admit_or_withdraw(request, at, within_bound, then);
 }
 
-void poison_guard::broken(request_fingerprint request,
+void poison_guard::admit_or_withdraw(const guarded_request& request,
+                                     const endpoint_identity& at,
+                                     bool within_bound,
+                                     const admission_callback& then) {
+  if (!within_bound) {
+    metrics_.add("request_tries_withdrawn_total");
+    survived(request, at);
+  }
+  then(within_bound);
+}
+
+void poison_guard::broken(const guarded_request& request,
                           const endpoint_identity& at, callback then) {
-  tries_.record_broken(request, at, loop_.now_ms());
-  start_check(at, std::move(then));
+  tries_.record_broken(request.content, at, loop_.now_ms());
+  start_check(at, [this, request, at, then = std::move(then)] {
+    post_unknown(request, at);
+    then();
+  });
 }
 
-void poison_guard::left(request_fingerprint request,
+void poison_guard::left(const guarded_request& request,
                         const endpoint_identity& at) {
-  tries_.record_left(request, at, loop_.now_ms());
-  close_announced(request, at);
+  tries_.record_left(request.content, at, loop_.now_ms());
+  post_unknown(request, at);
 }
 
-void poison_guard::survived(request_fingerprint request,
-                            const endpoint_identity& at) {
-  tries_.record_survived(request, at);
-  close_announced(request, at);
+// Does nothing once the endpoint is known to have ended.
+void poison_guard::post_unknown(const guarded_request& request,
+                                const endpoint_identity& at) {
+  for (const request_try& each :
+       tries_.own_tries(request.content, loop_.now_ms())) {
+    if (each.endpoint != at || each.stage != try_stage::unknown) {
+      continue;
+    }
+    log_info(
+        "try_outcome_unknown",
+        {{"endpoint", at.id}, {"content", fingerprint_text(request.content)}});
+    metrics_.add("request_tries_unknown_total");
+    ledger_.post(each);
+    if (request.scope == request_scope::shared || !ledger_.is_reachable()) {
+      report_unknown(each);
+    }
+  }
 }
 
-// Other gateways have reports of the tries of a suspected request.
-void poison_guard::close_announced(request_fingerprint request,
-                                   const endpoint_identity& at) {
-  if (!tries_.is_suspected(request, loop_.now_ms())) {
+void poison_guard::report_unknown(const request_try& unknown) {
+  if (unknown_.tries_size() < max_message_tries) {
+    *unknown_.add_tries() = encode(unknown);
+  }
+  if (!unknown_timer_.pending()) {
+    flush_unknown();
+  }
+}
+
+void poison_guard::flush_unknown() {
+  if (unknown_.tries_size() == 0) {
     return;
   }
-  records::RequestTries message;
-  *message.add_tries() = message_of(request_try{request, at, try_stage::left});
-  report(message, nullptr);
+  report(std::exchange(unknown_, {}), nullptr);
+  unknown_timer_ =
+      loop_.after(unknown_report_pause, [this] { flush_unknown(); });
+}
+
+// Others have the tries of programs and of suspected requests.
+void poison_guard::survived(const guarded_request& request,
+                            const endpoint_identity& at) {
+  tries_.record_survived(request.content, at);
+  for (const request_try& each :
+       tries_.own_tries(request.content, loop_.now_ms())) {
+    if (each.endpoint == at) {
+      return;  // another copy may still end the endpoint
+    }
+  }
+  request_try made{request.content, at, try_stage::survived};
+  made.owner = own_id_;
+  const bool suspected = tries_.is_suspected(request.content, loop_.now_ms());
+  if (suspected || request.scope == request_scope::program) {
+    ledger_.post(made);
+  }
+  if (suspected) {
+    records::RequestTries message;
+    *message.add_tries() = encode(made);
+    report(message, nullptr);
+  }
 }
 
 void poison_guard::check_endpoint(const endpoint_identity& at) {
@@ -273,9 +393,6 @@
     on_ended(at, run_waiting);
     return;
   }
-  if (result == probe_result::accepted) {
-    tries_.record_alive(at, loop_.now_ms());
-  }
   run_waiting();
 }
 
@@ -284,11 +401,11 @@
       tries_.record_ended(at, loop_.now_ms());
   records::RequestTries message;
   for (const request_fingerprint each : counted) {
-    *message.add_tries() = message_of(request_try{each, at, try_stage::ended});
+    const request_try made = tries_.ended_try(each, at, loop_.now_ms());
+    *message.add_tries() = encode(made);
+    ledger_.post(made);
     metrics_.add("request_tries_ended_total");
-    log_warn("endpoint_ended", {{"endpoint", at.id},
-                                {"content", fingerprint_text(each)},
-                                {"ended", std::to_string(ended(each))}});
+    log_ended(at, each, "this gateway");
   }
   if (counted.empty()) {
     if (then) {
@@ -299,6 +416,15 @@
   report(message, std::move(then));
 }
 
+void poison_guard::log_ended(const endpoint_identity& at,
+                             request_fingerprint request,
+                             std::string_view seen_by) const {
+  log_warn("endpoint_ended", {{"endpoint", at.id},
+                              {"content", fingerprint_text(request)},
+                              {"ended", std::to_string(ended(request))},
+                              {"seen_by", std::string(seen_by)}});
+}
+
 std::vector<std::string> poison_guard::receivers() const {
   std::vector<relay_peer> peers = own_.peers();
   std::stable_partition(peers.begin(), peers.end(),
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -183,7 +183,7 @@
     on_turn_stored(errc::not_durable);
     return;
   }
-  const bool sent = attempt_.in_flight() || report_.sends > 0;
+  const bool sent = (attempt_.in_flight() && handed_over_) || report_.sends > 0;
   leave_endpoint();
   attempt_.end(attempt_outcome::broken);
   fail(sent ? errc::runner_timeout : if_unsent);
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -20,7 +20,9 @@
 // How long a suspected request waits for its other tries; longer than the pause
 // before its last one.
 constexpr std::uint64_t max_wait_for_tries_us = 750000;
-constexpr milliseconds tries_poll_period{20};
+// Drawn between these, so that copies at several gateways don't meet again.
+constexpr long min_tries_poll_ms = 20;
+constexpr long max_tries_poll_ms = 60;
 
 }  // namespace
 
@@ -35,7 +37,7 @@
     give_up(*error);
     return;
   }
-  context_.poison.admit(fingerprint_, !metadata_.program.empty(),
+  context_.poison.admit(guarded(),
                         [self = shared_from_this()](try_verdict verdict) {
                           if (!self->ended_) {
                             self->on_verdict(verdict);
@@ -43,10 +45,14 @@
                         });
 }
 
+guarded_request request_flow::guarded() const {
+  return {fingerprint_, metadata_.program.empty() ? request_scope::shared
+                                                  : request_scope::program};
+}
+
 void request_flow::on_verdict(try_verdict verdict) {
   switch (verdict) {
     case try_verdict::send:
-      waits_for_tries_since_us_ = 0;
       send_to_chosen();
       return;
     case try_verdict::wait:
@@ -70,8 +76,13 @@
     give_up(errc::poison_suspected);
     return;
   }
+  const auto range =
+      static_cast<std::uint64_t>(max_tries_poll_ms - min_tries_poll_ms + 1);
+  const std::uint64_t draw = XXH3_64bits_withSeed(
+      metadata_.attempt.data(), metadata_.attempt.size(), now_us);
+  const milliseconds delay(min_tries_poll_ms + static_cast<long>(draw % range));
   const std::weak_ptr<request_flow> weak = weak_from_this();
-  tries_timer_ = context_.loop.after(tries_poll_period, [weak] {
+  tries_timer_ = context_.loop.after(delay, [weak] {
     const auto flow = weak.lock();
     if (flow != nullptr && !flow->ended_) {
       flow->send_next();
@@ -104,18 +115,33 @@
   report_.placed_by = text_of(chosen.reason);
   count_placement();
   record_placement();
-  tried_.insert(attempt_.identity());
-  may_run_ = true;
-  abandoned_ = false;
-  context_.poison.sent(fingerprint_, attempt_.identity(),
-                       [self = shared_from_this()] {
-                         if (!self->ended_) {
+  handed_over_ = false;
+  context_.poison.sent(guarded(), attempt_.identity(),
+                       [self = shared_from_this()](bool admitted) {
+                         if (self->ended_) {
+                           return;
+                         }
+                         if (admitted) {
                            self->send_begun();
+                         } else {
+                           self->withdraw_attempt();
                          }
                        });
 }
 
+// Other tries that were registered meanwhile reach the bound.
+void request_flow::withdraw_attempt() {
+  attempt_.end(attempt_outcome::cancelled);
+  discard_placement();
+  wait_for_other_tries();
+}
+
 void request_flow::send_begun() {
+  tried_.insert(attempt_.identity());
+  waits_for_tries_since_us_ = 0;
+  handed_over_ = true;
+  may_run_ = true;
+  abandoned_ = false;
   const http1_request forwarded = forwarded_request();
   sending_bytes_ = forwarded.body.size();
   update_held_bytes();
@@ -400,8 +426,10 @@
 }
 
 void request_flow::leave_endpoint() {
-  if (attempt_.in_flight()) {
-    context_.poison.left(fingerprint_, attempt_.identity());
+  if (attempt_.in_flight() && handed_over_) {
+    context_.poison.left(guarded(), attempt_.identity());
+  } else if (attempt_.in_flight()) {
+    context_.poison.survived(guarded(), attempt_.identity());
   }
   attempt_.cancel();
 }
@@ -449,25 +477,27 @@
   switch (outcome) {
     case attempt_outcome::responded:
       ++report_.sends;
-      context_.poison.survived(fingerprint_, attempt_.identity());
+      record_alive();
+      context_.poison.survived(guarded(), attempt_.identity());
       respond_to_client();
       return;
     case attempt_outcome::unreachable:
       ++report_.unreachable;
-      context_.poison.survived(fingerprint_, attempt_.identity());
+      context_.poison.survived(guarded(), attempt_.identity());
       context_.poison.check_endpoint(attempt_.identity());
       on_unreachable();
       return;
     case attempt_outcome::other_instance:
       context_.endpoint_superseded(attempt_.identity());
       ++report_.sends;
-      context_.poison.survived(fingerprint_, attempt_.identity());
+      context_.poison.survived(guarded(), attempt_.identity());
       context_.poison.instance_ended(attempt_.identity());
       on_refused();
       return;
     case attempt_outcome::refused:
       ++report_.sends;
-      context_.poison.survived(fingerprint_, attempt_.identity());
+      record_alive();
+      context_.poison.survived(guarded(), attempt_.identity());
       on_refused();
       return;
     case attempt_outcome::broken:
@@ -483,20 +513,26 @@
   }
 }
 
+void request_flow::record_alive() {
+  const auto age_ms = static_cast<std::uint64_t>(attempt_.age().count());
+  context_.poison.record_alive(attempt_.identity(),
+                               context_.loop.now_ms() - age_ms);
+}
+
 // An invalid response that is complete comes from a process that runs.
 void request_flow::on_attempt_broken(http1_end how) {
   const endpoint_identity at = attempt_.identity();
   if (abandoned_) {
-    context_.poison.left(fingerprint_, at);
+    context_.poison.left(guarded(), at);
     on_response_broken();
     return;
   }
   if (how == http1_end::complete && attempt_.is_invalid()) {
-    context_.poison.survived(fingerprint_, at);
+    context_.poison.survived(guarded(), at);
     on_response_broken();
     return;
   }
-  context_.poison.broken(fingerprint_, at, [self = shared_from_this()] {
+  context_.poison.broken(guarded(), at, [self = shared_from_this()] {
     if (!self->ended_) {
       self->on_response_broken();
     }
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -125,8 +125,13 @@
   void on_verdict(try_verdict verdict);
   void wait_for_other_tries();
   void refuse_as_poison();
+  guarded_request guarded() const;
   void send_to_chosen();
   void send_begun();
+  void withdraw_attempt();
+
+  // The endpoint of the attempt was running when it got the request.
+  void record_alive();
 
   // The attempt ends without a response because the gateway no longer waits.
   void leave_endpoint();
@@ -220,7 +225,8 @@
   std::set<endpoint_identity> tried_;
   endpoint_attempt attempt_;
   request_fingerprint fingerprint_ = 0;
-  bool abandoned_ = false;  // the current attempt, by this gateway
+  bool handed_over_ = false;  // the endpoint may have the current attempt
+  bool abandoned_ = false;    // the current attempt, by this gateway
   std::uint64_t waits_for_tries_since_us_ = 0;  // 0: doesn't wait
   bool needs_record_ = false;  // needs a reservation or its history
   bool continues_program_ = false;
--- a/src/records/store_main.cc
+++ b/src/records/store_main.cc
@@ -9,6 +9,7 @@
 #include "trayrock/internal/process.h"
 #include "trayrock/internal/records/permit_joiner.h"
 #include "trayrock/internal/records/store_membership_driver.h"
+#include "trayrock/internal/records/try_ledger.h"
 #include "trayrock/internal/settings/service_settings.h"
 
 namespace {
@@ -85,6 +86,8 @@
            {{"box", settings.service.box}, {"version", TRAYROCK_VERSION}});
   warn_of_trial(settings.service);
   const loop_delay_reporter delay_reporter(loop, metrics);
+  try_ledger ledger(loop, metrics);
+  ledger.serve(rpc);
   server.start([&] {
     permits.serve(rpc);
     membership.start();
--- a/src/settings/service_settings.cc
+++ b/src/settings/service_settings.cc
@@ -102,6 +102,8 @@
       notice_or(top, "configuration_notice_ms", made.configuration_notice);
   made.reconnect_limit =
       notice_or(top, "reconnect_limit_ms", made.reconnect_limit);
+  made.endpoint_heartbeat =
+      notice_or(top, "endpoint_heartbeat_ms", made.endpoint_heartbeat);
   if (top.has("revocation_limit_ms")) {
     made.revocation_limit =
         notice_or(top, "revocation_limit_ms", milliseconds(0));
--- a/test/poison_requests_model_test.cc
+++ b/test/poison_requests_model_test.cc
@@ -120,7 +120,8 @@
     if (request.sends++ == max_sends) {
       return;
     }
-    const try_verdict verdict = tries_.decide(request.request, true, now_);
+    const try_verdict verdict =
+        tries_.decide(request.request, request_scope::program, now_);
     if (verdict == try_verdict::wait) {
       --request.sends;
       waiting_.push_back(request);
--- a/test/poison_requests_test.cc
+++ b/test/poison_requests_test.cc
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr request_fingerprint request = 7;
-constexpr bool in_program = true;
+constexpr request_scope in_program = request_scope::program;
+constexpr request_scope shared = request_scope::shared;
 constexpr std::uint64_t now = 1000000;
 constexpr std::uint64_t after_pause = now + poison_requests::last_try_pause_ms;
 
@@ -50,13 +51,21 @@
   CPPUNIT_TEST(copies_wait_while_their_endpoints_may_end);
   CPPUNIT_TEST(unsuspected_copies_outside_of_programs_do_not_wait);
   CPPUNIT_TEST(copies_at_one_endpoint_count_it_once);
-  CPPUNIT_TEST(open_tries_of_other_gateways_count_until_they_expire);
+  CPPUNIT_TEST(
+      open_tries_of_other_gateways_count_until_their_endpoint_is_alive);
   CPPUNIT_TEST(reported_survival_closes_a_try_of_another_gateway);
   CPPUNIT_TEST(closed_try_of_another_gateway_does_not_count_later);
   CPPUNIT_TEST(ended_endpoints_expire);
   CPPUNIT_TEST(ended_endpoints_count_while_the_request_is_repeated);
   CPPUNIT_TEST(old_report_does_not_undo_a_renewal);
   CPPUNIT_TEST(number_of_requests_is_bounded);
+  CPPUNIT_TEST(try_of_unknown_outcome_counts_until_its_endpoint_is_alive);
+  CPPUNIT_TEST(ends_of_an_endpoint_under_the_same_id_add_up);
+  CPPUNIT_TEST(end_that_two_gateways_report_counts_once);
+  CPPUNIT_TEST(end_that_is_reported_settles_the_own_try);
+  CPPUNIT_TEST(fourth_of_several_registered_tries_is_over_the_bound);
+  CPPUNIT_TEST(tries_that_the_ledger_no_longer_has_do_not_count);
+  CPPUNIT_TEST(reported_outcome_keeps_its_times);
   CPPUNIT_TEST(fingerprint_ignores_the_attempt);
   CPPUNIT_TEST(fingerprint_tells_contents_apart);
   CPPUNIT_TEST_SUITE_END();
@@ -78,9 +87,9 @@
     poison_requests tries;
     end_under(tries, request, 1);
     end_under(tries, request, 2);
-    CPPUNIT_ASSERT(tries.decide(request, false, after_pause - 1) ==
+    CPPUNIT_ASSERT(tries.decide(request, shared, after_pause - 1) ==
                    try_verdict::wait);
-    CPPUNIT_ASSERT(tries.decide(request, false, after_pause) ==
+    CPPUNIT_ASSERT(tries.decide(request, shared, after_pause) ==
                    try_verdict::send);
   }
 
@@ -95,8 +104,10 @@
     tries.record_alive(endpoint_named(3), after_pause);
     CPPUNIT_ASSERT(tries.decide(request, in_program, after_pause + 1) ==
                    try_verdict::wait);
-    const std::uint64_t later =
-        after_pause + poison_requests::last_try_pause_ms;
+    const std::uint64_t later = after_pause + poison_requests::broken_settle_ms;
+    CPPUNIT_ASSERT(tries.decide(request, in_program, later) ==
+                   try_verdict::wait);
+    tries.record_alive(endpoint_named(3), later);
     CPPUNIT_ASSERT(tries.decide(request, in_program, later) ==
                    try_verdict::send);
     tries.record_ended(endpoint_named(3), later);
@@ -150,17 +161,23 @@
     for (int i = 1; i <= 9; ++i) {
       tries.record_sent(request, endpoint_named(i), now);
       tries.record_broken(request, endpoint_named(i), now);
-      tries.record_alive(endpoint_named(i), now);
     }
-    CPPUNIT_ASSERT(tries.decide(request, in_program, now) == try_verdict::send);
-    CPPUNIT_ASSERT(!tries.is_suspected(request, now));
+    const std::uint64_t settled = now + poison_requests::broken_settle_ms;
+    CPPUNIT_ASSERT(tries.decide(request, in_program, settled) ==
+                   try_verdict::wait);
+    for (int i = 1; i <= 9; ++i) {
+      tries.record_alive(endpoint_named(i), settled);
+    }
+    CPPUNIT_ASSERT(tries.decide(request, in_program, settled) ==
+                   try_verdict::send);
+    CPPUNIT_ASSERT(!tries.is_suspected(request, settled));
   }
 
   void endpoint_that_ends_after_it_was_left_counts() {
     poison_requests tries;
     tries.record_sent(request, endpoint_named(1), now);
     tries.record_left(request, endpoint_named(1), now);
-    const std::uint64_t later = now + poison_requests::left_lifetime_ms;
+    const std::uint64_t later = now + poison_requests::left_settle_ms;
     CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                          tries.unresolved_endpoints(request, later).size());
     tries.record_ended(endpoint_named(1), later);
@@ -190,11 +207,11 @@
     poison_requests tries;
     end_under(tries, request, 1);
     tries.record_sent(request, endpoint_named(2), now);
-    CPPUNIT_ASSERT(tries.decide(request, false, now) == try_verdict::send);
+    CPPUNIT_ASSERT(tries.decide(request, shared, now) == try_verdict::send);
     tries.record_sent(request, endpoint_named(3), now);
-    CPPUNIT_ASSERT(tries.decide(request, false, now) == try_verdict::wait);
+    CPPUNIT_ASSERT(tries.decide(request, shared, now) == try_verdict::wait);
     tries.record_survived(request, endpoint_named(2));
-    CPPUNIT_ASSERT(tries.decide(request, false, now) == try_verdict::send);
+    CPPUNIT_ASSERT(tries.decide(request, shared, now) == try_verdict::send);
   }
 
   void unsuspected_copies_outside_of_programs_do_not_wait() {
@@ -202,7 +219,7 @@
     for (int i = 1; i <= 5; ++i) {
       tries.record_sent(request, endpoint_named(i), now);
     }
-    CPPUNIT_ASSERT(tries.decide(request, false, now) == try_verdict::send);
+    CPPUNIT_ASSERT(tries.decide(request, shared, now) == try_verdict::send);
     CPPUNIT_ASSERT(tries.decide(request, in_program, now) == try_verdict::wait);
   }
 
@@ -217,16 +234,18 @@
     CPPUNIT_ASSERT(tries.decide(request, in_program, now) == try_verdict::send);
   }
 
-  void open_tries_of_other_gateways_count_until_they_expire() {
+  void open_tries_of_other_gateways_count_until_their_endpoint_is_alive() {
     poison_requests tries;
     end_under(tries, request, 1);
     end_under(tries, request, 2);
     tries.record_peer_try({request, endpoint_named(3), try_stage::open}, now);
-    CPPUNIT_ASSERT(tries.decide(request, false, after_pause) ==
+    CPPUNIT_ASSERT(tries.decide(request, shared, after_pause) ==
                    try_verdict::wait);
-    const std::uint64_t later = now + poison_requests::peer_open_lifetime_ms;
-    CPPUNIT_ASSERT(tries.decide(request, false, later + 1) ==
-                   try_verdict::send);
+    const std::uint64_t settled = now + poison_requests::peer_open_lifetime_ms +
+                                  poison_requests::left_settle_ms;
+    CPPUNIT_ASSERT(tries.decide(request, shared, settled) == try_verdict::wait);
+    tries.record_alive(endpoint_named(3), settled);
+    CPPUNIT_ASSERT(tries.decide(request, shared, settled) == try_verdict::send);
   }
 
   void reported_survival_closes_a_try_of_another_gateway() {
@@ -234,17 +253,19 @@
     end_under(tries, request, 1);
     end_under(tries, request, 2);
     tries.record_peer_try({request, endpoint_named(3), try_stage::open}, now);
-    tries.record_peer_try({request, endpoint_named(3), try_stage::left}, now);
-    CPPUNIT_ASSERT(tries.decide(request, false, after_pause) ==
+    tries.record_peer_try({request, endpoint_named(3), try_stage::survived},
+                          now);
+    CPPUNIT_ASSERT(tries.decide(request, shared, after_pause) ==
                    try_verdict::send);
     tries.record_peer_try({request, endpoint_named(3), try_stage::ended}, now);
-    CPPUNIT_ASSERT(tries.decide(request, false, now) == try_verdict::refuse);
+    CPPUNIT_ASSERT(tries.decide(request, shared, now) == try_verdict::refuse);
   }
 
   void closed_try_of_another_gateway_does_not_count_later() {
     poison_requests tries;
     tries.record_peer_try({request, endpoint_named(1), try_stage::open}, now);
-    tries.record_peer_try({request, endpoint_named(1), try_stage::left}, now);
+    tries.record_peer_try({request, endpoint_named(1), try_stage::survived},
+                          now);
     CPPUNIT_ASSERT(tries.record_ended(endpoint_named(1), now).empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, tries.size());
   }
@@ -311,10 +332,93 @@
       end_under(tries, each, static_cast<int>(each), now + each);
     }
     CPPUNIT_ASSERT_EQUAL(poison_requests::max_requests, tries.size());
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tries.own_open_tries(request).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tries.own_tries(request, now).size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tries.ended(10999, now + 10999));
   }
 
+  void try_of_unknown_outcome_counts_until_its_endpoint_is_alive() {
+    poison_requests tries;
+    for (int i = 1; i <= 3; ++i) {
+      tries.record_sent(request, endpoint_named(i), now);
+      tries.record_left(request, endpoint_named(i), now);
+    }
+    const std::uint64_t settled = now + poison_requests::left_settle_ms;
+    tries.record_alive(endpoint_named(1), settled - 1);
+    CPPUNIT_ASSERT(tries.decide(request, shared,
+                                now + poison_requests::ended_lifetime_ms) ==
+                   try_verdict::wait);
+    tries.record_alive(endpoint_named(1), settled);
+    CPPUNIT_ASSERT(tries.decide(request, shared, settled) == try_verdict::send);
+  }
+
+  void ends_of_an_endpoint_under_the_same_id_add_up() {
+    poison_requests tries;
+    for (int i = 0; i < 3; ++i) {
+      end_under(tries, request, 1, now + static_cast<std::uint64_t>(i));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, tries.ended(request, now));
+  }
+
+  void end_that_two_gateways_report_counts_once() {
+    poison_requests here(2);
+    poison_requests elsewhere(3);
+    end_under(here, request, 1);
+    end_under(elsewhere, request, 1);
+    for (const request_try& each : elsewhere.tries_of(request, now)) {
+      here.record_peer_try(each, now);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, here.ended(request, now));
+  }
+
+  void end_that_is_reported_settles_the_own_try() {
+    poison_requests tries;
+    tries.record_sent(request, endpoint_named(1), now);
+    tries.record_left(request, endpoint_named(1), now);
+    tries.record_peer_try({request, endpoint_named(1), try_stage::ended}, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tries.ended(request, now));
+    CPPUNIT_ASSERT(tries.unresolved_endpoints(request, now).empty());
+  }
+
+  void fourth_of_several_registered_tries_is_over_the_bound() {
+    poison_requests ledger;
+    poison_requests gateway(100);
+    for (int i = 1; i <= 3; ++i) {
+      request_try each{request, endpoint_named(i)};
+      each.owner = static_cast<std::uint64_t>(i) + 1;
+      ledger.record_peer_try(each, now);
+    }
+    gateway.record_sent(request, endpoint_named(4), now);
+    CPPUNIT_ASSERT(gateway.is_within_bound(request, now));
+    gateway.replace_peer_tries(request, ledger.tries_of(request, now), now);
+    CPPUNIT_ASSERT(!gateway.is_within_bound(request, now));
+  }
+
+  void tries_that_the_ledger_no_longer_has_do_not_count() {
+    poison_requests tries;
+    for (int i = 1; i <= 3; ++i) {
+      tries.record_peer_try({request, endpoint_named(i), try_stage::open}, now);
+    }
+    CPPUNIT_ASSERT(tries.decide(request, in_program, now) == try_verdict::wait);
+    tries.replace_peer_tries(request, {}, now);
+    CPPUNIT_ASSERT(tries.decide(request, in_program, now) == try_verdict::send);
+  }
+
+  void reported_outcome_keeps_its_times() {
+    poison_requests here(2);
+    poison_requests elsewhere(3);
+    here.record_sent(request, endpoint_named(1), now);
+    here.record_left(request, endpoint_named(1), now);
+    const std::uint64_t later = now + 1000;
+    for (const request_try& each : here.own_tries(request, later)) {
+      elsewhere.record_peer_try(each, later);
+    }
+    const std::uint64_t settled = now + poison_requests::left_settle_ms;
+    elsewhere.record_alive(endpoint_named(1), settled - 1);
+    CPPUNIT_ASSERT(elsewhere.is_suspected(request, settled));
+    elsewhere.record_alive(endpoint_named(1), settled);
+    CPPUNIT_ASSERT(!elsewhere.is_suspected(request, settled));
+  }
+
   void fingerprint_ignores_the_attempt() {
     request_metadata first;
     first.attempt = "a";
