Responses without an end are closed after a bounded number of bytes

Operators report endpoints that send bytes without end in place of an answer, or anywhere in one.

Cause: bodies without a length, chunks, interim responses, responses to other requests, and bodies that are not passed on had no bound but the deadline.

Change: in reply to one request an endpoint may send 16 interim responses, 16 responses to other requests and 64 MB of bodies. A response that is buffered or dropped is left at 4 MB, and so is a stream whose held bytes (an event without an end, the turn's data) exceed that. The client gets 502, or its stream is cut visibly. The client of the own interface and of the platform has bounds of 64 KB and 64 MB.

Evidence: endless_response_test on all four kinds of route. An endpoint that closes within its head got 502 before, too; the case guards that.

--- a/include/trayrock/internal/gateway/endpoint_attempt.h
+++ b/include/trayrock/internal/gateway/endpoint_attempt.h
@@ -80,6 +80,13 @@
   // for that is invalid.
   void buffer(std::string_view bytes);
 
+  // Counts bytes of a response that is not passed on.
+  void discard(std::string_view bytes) { discarded_bytes_ += bytes.size(); }
+
+  // Whether the response is larger than one that is buffered or discarded may
+  // be, so that the rest must not be read.
+  bool is_oversized() const;
+
   const http1_answer_head& head() const { return head_; }
   int status() const { return head_.status; }  // 0: no head yet
   // Name of the body's framing in the log; empty: no head yet.
@@ -124,6 +131,7 @@
   http1_answer_head head_;
   response_metadata response_;
   std::string body_;
+  std::size_t discarded_bytes_ = 0;
   bool invalid_ = false;
   bool was_paused_ = false;
   bool paused_ = false;
--- a/include/trayrock/internal/net/http1_client.h
+++ b/include/trayrock/internal/net/http1_client.h
@@ -5,7 +5,9 @@
 // requests that may run only once, it distinguishes whether the connection was
 // established, whether a response without a length ended by a close or a reset,
 // and responses to an earlier request. Nothing is resent. A connection is not
-// reused after anything unexpected.
+// reused after anything unexpected. What a peer may send in reply to a request
+// is bounded: 16 interim responses, 16 responses to earlier requests, and 64 MB
+// of bodies; beyond that the request ends as broken.
 //
 // Example:
 //   http1_pool pool(loop);
--- a/src/gateway/endpoint_attempt.cc
+++ b/src/gateway/endpoint_attempt.cc
@@ -43,6 +43,7 @@
   head_ = {};
   response_ = {};
   body_.clear();
+  discarded_bytes_ = 0;
   invalid_ = false;
   was_paused_ = false;
   paused_ = false;
@@ -91,6 +92,10 @@
   invalid_ = body_.size() > max_buffered_bytes;
 }
 
+bool endpoint_attempt::is_oversized() const {
+  return body_.size() + discarded_bytes_ > max_buffered_bytes;
+}
+
 std::string_view endpoint_attempt::framing() const {
   if (status() == 0) {
     return {};
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -17,6 +17,8 @@
 constexpr milliseconds min_send_time{30};
 // Failed connections don't count as sends, but this many end the request.
 constexpr int max_unreachable = 4;
+// Bytes of a stream that are held for its turn, or until an event ends.
+constexpr std::size_t max_held_bytes = 4U << 20;
 // How long a suspected request waits for its other tries; longer than the pause
 // before its last one.
 constexpr std::uint64_t max_wait_for_tries_us = 750000;
@@ -401,17 +403,26 @@
 }
 
 void request_flow::on_body(std::string_view bytes) {
-  if (ended_ || attempt_.is_invalid() || attempt_.not_executed()) {
+  if (ended_) {
+    return;
+  }
+  if (attempt_.is_invalid() || attempt_.not_executed()) {
+    attempt_.discard(bytes);
+    leave_oversized_response(attempt_.is_oversized());
     return;
   }
   if (!passes_through()) {
     attempt_.buffer(bytes);
     update_held_bytes();
+    leave_oversized_response(attempt_.is_oversized());
     return;
   }
   begin_response();
   const bool continues = response_.pass(bytes);
   update_held_bytes();
+  if (leave_oversized_response(response_.held_bytes() > max_held_bytes)) {
+    return;
+  }
   if (!continues) {
     log_warn("stream_repeated", {{"request", metadata_.attempt},
                                  {"endpoint", attempt_.endpoint_id()}});
@@ -421,6 +432,18 @@
   guard_event_gaps();
 }
 
+bool request_flow::leave_oversized_response(bool oversized) {
+  if (oversized) {
+    context_.metrics.add("oversized_responses_total");
+    log_warn("response_oversized",
+             {{"request", metadata_.attempt},
+              {"endpoint", attempt_.endpoint_id()},
+              {"framing", std::string(attempt_.framing())}});
+    abandon_endpoint();
+  }
+  return oversized;
+}
+
 void request_flow::begin_response() {
   response_.begin(attempt_.status(), platform::client_headers(attempt_.head()));
 }
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -196,6 +196,9 @@
 
   bool passes_through() const;
   void on_body(std::string_view bytes);
+  // Abandons the endpoint if its response, or an event of it, is too large.
+  // Returns the condition.
+  bool leave_oversized_response(bool oversized);
   void begin_response();
 
   // Cancels the attempt; the request may be sent to another endpoint.
--- a/src/net/http1_client_connection.cc
+++ b/src/net/http1_client_connection.cc
@@ -28,6 +28,10 @@
 constexpr double idle_share = 0.6;
 constexpr milliseconds default_idle_limit{4000};
 constexpr int first_final_status = 200;
+// An endpoint that sends more in reply to one request is disconnected.
+constexpr unsigned max_interim_responses = 16;
+constexpr unsigned max_surplus_responses = 16;
+constexpr std::size_t max_body_bytes = 64U << 20;
 
 void set_option(int socket, int level, int option, int value) {
   setsockopt(socket, level, option, &value, sizeof(value));
@@ -85,6 +89,9 @@
 void http1_client_connection::start(running_call call) {
   call_ = std::make_unique<running_call>(std::move(call));
   skipping_ = false;
+  interim_responses_ = 0;
+  surplus_responses_ = 0;
+  body_bytes_ = 0;
   if (!connected_) {
     return;
   }
@@ -204,7 +211,7 @@
   me.head_.status = parser->status_code;
   me.interim_ = me.head_.status < first_final_status;
   if (me.interim_) {
-    return 0;
+    return ++me.interim_responses_ > max_interim_responses ? -1 : 0;
   }
   const bool bodyless = me.call_->head_request;
   me.head_.framing = framing_of(*parser, me.head_.headers, bodyless);
@@ -219,12 +226,19 @@
     return -1;
   }
   me.skipping_ = !mine;
+  if (!mine && ++me.surplus_responses_ > max_surplus_responses) {
+    return -1;
+  }
   return bodyless ? 1 : 0;
 }
 
 int http1_client_connection::on_body(http_parser* parser, const char* at,
                                      std::size_t length) {
   http1_client_connection& me = self(parser);
+  me.body_bytes_ += length;
+  if (me.body_bytes_ > max_body_bytes) {
+    return 1;
+  }
   if (me.skipping_) {
     return 0;
   }
--- a/src/net/http1_client_connection.h
+++ b/src/net/http1_client_connection.h
@@ -124,6 +124,10 @@
   std::unique_ptr<running_call> call_;
   http1_answer_head head_;
   header_collector collector_;
+  // Of all responses to the running call.
+  unsigned interim_responses_ = 0;
+  unsigned surplus_responses_ = 0;
+  std::size_t body_bytes_ = 0;
   bool connected_ = false;
   bool dead_ = false;
   bool skipping_ = false;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr std::size_t max_idle_connections = 256;
+// A peer that sends more in reply to one request is disconnected.
+constexpr ev_ssize_t max_header_bytes = 64 << 10;
+constexpr ev_ssize_t max_body_bytes = 64 << 20;
 
 evhttp_cmd_type command_of(std::string_view method) {
   if (method == "GET") {
@@ -78,8 +81,11 @@
       waiting.pop_back();
       return held;
     }
-    return evhttp_connection_base_bufferevent_new(
+    evhttp_connection* const made = evhttp_connection_base_bufferevent_new(
         loop.base(), nullptr, nullptr, peer.host().c_str(), peer.port());
+    evhttp_connection_set_max_headers_size(made, max_header_bytes);
+    evhttp_connection_set_max_body_size(made, max_body_bytes);
+    return made;
   }
 
   void give_back(const std::string& peer, evhttp_connection* connection) {
--- /dev/null
+++ b/test/endless_response_test.cc
@@ -0,0 +1,385 @@
+// Tests that a response without an end, or cut within its head, ends in an
+// error after a bounded number of bytes, on every kind of route.
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <fstream>
+#include <list>
+#include <thread>
+#include <vector>
+
+#include "loopback.h"
+#include "scripted_endpoint.h"
+#include "service_deployment.h"
+#include "test_support.h"
+
+namespace trayrock::testing {
+namespace {
+
+constexpr std::size_t mega = 1U << 20;
+// The gateway reads 64 MB of a stream and 4 MB of anything else; the rest is
+// for the buffers of sockets.
+constexpr std::size_t max_stream_bytes = 80 * mega;
+constexpr std::size_t max_other_bytes = 20 * mega;
+constexpr std::size_t max_growth_bytes = 48 * mega;
+
+constexpr std::array routes{"/safe/a", "/unsafe/a", "/stream/a",
+                            "/resumable-stream/a"};
+
+bool is_stream(const std::string& route) {
+  return route.find("stream") != std::string::npos;
+}
+
+// What an endpoint sends: a beginning, then the same bytes until its caller
+// closes the connection.
+struct endless_response {
+  std::string begin;
+  std::string repeated;
+};
+
+class endless_endpoint {
+ public:
+  explicit endless_endpoint(
+      std::function<endless_response(const std::string& request)> respond)
+      : respond_(std::move(respond)) {
+    listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at = loopback(0);
+    socklen_t size = sizeof(at);
+    bind(listener_, reinterpret_cast<const sockaddr*>(&at), sizeof(at));
+    listen(listener_, 16);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
+    port_ = ntohs(at.sin_port);
+    acceptor_ = std::jthread([this] { accept_connections(); });
+  }
+  endless_endpoint(const endless_endpoint&) = delete;
+  endless_endpoint& operator=(const endless_endpoint&) = delete;
+  ~endless_endpoint() {
+    stopping_ = true;
+    shutdown(listener_, SHUT_RDWR);
+    acceptor_.join();
+    connections_.clear();
+    close(listener_);
+  }
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+  // Bytes that were sent on connections that have ended.
+  std::size_t sent() const { return sent_; }
+
+ private:
+  void accept_connections() {
+    while (!stopping_) {
+      const int made = accept(listener_, nullptr, nullptr);
+      if (made >= 0) {
+        connections_.emplace_back([this, made] { serve(made); });
+      }
+    }
+  }
+
+  void serve(int socket) {
+    std::string request;
+    std::array<char, 4096> piece{};
+    while (request.find("\r\n\r\n") == std::string::npos) {
+      const ssize_t got = recv(socket, piece.data(), piece.size(), 0);
+      if (got <= 0) {
+        close(socket);
+        return;
+      }
+      request.append(piece.data(), static_cast<std::size_t>(got));
+    }
+    const endless_response response = respond_(request);
+    send(socket, response.begin.data(), response.begin.size(), MSG_NOSIGNAL);
+    std::string block;
+    while (block.size() < 64 * 1024) {
+      block += response.repeated;
+    }
+    std::size_t sent = 0;
+    while (!stopping_ && sent < 4 * max_stream_bytes) {
+      const ssize_t went =
+          send(socket, block.data(), block.size(), MSG_NOSIGNAL);
+      if (went <= 0) {
+        break;
+      }
+      sent += static_cast<std::size_t>(went);
+    }
+    sent_ += sent;
+    close(socket);
+  }
+
+  std::function<endless_response(const std::string&)> respond_;
+  int listener_ = -1;
+  int port_ = 0;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<std::size_t> sent_ = 0;
+  std::list<std::jthread> connections_;
+  std::jthread acceptor_;
+};
+
+std::string sealed_head(const std::string& request, const std::string& more) {
+  const std::string attempt = header_of(request, "Trayrock-Attempt-Id");
+  return "HTTP/1.1 200 OK\r\nTrayrock-Attempt-Id: " + attempt +
+         "\r\nTrayrock-Response-Seal: seal." + attempt + "\r\n" + more;
+}
+
+std::size_t resident_bytes(pid_t process) {
+  std::ifstream pages("/proc/" + std::to_string(process) + "/statm");
+  std::size_t size = 0;
+  std::size_t resident = 0;
+  pages >> size >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+// One gateway, which uses the given endpoints alone.
+class deployment_with_endpoints {
+ public:
+  explicit deployment_with_endpoints(const std::vector<std::string>& addresses)
+      : system_(options()) {
+    system_.start_all();
+    for (const std::string& each : addresses) {
+      system_.put_object("servers", "at-" + each,
+                         service_deployment::endpoint_entry(each, "ready"));
+    }
+    wait_until("the gateway has the endpoints", [&] {
+      return system_.metric("gateway-1", "endpoints_known") ==
+             static_cast<double>(addresses.size() + 1);
+    });
+    system_.remove_object("servers", "runner-1");
+    wait_until("the gateway uses these endpoints alone", [&] {
+      return system_.log_lines("gateway-1", "\"removed\":\"runner-1\"") == 1;
+    });
+  }
+
+  http_answer request(const std::string& route, const std::string& attempt) {
+    const std::string body = route.starts_with("/safe") ? "" : "in";
+    return system_.request("gateway-1", route, attempt, {}, body);
+  }
+
+  service_deployment& system() { return system_; }
+
+ private:
+  static service_options options() {
+    service_options made;
+    made.gateways = 1;
+    made.runners = 1;
+    made.max_endpoints = 1;
+    return made;
+  }
+
+  service_deployment system_;
+};
+
+class endless_response_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(endless_response_test);
+  CPPUNIT_TEST(bytes_that_are_no_response);
+  CPPUNIT_TEST(header_value);
+  CPPUNIT_TEST(header_fields);
+  CPPUNIT_TEST(interim_responses);
+  CPPUNIT_TEST(responses_to_other_requests);
+  CPPUNIT_TEST(chunk_size);
+  CPPUNIT_TEST(chunk_extension);
+  CPPUNIT_TEST(chunks);
+  CPPUNIT_TEST(trailers);
+  CPPUNIT_TEST(bytes_beyond_the_length);
+  CPPUNIT_TEST(body_without_length);
+  CPPUNIT_TEST(body_of_a_failure_without_length);
+  CPPUNIT_TEST(body_without_seal);
+  CPPUNIT_TEST(body_of_a_refusal);
+  CPPUNIT_TEST(events);
+  CPPUNIT_TEST(event_without_line_end);
+  CPPUNIT_TEST(endpoint_that_closes_within_its_head);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void bytes_that_are_no_response() {
+    check([](const std::string&) { return endless_response{"", "garbage "}; });
+  }
+
+  void header_value() {
+    check([](const std::string& request) {
+      return endless_response{sealed_head(request, "X-Long: "), "a"};
+    });
+  }
+
+  void header_fields() {
+    check([](const std::string& request) {
+      return endless_response{sealed_head(request, ""), "X-More: a\r\n"};
+    });
+  }
+
+  void interim_responses() {
+    check([](const std::string&) {
+      return endless_response{"", "HTTP/1.1 100 Continue\r\n\r\n"};
+    });
+  }
+
+  void responses_to_other_requests() {
+    check([](const std::string&) {
+      return endless_response{
+          "",
+          "HTTP/1.1 200 OK\r\nTrayrock-Attempt-Id: other\r\n"
+          "Content-Length: 1\r\n\r\na"};
+    });
+  }
+
+  void chunk_size() {
+    check([](const std::string& request) {
+      return endless_response{
+          sealed_head(request, "Transfer-Encoding: chunked\r\n\r\n"), "0"};
+    });
+  }
+
+  void chunk_extension() {
+    check([](const std::string& request) {
+      return endless_response{
+          sealed_head(request, "Transfer-Encoding: chunked\r\n\r\n5;"), "a"};
+    });
+  }
+
+  void chunks() {
+    check([](const std::string& request) {
+      return endless_response{
+          sealed_head(request, "Transfer-Encoding: chunked\r\n\r\n"),
+          "4\r\ndata\r\n"};
+    });
+  }
+
+  void trailers() {
+    check([](const std::string& request) {
+      return endless_response{sealed_head(request,
+                                          "Transfer-Encoding: chunked\r\n\r\n"
+                                          "4\r\ndata\r\n0\r\n"),
+                              "X-More: a\r\n"};
+    });
+  }
+
+  // The response ends with its length, so that it may be whole.
+  void bytes_beyond_the_length() {
+    check(
+        [](const std::string& request) {
+          return endless_response{
+              sealed_head(request, "Content-Length: 4\r\n\r\ndata"), "a"};
+        },
+        "data");
+  }
+
+  void body_without_length() {
+    check([](const std::string& request) {
+      return endless_response{sealed_head(request, "\r\n"), "line\n"};
+    });
+  }
+
+  void body_of_a_failure_without_length() {
+    check([](const std::string&) {
+      return endless_response{"HTTP/1.1 500 Error\r\n\r\n", "line\n"};
+    });
+  }
+
+  void body_without_seal() {
+    check([](const std::string&) {
+      return endless_response{"HTTP/1.1 200 OK\r\n\r\n", "line\n"};
+    });
+  }
+
+  void body_of_a_refusal() {
+    check([](const std::string&) {
+      return endless_response{
+          "HTTP/1.1 503 Full\r\nTrayrock-Not-Executed: 1\r\n\r\n", "line\n"};
+    });
+  }
+
+  void events() {
+    check([](const std::string& request) {
+      return endless_response{
+          sealed_head(request, "Content-Type: text/event-stream\r\n\r\n"),
+          "data: 0123456789\n\n"};
+    });
+  }
+
+  void event_without_line_end() {
+    check([](const std::string& request) {
+      return endless_response{
+          sealed_head(request, "Content-Type: text/event-stream\r\n\r\ndata: "),
+          "a"};
+    });
+  }
+
+  void endpoint_that_closes_within_its_head() {
+    std::atomic<std::size_t> cut = 1;
+    const auto head_of = [](const std::string& request) {
+      return sealed_head(request, "Content-Length: 4\r\n\r\n");
+    };
+    std::atomic<bool> whole_head = false;
+    scripted_endpoint endpoint([&](const std::string& request) {
+      const std::string head = head_of(request);
+      whole_head = cut >= head.size();
+      return scripted_response{head.substr(0, cut)};
+    });
+    deployment_with_endpoints deployment({endpoint.address()});
+    for (const std::string route : routes) {
+      whole_head = false;
+      for (cut = 1; !whole_head; cut += 7) {
+        const http_answer seen = deployment.request(
+            route + std::to_string(cut), "cut-" + route + std::to_string(cut));
+        TRAYROCK_CHECK(
+            seen.status != 200 || !seen.complete,
+            route << ": a head cut after " << cut
+                  << " bytes was taken for a whole response: " << seen.body);
+      }
+    }
+  }
+
+ private:
+  // On each route the client gets an error, or a response that is cut visibly,
+  // or `whole`.
+  static void check(
+      const std::function<endless_response(const std::string&)>& respond,
+      const std::string& whole = "") {
+    // Each failure leaves an endpoint in backoff.
+    std::list<endless_endpoint> endpoints;
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; i < routes.size(); ++i) {
+      addresses.push_back(endpoints.emplace_back(respond).address());
+    }
+    deployment_with_endpoints deployment(addresses);
+    const auto sent = [&] {
+      std::size_t sum = 0;
+      for (const endless_endpoint& each : endpoints) {
+        sum += each.sent();
+      }
+      return sum;
+    };
+    const pid_t gateway = deployment.system().process_id("gateway-1");
+    const std::size_t memory = resident_bytes(gateway);
+    for (const std::string route : routes) {
+      const std::size_t before = sent();
+      const http_answer seen = deployment.request(route, "of" + route);
+      const bool taken_for_whole =
+          seen.status == 200 && seen.complete && seen.body != whole;
+      TRAYROCK_CHECK(!taken_for_whole, route << ": a response without an end "
+                                                "was taken for a whole one of "
+                                             << seen.body.size() << " bytes");
+      constexpr int status_timeout = 504;
+      TRAYROCK_CHECK(seen.status != status_timeout,
+                     route << ": the response was read until the deadline");
+      wait_until("the gateway closes the connection",
+                 [&] { return sent() > before; });
+      const std::size_t allowed =
+          is_stream(route) ? max_stream_bytes : max_other_bytes;
+      TRAYROCK_CHECK(sent() - before <= allowed,
+                     route << ": the endpoint could send " << sent() - before
+                           << " bytes, " << allowed << " allowed");
+      const std::size_t grown = resident_bytes(gateway);
+      TRAYROCK_CHECK(grown <= memory + max_growth_bytes,
+                     route << ": the gateway's memory grew from " << memory
+                           << " to " << grown << " bytes");
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(endless_response_test);
+
+}  // namespace
+}  // namespace trayrock::testing
