--- a/test/poison_soak_test.cc
+++ b/test/poison_soak_test.cc
@@ -2,12 +2,13 @@
 // route, beside innocent requests that have to stay served.
 //
 // Clients repeat poison requests with new attempt ids at random gateways, with
-// copies side by side at one gateway, while gateways are killed or frozen, half
-// of the endpoints are killed at once, and endpoints break responses off
-// without ending. Endpoints that have ended start again as new instances.
-// Checked: at most three endpoints end under each content, and one more for
-// each fault of a gateway meanwhile; each innocent request is served in the
-// end, and hardly any is refused as poison.
+// copies side by side at one gateway or all of them, while gateways are killed,
+// frozen or cut off from each other, half of the endpoints are killed at once,
+// and endpoints break responses off without ending. Endpoints end at once, in
+// the middle of a stream, late, or go dark; they start again as new instances.
+// Checked: at most three endpoints end under each content, and outside of
+// programs one more for each fault of a gateway meanwhile; each innocent
+// request is served in the end, and hardly any is refused as poison.
 //
 // One seed is run in CI. By hand: TRAYROCK_SOAK_SEEDS="7 8 9" and
 // TRAYROCK_SOAK_SECONDS=30.
@@ -15,6 +16,7 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <mutex>
@@ -40,9 +42,21 @@
 constexpr int code_poison_request = 1409;
 // One innocent request in 1,000 may be refused (docs/CAPACITY.md).
 constexpr int innocent_per_refusal = 1000;
-constexpr std::array poison_targets{"/safe/fatal-", "/unsafe/fatal-",
-                                    "/stream/fatal-", "/stream/fatal-midway-",
-                                    "/resumable-stream/fatal-midway-"};
+constexpr std::array poison_targets{"/safe/fatal-",
+                                    "/unsafe/fatal-",
+                                    "/stream/fatal-",
+                                    "/stream/fatal-midway-",
+                                    "/resumable-stream/fatal-midway-",
+                                    "/unsafe/fatal-late-",
+                                    "/stream/fatal-late-",
+                                    "/safe/fatal-dark-",
+                                    "/unsafe/fatal-dark-",
+                                    "/stream/fatal-dark-"};
+// Of clients of endpoints that are silent.
+constexpr const char* poison_deadline_ms = "700";
+constexpr const char* innocent_deadline_ms = "3000";
+// How long a dark endpoint stays listed.
+constexpr std::chrono::milliseconds dark_time{1000};
 constexpr std::array innocent_targets{"/safe/", "/unsafe/", "/stream/",
                                       "/resumable-stream/"};
 
@@ -68,6 +82,7 @@
 
  private:
   struct poison_content {
+    bool in_program = false;
     int faults_before = 0;  // of gateways
     int faults_after = 0;
   };
@@ -76,6 +91,7 @@
     service_options made;
     made.gateways = gateways;
     made.runners = runners;
+    made.peer_links = true;
     return made;
   }
 
@@ -84,13 +100,16 @@
   }
 
   http_answer send(const std::string& gateway, const std::string& target,
-                   const std::string& content, bool in_program) {
-    std::map<std::string, std::string> headers;
+                   const std::string& content, bool in_program,
+                   const std::string& deadline_ms) {
+    std::map<std::string, std::string> headers{
+        {"Trayrock-Deadline-Ms", deadline_ms}};
     if (in_program) {
-      headers = {{"Trayrock-Program-Id", "p" + content},
-                 {"Trayrock-Session-Id", "s" + content},
-                 {"Trayrock-Token-Budget", "100000"},
-                 {"Trayrock-Token-Usage", "100,10"}};
+      headers.merge(std::map<std::string, std::string>{
+          {"Trayrock-Program-Id", "p" + content},
+          {"Trayrock-Session-Id", "s" + content},
+          {"Trayrock-Token-Budget", "100000"},
+          {"Trayrock-Token-Usage", "100,10"}});
     }
     return system_.request(gateway, target,
                            "a" + std::to_string(++last_attempt_), headers,
@@ -107,13 +126,14 @@
           std::to_string(number);
       const bool in_program = random() % 2 == 0;
       poison_content sent;
+      sent.in_program = in_program;
       sent.faults_before = gateway_faults_;
       if (in_program && random() % 2 == 0) {
-        send_copies(any_gateway(random), target);
+        send_copies(target, random);
       }
       for (int i = 0; i < repeats_of_a_poison_request; ++i) {
-        const http_answer answer =
-            send(any_gateway(random), target, target, in_program);
+        const http_answer answer = send(any_gateway(random), target, target,
+                                        in_program, poison_deadline_ms);
         if (answer.status == 200 && answer.complete) {
           report(target + " was served");
         }
@@ -125,13 +145,19 @@
     }
   }
 
-  void send_copies(const std::string& gateway, const std::string& target) {
-    constexpr int copies = 4;
+  // At one gateway, or spread over all.
+  void send_copies(const std::string& target, std::mt19937& random) {
+    constexpr unsigned copies = 6;
+    const bool spread = random() % 2 == 0;
+    const std::string chosen = any_gateway(random);
     std::vector<std::jthread> running;
     running.reserve(copies);
-    for (int i = 0; i < copies; ++i) {
-      running.emplace_back(
-          [this, &gateway, &target] { send(gateway, target, target, true); });
+    for (unsigned i = 0; i < copies; ++i) {
+      const std::string gateway =
+          spread ? "gateway-" + std::to_string(1 + i % gateways) : chosen;
+      running.emplace_back([this, gateway, &target] {
+        send(gateway, target, target, true, poison_deadline_ms);
+      });
     }
   }
 
@@ -153,8 +179,8 @@
     ++innocent_;
     const bool in_program = random() % 2 == 0;
     for (int i = 0; i < tries_of_an_innocent_request; ++i) {
-      const http_answer answer =
-          send(any_gateway(random), target, content, in_program);
+      const http_answer answer = send(any_gateway(random), target, content,
+                                      in_program, innocent_deadline_ms);
       if (answer.status == 200 && answer.complete) {
         return;
       }
@@ -185,12 +211,35 @@
         const std::string name = "runner-" + std::to_string(i);
         if (!system_.running(name)) {
           system_.restart_runner(name);
+        } else if (is_dark_for_long(name)) {
+          system_.kill(name);
+          system_.restart_runner(name);
         }
       }
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
   }
 
+  // A dark endpoint's process is stopped.
+  bool is_dark_for_long(const std::string& name) {
+    const auto now = std::chrono::steady_clock::now();
+    std::ifstream status("/proc/" + std::to_string(system_.process_id(name)) +
+                         "/stat");
+    std::string id;
+    std::string command;
+    std::string state;
+    status >> id >> command >> state;
+    if (state != "T") {
+      dark_since_.erase(name);
+      return false;
+    }
+    if (now < dark_since_.try_emplace(name, now).first->second + dark_time) {
+      return false;
+    }
+    dark_since_.erase(name);
+    return true;
+  }
+
   // Faults of gateways begin after a third of the time.
   void inject_faults() {
     std::mt19937 random(seed_);
@@ -220,7 +269,14 @@
 
   void harm_gateway(const std::string& gateway, std::mt19937& random) {
     ++gateway_faults_;
-    if (random() % 2 == 0) {
+    const auto kind = random() % 3;
+    if (kind == 0) {
+      fault_proxy& peers = system_.link("peers of " + gateway);
+      peers.set(link_fault::silence);
+      std::this_thread::sleep_for(
+          std::chrono::milliseconds(500 + random() % 1500));
+      peers.set(link_fault::none);
+    } else if (kind == 1) {
       system_.kill(gateway);
       system_.start(gateway);
       system_.wait_ready(gateway);
@@ -250,7 +306,8 @@
       }
       const int faults = sent.faults_after - sent.faults_before;
       without_faults += faults == 0 && sent.faults_before % 2 == 0 ? 1 : 0;
-      const int allowed = max_ended + faults + sent.faults_before % 2;
+      const int allowed =
+          max_ended + (sent.in_program ? 0 : faults + sent.faults_before % 2);
       if (ended > allowed) {
         report(std::to_string(ended) + " endpoints ended under " + target +
                ", " + std::to_string(allowed) + " allowed");
@@ -283,6 +340,8 @@
   std::atomic<int> innocent_ = 0;
   std::atomic<int> innocent_refused_ = 0;
   std::atomic<int> gateway_faults_ = 0;  // begun and ended
+  // Of the thread that restarts endpoints.
+  std::map<std::string, std::chrono::steady_clock::time_point> dark_since_;
   std::mutex guard_;
   std::vector<std::string> faults_;
   std::map<std::string, poison_content> contents_;  // by target
