Tries are registered at a near majority of the voters, outcomes with them

Each program's request cost two messages to each voter: its try and, 20 ms later, its outcome.

A try goes to a majority of the voters, those of the own data centre first and the others rotated by gateway; the rest are asked if these have not replied after 25 ms. Outcomes are posted with the next try, after 0.2 s at the latest. A try that is withdrawn is posted at once.

--- a/src/gateway/poison_guard.cc
+++ b/src/gateway/poison_guard.cc
@@ -53,7 +53,7 @@
       own_(std::move(own)),
       own_id_(random_id()),
       tries_(own_id_),
-      ledger_(loop, pool, metrics, own_.group) {
+      ledger_(loop, pool, metrics, own_.data_centre, own_id_, own_.group) {
   expiry_ = loop_.every(expiry_period, [this] { remove_expired(); });
 }
 
@@ -264,6 +264,7 @@
   if (!within_bound) {
     metrics_.add("request_tries_withdrawn_total");
     survived(request, at);
+    ledger_.flush();
   }
   then(within_bound);
 }
