Requests that may be sent don't wait for checks of earlier endpoints

A repeat after an endpoint had been left waited for a connection to it, 20 to 100 ms, though the result could not change that the repeat may be sent: a try of unknown outcome and an end count alike. Now only a request that has to wait does.

--- a/include/trayrock/internal/gateway/poison_guard.h
+++ b/include/trayrock/internal/gateway/poison_guard.h
@@ -89,8 +89,8 @@
   // The number of endpoints that ended under the request.
   std::size_t ended(request_fingerprint request) const;
 
-  // Calls back with the verdict: at once for a request without suspicion, else
-  // after its earlier endpoints have been checked.
+  // Calls back with the verdict: at once for a request that may be sent, else
+  // after its earlier endpoints have been checked and the record stores asked.
   void admit(const guarded_request& request, const verdict_callback& done);
 
   // The request is about to be sent. Calls back once its try is registered, at
--- a/src/gateway/poison_guard.cc
+++ b/src/gateway/poison_guard.cc
@@ -146,7 +146,12 @@
   refresh_alive(request.content);
   const std::vector<endpoint_identity> unresolved =
       tries_.unresolved_endpoints(request.content, now);
-  if (unresolved.empty()) {
+  const bool waits =
+      tries_.decide(request.content, request.scope, now) == try_verdict::wait;
+  if (unresolved.empty() || !waits) {
+    for (const endpoint_identity& each : unresolved) {
+      check_endpoint(each);
+    }
     decide(request, done);
     return;
   }
