Registered tries: withdrawn once, and kept for requests outside of programs

Found by reading the change. A try that was sent while the stores were out of reach could be recorded as survived when its registration ended, though the endpoint had it; so could another copy at the same endpoint when a request ended during its registration. The flow withdraws a try now, once. Reports between gateways of requests outside of programs were dropped when a reply of the stores did not have them; such replies now only add. The key of a request is checked again after the registration.

--- a/include/trayrock/internal/gateway/poison_guard.h
+++ b/include/trayrock/internal/gateway/poison_guard.h
@@ -26,6 +26,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -94,11 +95,13 @@
   void admit(const guarded_request& request, const verdict_callback& done);
 
   // The request is about to be sent. Calls back once its try is registered, at
-  // once where that is not needed. One that is not admitted must not be sent,
-  // and is no longer recorded.
+  // once where that is not needed. One that is not admitted must be withdrawn.
   void sent(const guarded_request& request, const endpoint_identity& at,
             const admission_callback& then);
 
+  // The request was not sent after all, and may be sent elsewhere.
+  void withdrawn(const guarded_request& request, const endpoint_identity& at);
+
   // The connection ended before the response did. Calls back once the endpoint
   // has been checked, and the other gateways have confirmed its end.
   void broken(const guarded_request& request, const endpoint_identity& at,
@@ -136,12 +139,10 @@
   void decide(const guarded_request& request, const verdict_callback& done);
   void register_try(const guarded_request& request, const endpoint_identity& at,
                     bool repeated, const admission_callback& then);
-  void end_registration(const guarded_request& request,
-                        const endpoint_identity& at, registration outcome,
-                        const admission_callback& then);
-  void admit_or_withdraw(const guarded_request& request,
-                         const endpoint_identity& at, bool within_bound,
-                         const admission_callback& then);
+  void add_known(const guarded_request& request,
+                 std::span<const request_try> known);
+  bool is_admitted(const guarded_request& request, const endpoint_identity& at,
+                   registration outcome) const;
   void start_check(const endpoint_identity& at, callback then);
   std::string address_of(const endpoint_identity& at) const;
   void end_check(const endpoint_identity& at, probe_result result);
--- a/src/gateway/poison_guard.cc
+++ b/src/gateway/poison_guard.cc
@@ -174,16 +174,14 @@
     done(verdict);
     return;
   }
-  ledger_.query(request.content,
-                [this, request, done](registration outcome,
-                                      std::span<const request_try> known) {
-                  const std::uint64_t now = loop_.now_ms();
-                  if (outcome == registration::confirmed) {
-                    tries_.replace_peer_tries(request.content, known, now);
-                    refresh_alive(request.content);
-                  }
-                  done(tries_.decide(request.content, request.scope, now));
-                });
+  ledger_.query(request.content, [this, request, done](
+                                     registration outcome,
+                                     std::span<const request_try> known) {
+    if (outcome == registration::confirmed) {
+      add_known(request, known);
+    }
+    done(tries_.decide(request.content, request.scope, loop_.now_ms()));
+  });
 }
 
 // The platform removes endpoints that are silent for some time.
@@ -207,18 +205,22 @@
     then(true);
     return;
   }
+  request_try made{request.content, at};
+  made.owner = own_id_;
   if (!suspected && !ledger_.is_reachable()) {
-    register_try(request, at, true, [](bool) {});
-    admit_or_withdraw(request, at,
-                      !tries_.has_other_tries(request.content, at, now), then);
+    ledger_.open(made, [this, request](registration outcome,
+                                       std::span<const request_try> known) {
+      if (outcome == registration::confirmed) {
+        add_known(request, known);
+      }
+    });
+    then(!tries_.has_other_tries(request.content, at, now));
     return;
   }
   if (!suspected) {
     register_try(request, at, false, then);
     return;
   }
-  request_try made{request.content, at};
-  made.owner = own_id_;
   records::RequestTries message;
   *message.add_tries() = encode(made);
   report(message,
@@ -236,42 +238,48 @@
   ledger_.open(
       made, [this, request, at, repeated, then](
                 registration outcome, std::span<const request_try> known) {
-        const std::uint64_t now = loop_.now_ms();
         if (outcome == registration::confirmed) {
-          tries_.replace_peer_tries(request.content, known, now);
-          refresh_alive(request.content);
-          if (!repeated && tries_.has_other_tries(request.content, at, now)) {
+          add_known(request, known);
+          if (!repeated &&
+              tries_.has_other_tries(request.content, at, loop_.now_ms())) {
             register_try(request, at, true, then);
             return;
           }
         }
-        end_registration(request, at, outcome, then);
+        then(is_admitted(request, at, outcome));
       });
 }
 
-void poison_guard::end_registration(const guarded_request& request,
-                                    const endpoint_identity& at,
-                                    registration outcome,
-                                    const admission_callback& then) {
+// All tries of programs are registered, so that those that the stores no longer
+// have are closed. Of other requests, they have those that were suspected.
+void poison_guard::add_known(const guarded_request& request,
+                             std::span<const request_try> known) {
+  const std::uint64_t now = loop_.now_ms();
+  if (request.scope == request_scope::program) {
+    tries_.replace_peer_tries(request.content, known, now);
+  } else {
+    for (const request_try& each : known) {
+      tries_.record_peer_try(each, now);
+    }
+  }
+  refresh_alive(request.content);
+}
+
+bool poison_guard::is_admitted(const guarded_request& request,
+                               const endpoint_identity& at,
+                               registration outcome) const {
   const std::uint64_t now = loop_.now_ms();
   const bool alone = outcome == registration::unreachable &&
                      request.scope == request_scope::program;
-  const bool within_bound =
-      alone ? !tries_.has_other_tries(request.content, at, now)
-            : tries_.is_within_bound(request.content, now);
-  admit_or_withdraw(request, at, within_bound, then);
-}
-
-void poison_guard::admit_or_withdraw(const guarded_request& request,
-                                     const endpoint_identity& at,
-                                     bool within_bound,
-                                     const admission_callback& then) {
-  if (!within_bound) {
-    metrics_.add("request_tries_withdrawn_total");
-    survived(request, at);
-    ledger_.flush();
-  }
-  then(within_bound);
+  return alone ? !tries_.has_other_tries(request.content, at, now)
+               : tries_.is_within_bound(request.content, now);
+}
+
+void poison_guard::withdrawn(const guarded_request& request,
+                             const endpoint_identity& at) {
+  metrics_.add("request_tries_withdrawn_total");
+  survived(request, at);
+  ledger_.flush();
 }
 
 void poison_guard::broken(const guarded_request& request,
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -124,18 +124,30 @@
                            return;
                          }
                          if (admitted) {
-                           self->send_begun();
+                           self->send_registered();
                          } else {
                            self->withdraw_attempt();
+                           self->wait_for_other_tries();
                          }
                        });
 }
 
-// Other tries that were registered meanwhile reach the bound.
+// The key may have been taken away meanwhile.
+void request_flow::send_registered() {
+  const auto error =
+      routing_.check_key(context_.configuration().get(), metadata_);
+  if (error && !response_.has_begun()) {
+    withdraw_attempt();
+    give_up(*error);
+    return;
+  }
+  send_begun();
+}
+
 void request_flow::withdraw_attempt() {
+  context_.poison.withdrawn(guarded(), attempt_.identity());
   attempt_.end(attempt_outcome::cancelled);
   discard_placement();
-  wait_for_other_tries();
 }
 
 void request_flow::send_begun() {
--- a/src/gateway/request_flow_state.h
+++ b/src/gateway/request_flow_state.h
@@ -127,8 +127,9 @@
   void refuse_as_poison();
   guarded_request guarded() const;
   void send_to_chosen();
+  void send_registered();
   void send_begun();
-  void withdraw_attempt();
+  void withdraw_attempt();  // that was begun and not sent
 
   // The endpoint of the attempt was running when it got the request.
   void record_alive();
--- a/src/records/try_ledger_client.cc
+++ b/src/records/try_ledger_client.cc
@@ -69,6 +69,7 @@
 
 std::vector<std::string> try_ledger_client::ordered_voters() const {
   std::vector<const records::Store*> voters;
+  voters.reserve(static_cast<std::size_t>(group_().voters_size()));
   for (const records::Store& each : group_().voters()) {
     voters.push_back(&each);
   }
@@ -82,6 +83,7 @@
                           return each->data_centre() == data_centre_;
                         });
   std::vector<std::string> made;
+  made.reserve(voters.size());
   for (const records::Store* each : voters) {
     made.push_back(each->address());
   }
