--- a/test/endless_response_test.cc
+++ b/test/endless_response_test.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cerrno>
+#include <cstring>
 #include <fstream>
 #include <list>
 #include <thread>
@@ -48,8 +50,10 @@
     listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in at = loopback(0);
     socklen_t size = sizeof(at);
-    bind(listener_, reinterpret_cast<const sockaddr*>(&at), sizeof(at));
-    listen(listener_, 16);
+    const int bound =
+        bind(listener_, reinterpret_cast<const sockaddr*>(&at), sizeof(at));
+    TRAYROCK_CHECK(bound == 0 && listen(listener_, 16) == 0,
+                   "the endpoint cannot listen: " << std::strerror(errno));
     getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
     port_ = ntohs(at.sin_port);
     acceptor_ = std::jthread([this] { accept_connections(); });
@@ -93,7 +97,7 @@
     const endless_response response = respond_(request);
     send(socket, response.begin.data(), response.begin.size(), MSG_NOSIGNAL);
     std::string block;
-    while (block.size() < 64 * 1024) {
+    while (block.size() < std::size_t{64} * 1024) {
       block += response.repeated;
     }
     std::size_t sent = 0;
