--- a/test/poison_evidence_test.cc
+++ b/test/poison_evidence_test.cc
@@ -85,6 +85,7 @@
   CPPUNIT_TEST(boxes_that_go_dark_count);
   CPPUNIT_TEST(boxes_that_go_dark_under_a_programs_call_count);
   CPPUNIT_TEST(endpoints_behind_proxies_that_accept_connections_count);
+  CPPUNIT_TEST(endpoints_behind_proxies_count_outside_of_programs);
   CPPUNIT_TEST(copies_at_six_gateways_end_three_endpoints);
   CPPUNIT_TEST(copies_outside_of_programs_at_six_gateways_end_three_endpoints);
   CPPUNIT_TEST(copies_outside_of_programs_that_end_midway_end_three_endpoints);
@@ -92,10 +93,12 @@
       copies_at_six_gateways_without_record_stores_end_three_endpoints);
   CPPUNIT_TEST(turns_copied_to_six_gateways_end_three_endpoints);
   CPPUNIT_TEST(gateways_that_cannot_reach_each_other_share_the_bound);
+  CPPUNIT_TEST(cut_off_gateways_share_the_bound_outside_of_programs);
   CPPUNIT_TEST(gateways_that_are_killed_during_their_tries_share_the_bound);
   CPPUNIT_TEST(
       killed_gateways_share_the_bound_for_requests_outside_of_programs);
   CPPUNIT_TEST(ends_of_one_endpoint_under_the_same_id_count);
+  CPPUNIT_TEST(ends_under_the_same_id_count_outside_of_programs);
   CPPUNIT_TEST(program_is_served_after_boxes_went_dark);
   CPPUNIT_TEST(program_is_served_without_record_stores);
   CPPUNIT_TEST(alike_requests_outside_of_programs_are_all_served);
@@ -110,16 +113,11 @@
   }
 
   void endpoints_behind_proxies_that_accept_connections_count() {
-    service_options options;
-    options.runners = runners;
-    options.links = true;
-    service_deployment system(options);
-    system.start_all();
-    for (int repeat = 0; repeat < repeats; ++repeat) {
-      system.request(gateway_name(1 + repeat % 2), "/safe/fatal",
-                     "a" + std::to_string(repeat), program_headers());
-    }
-    check_ended(system);
+    check_proxies(program_headers());
+  }
+
+  void endpoints_behind_proxies_count_outside_of_programs() {
+    check_proxies({});
   }
 
   void copies_at_six_gateways_end_three_endpoints() {
@@ -166,22 +164,11 @@
   }
 
   void gateways_that_cannot_reach_each_other_share_the_bound() {
-    constexpr int gateways = 4;
-    service_options options;
-    options.runners = runners;
-    options.gateways = gateways;
-    options.peer_links = true;
-    service_deployment system(options);
-    system.start_all();
-    for (int i = 1; i <= gateways; ++i) {
-      fault_proxy& peers = system.link("peers of " + gateway_name(i));
-      peers.set(link_fault::silence);
-    }
-    for (int repeat = 0; repeat < repeats; ++repeat) {
-      system.request(gateway_name(1 + repeat % gateways), "/unsafe/fatal",
-                     "a" + std::to_string(repeat), program_headers(), "body");
-    }
-    check_ended(system);
+    check_gateways_that_are_cut_off(program_headers());
+  }
+
+  void cut_off_gateways_share_the_bound_outside_of_programs() {
+    check_gateways_that_are_cut_off({});
   }
 
   void gateways_that_are_killed_during_their_tries_share_the_bound() {
@@ -192,29 +179,12 @@
     check_killed_gateways({});
   }
 
-  // Operators restart processes under their ids.
   void ends_of_one_endpoint_under_the_same_id_count() {
-    service_options options;
-    options.runners = 2;
-    service_deployment system(options);
-    system.start_all();
-    for (int repeat = 0; repeat < repeats; ++repeat) {
-      system.request(gateway_name(1 + repeat % 2), "/safe/fatal",
-                     "a" + std::to_string(repeat), program_headers());
-      std::this_thread::sleep_for(std::chrono::milliseconds(400));
-      for (int i = 1; i <= options.runners; ++i) {
-        if (!system.running(runner_name(i))) {
-          system.start(runner_name(i));
-        }
-      }
-      std::this_thread::sleep_for(std::chrono::milliseconds(600));
-    }
-    std::size_t count = 0;
-    for (int i = 1; i <= options.runners; ++i) {
-      count += system.log_lines(runner_name(i), "ends under ");
-    }
-    TRAYROCK_CHECK(count > 0 && count <= max_ended,
-                   "expected at most " << max_ended << " ends, saw " << count);
+    check_ends_under_the_same_id(program_headers());
+  }
+
+  void ends_under_the_same_id_count_outside_of_programs() {
+    check_ends_under_the_same_id({});
   }
 
   void program_is_served_after_boxes_went_dark() {
@@ -300,6 +270,63 @@
     CPPUNIT_ASSERT(answer.status != 200);
   }
 
+  static void check_proxies(const header_map& headers) {
+    service_options options;
+    options.runners = runners;
+    options.links = true;
+    service_deployment system(options);
+    system.start_all();
+    for (int repeat = 0; repeat < repeats; ++repeat) {
+      system.request(gateway_name(1 + repeat % 2), "/safe/fatal",
+                     "a" + std::to_string(repeat), headers);
+    }
+    check_ended(system);
+  }
+
+  static void check_gateways_that_are_cut_off(const header_map& headers) {
+    constexpr int gateways = 4;
+    service_options options;
+    options.runners = runners;
+    options.gateways = gateways;
+    options.peer_links = true;
+    service_deployment system(options);
+    system.start_all();
+    for (int i = 1; i <= gateways; ++i) {
+      fault_proxy& peers = system.link("peers of " + gateway_name(i));
+      peers.set(link_fault::silence);
+    }
+    for (int repeat = 0; repeat < repeats; ++repeat) {
+      system.request(gateway_name(1 + repeat % gateways), "/unsafe/fatal",
+                     "a" + std::to_string(repeat), headers, "body");
+    }
+    check_ended(system);
+  }
+
+  // Operators restart processes under their ids.
+  static void check_ends_under_the_same_id(const header_map& headers) {
+    service_options options;
+    options.runners = 2;
+    service_deployment system(options);
+    system.start_all();
+    for (int repeat = 0; repeat < repeats; ++repeat) {
+      system.request(gateway_name(1 + repeat % 2), "/safe/fatal",
+                     "a" + std::to_string(repeat), headers);
+      std::this_thread::sleep_for(std::chrono::milliseconds(400));
+      for (int i = 1; i <= options.runners; ++i) {
+        if (!system.running(runner_name(i))) {
+          system.start(runner_name(i));
+        }
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    }
+    std::size_t count = 0;
+    for (int i = 1; i <= options.runners; ++i) {
+      count += system.log_lines(runner_name(i), "ends under ");
+    }
+    TRAYROCK_CHECK(count > 0 && count <= max_ended,
+                   "expected at most " << max_ended << " ends, saw " << count);
+  }
+
   static void check_killed_gateways(const header_map& headers) {
     constexpr int gateways = 6;
     service_options options;
--- a/test/poison_requests_model_test.cc
+++ b/test/poison_requests_model_test.cc
@@ -362,7 +362,7 @@
 // mixed at random; a minority of the voters gets no message of a gateway.
 class registration_model {
  public:
-  explicit registration_model(unsigned seed) : random_(seed) {
+  registration_model(unsigned seed, std::size_t gateways) : random_(seed) {
     for (std::size_t i = 0; i < gateways; ++i) {
       gateways_.emplace_back(i + 2);
     }
@@ -386,7 +386,6 @@
   }
 
  private:
-  static constexpr std::size_t gateways = 91;
   static constexpr std::size_t voters = 5;
   static constexpr std::size_t majority = 3;
   static constexpr request_fingerprint request = 7;
@@ -516,11 +515,8 @@
   // Any number of gateways may register their tries in any order, while voters
   // don't reply.
   void copies_at_many_gateways_send_three_tries() {
-    for (unsigned seed = 1; seed <= 500; ++seed) {
-      const std::size_t sent = registration_model(seed).play();
-      TRAYROCK_CHECK(sent <= poison_requests::max_ended,
-                     "seed " << seed << ": " << sent << " tries were sent");
-    }
+    check_copies(91, 500);
+    check_copies(354, 100);
   }
 
   void poison_requests_condemn_few_requests_beside_them() {
@@ -541,6 +537,16 @@
     check_target("a poison request each 4 s, 15% of 20 endpoints each 3 s",
                  day);
   }
+
+ private:
+  static void check_copies(std::size_t gateways, unsigned seeds) {
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+      const std::size_t sent = registration_model(seed, gateways).play();
+      TRAYROCK_CHECK(sent <= poison_requests::max_ended,
+                     gateways << " gateways, seed " << seed << ": " << sent
+                              << " tries were sent");
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(poison_requests_model_test);
