Requests that succeeded leave no tries for those that are alike

The route was refused as a whole.

Cause: equal contents are one request to the bound, but not to their callers. The ends of three of them were counted for all, also after others had been served.

Change: an endpoint's response in full with a success ends a request outside of programs, so that its ended and unknown tries no longer count; the stores and other gateways are told if the content was suspected. A request under which every endpoint ends never succeeds, so that its bound stays. Until the first success after the crash, requests are refused as before.

--- a/include/trayrock/internal/decide/poison_requests.h
+++ b/include/trayrock/internal/decide/poison_requests.h
@@ -78,6 +78,8 @@
   std::uint64_t settle_ms = 0;
   // Survived: with a response in full, to a request outside of programs.
   bool responded = false;
+  // Survived: that response was a success.
+  bool succeeded = false;
 
   bool operator==(const request_try&) const = default;
 };
@@ -155,8 +157,10 @@
   // received it.
   void record_survived(request_fingerprint request,
                        const endpoint_identity& at);
-  // An endpoint responded in full to a request outside of programs.
-  void record_response(request_fingerprint request);
+  // An endpoint responded in full to a request outside of programs. A request
+  // that succeeded is over: later ones that are alike are others, to which its
+  // tries no longer count.
+  void record_response(request_fingerprint request, bool succeeded);
 
   // This instance of the endpoint was running at that time.
   void record_alive(const endpoint_identity& at, std::uint64_t at_ms);
@@ -270,6 +274,7 @@
                         std::uint64_t now_ms);
   void erase_if_empty(request_fingerprint request);
   void erase_response(request_fingerprint request);
+  void erase_closed_tries(request_fingerprint request);
   void make_room(std::uint64_t now_ms);
   request_try report_of(request_fingerprint request, const tracked_try& from,
                         std::uint64_t now_ms) const;
--- a/include/trayrock/internal/gateway/poison_guard.h
+++ b/include/trayrock/internal/gateway/poison_guard.h
@@ -115,7 +115,8 @@
   void left(const guarded_request& request, const endpoint_identity& at);
 
   // The endpoint responded in full.
-  void responded(const guarded_request& request, const endpoint_identity& at);
+  void responded(const guarded_request& request, const endpoint_identity& at,
+                 bool succeeded);
 
   // The endpoint survived the request without a response in full, or never
   // received it.
@@ -149,7 +150,8 @@
   void decide(const guarded_request& request, const verdict_callback& done);
   void open_try(const guarded_request& request, const endpoint_identity& at,
                 const try_ledger_client::callback& done);
-  void close(const guarded_request& request, request_try closed);
+  void close(const guarded_request& request, request_try closed,
+             bool was_suspected);
   void register_try(const guarded_request& request, const endpoint_identity& at,
                     bool repeated, const admission_callback& then);
   void add_known(const guarded_request& request,
--- a/src/decide/poison_requests.cc
+++ b/src/decide/poison_requests.cc
@@ -286,13 +286,31 @@
   }
 }
 
-void poison_requests::record_response(request_fingerprint request) {
+void poison_requests::record_response(request_fingerprint request,
+                                      bool succeeded) {
+  if (succeeded) {
+    erase_closed_tries(request);
+  }
   if (responses_.size() >= capacity_) {
     earlier_responses_ = std::exchange(responses_, {});
   }
   responses_.insert(request);
 }
 
+void poison_requests::erase_closed_tries(request_fingerprint request) {
+  const auto found = known_.find(request);
+  if (found == known_.end()) {
+    return;
+  }
+  found->second.ended.clear();
+  for (tracked_try& each : found->second.tries) {
+    each.unknown_ms = 0;
+  }
+  std::erase_if(found->second.tries,
+                [](const tracked_try& each) { return each.open == 0; });
+  erase_if_empty(request);
+}
+
 void poison_requests::erase_response(request_fingerprint request) {
   responses_.erase(request);
   earlier_responses_.erase(request);
@@ -386,7 +404,7 @@
     return;  // this process's own record is more recent
   }
   if (reported.responded) {
-    record_response(reported.request);
+    record_response(reported.request, reported.succeeded);
   }
   if (reported.stage == try_stage::survived) {
     const auto found = known_.find(reported.request);
--- a/src/gateway/poison_guard.cc
+++ b/src/gateway/poison_guard.cc
@@ -367,46 +367,58 @@
 }
 
 void poison_guard::responded(const guarded_request& request,
-                             const endpoint_identity& at) {
+                             const endpoint_identity& at, bool succeeded) {
+  const bool was_suspected =
+      tries_.is_suspected(request.content, loop_.now_ms());
   request_try closed{request.content, at, try_stage::survived};
   closed.responded = request.scope != request_scope::program;
+  closed.succeeded = closed.responded && succeeded;
   if (closed.responded) {
-    tries_.record_response(request.content);
+    tries_.record_response(request.content, succeeded);
   }
-  close(request, closed);
+  close(request, closed, was_suspected);
 }
 
 void poison_guard::survived(const guarded_request& request,
                             const endpoint_identity& at) {
-  close(request, {request.content, at, try_stage::survived});
+  close(request, {request.content, at, try_stage::survived},
+        tries_.is_suspected(request.content, loop_.now_ms()));
 }
 
-void poison_guard::close(const guarded_request& request, request_try closed) {
+void poison_guard::close(const guarded_request& request, request_try closed,
+                         bool was_suspected) {
   const std::uint64_t now = loop_.now_ms();
+  const try_key key{request.content, closed.endpoint};
   tries_.record_survived(request.content, closed.endpoint);
   closed.owner = own_id_;
-  const try_key key{request.content, closed.endpoint};
-  for (const request_try& each : tries_.own_tries(request.content, now)) {
-    if (each.endpoint != closed.endpoint) {
-      continue;
-    }
-    // Another copy may still end the endpoint.
-    if (closed.responded && registered_.contains(key)) {
-      closed.endpoint = {};
-      ledger_.post(closed);
-    }
+  const std::vector<request_try> own = tries_.own_tries(request.content, now);
+  // Another copy may still end the endpoint.
+  const bool has_copy =
+      std::any_of(own.begin(), own.end(), [&](const request_try& each) {
+        return each.endpoint == closed.endpoint;
+      });
+  if (has_copy && !closed.responded) {
     return;
   }
-  if (registered_.erase(key) > 0) {
+  const bool is_over = was_suspected && closed.succeeded;
+  const bool registered = registered_.contains(key);
+  bool reported = false;
+  if (has_copy) {
+    closed.endpoint = {};
+  } else {
+    registered_.erase(key);
+    reported = known_to_peers_.erase(key) > 0 ||
+               tries_.is_suspected(request.content, now);
+  }
+  if (registered || is_over) {
     ledger_.post(closed);
-    // Copies at other gateways may wait for this response.
-    if (closed.responded &&
-        tries_.has_other_tries(request.content, closed.endpoint, now)) {
-      ledger_.flush();
-    }
   }
-  const bool known_to_peers = known_to_peers_.erase(key) > 0;
-  if (known_to_peers || tries_.is_suspected(request.content, now)) {
+  // Copies at other gateways may wait for this response.
+  if (is_over || (closed.responded &&
+                  tries_.has_other_tries(request.content, key.second, now))) {
+    ledger_.flush();
+  }
+  if (reported || is_over) {
     records::RequestTries message;
     *message.add_tries() = encode(closed);
     report(message, nullptr);
--- a/src/gateway/request_flow_endpoint.cc
+++ b/src/gateway/request_flow_endpoint.cc
@@ -521,7 +521,8 @@
     case attempt_outcome::responded:
       ++report_.sends;
       record_alive();
-      context_.poison.responded(guarded(), attempt_.identity());
+      context_.poison.responded(guarded(), attempt_.identity(),
+                                attempt_.succeeded());
       respond_to_client();
       return;
     case attempt_outcome::unreachable:
--- a/src/records/request_tries.cc
+++ b/src/records/request_tries.cc
@@ -57,6 +57,7 @@
   }
   made.set_settle_ms(static_cast<std::uint32_t>(from.settle_ms));
   made.set_responded(from.responded);
+  made.set_succeeded(from.succeeded);
   return made;
 }
 
@@ -66,6 +67,7 @@
   made.ends = std::max(from.ends(), 1U);
   made.settle_ms = from.settle_ms();
   made.responded = from.responded();
+  made.succeeded = from.succeeded();
   return made;
 }
 
--- a/test/poison_evidence_test.cc
+++ b/test/poison_evidence_test.cc
@@ -103,6 +103,7 @@
   CPPUNIT_TEST(program_is_served_without_record_stores);
   CPPUNIT_TEST(alike_requests_outside_of_programs_are_all_served);
   CPPUNIT_TEST(alike_requests_are_served_without_record_stores);
+  CPPUNIT_TEST(alike_requests_are_served_after_three_endpoints_crashed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -232,6 +233,49 @@
     check_alike_requests(system, gateways, "/stream/alike");
   }
 
+  void alike_requests_are_served_after_three_endpoints_crashed() {
+    constexpr int clients = 30;
+    constexpr int crashed = 3;
+    service_options options;
+    options.runners = runners;
+    options.runner_pause_ms = 100;
+    service_deployment system(options);
+    system.start_all();
+    std::atomic<bool> settled = false;
+    std::atomic<bool> over = false;
+    std::atomic<int> sent = 0;
+    std::atomic<int> served = 0;
+    {
+      std::vector<std::jthread> running;
+      running.reserve(clients);
+      for (int i = 0; i < clients; ++i) {
+        running.emplace_back([&, i] {
+          for (int repeat = 0; !over; ++repeat) {
+            const bool counts = settled;
+            const http_answer answer = system.request(
+                gateway_name(1 + i % options.gateways),
+                "/resumable-stream/alike",
+                "a" + std::to_string(i) + "-" + std::to_string(repeat));
+            sent += counts ? 1 : 0;
+            served += counts && answer.status == 200 ? 1 : 0;
+          }
+        });
+      }
+      std::this_thread::sleep_for(std::chrono::seconds(1));
+      for (int i = 1; i <= crashed; ++i) {
+        system.kill(runner_name(i));
+      }
+      std::this_thread::sleep_for(std::chrono::seconds(2));
+      settled = true;
+      std::this_thread::sleep_for(std::chrono::seconds(1));
+      over = true;
+    }
+    TRAYROCK_CHECK(system.log_lines("gateway-1", "\"endpoint_ended\"") > 0,
+                   "no end was counted");
+    TRAYROCK_CHECK(sent > 0 && served == sent,
+                   served << " of " << sent << " requests were served");
+  }
+
   void alike_requests_are_served_without_record_stores() {
     service_options options;
     options.runners = runners;
