Requests outside of programs ask other gateways, too, without the stores

Change: the gateway reports such a try to the others and sends it if it stays within the bound; one that learns of others is reported once more, by the argument that holds for the stores.

--- a/include/trayrock/internal/gateway/poison_guard.h
+++ b/include/trayrock/internal/gateway/poison_guard.h
@@ -159,7 +159,7 @@
   void report_open(const guarded_request& request, const endpoint_identity& at,
                    callback then);
   void register_at_peers(const guarded_request& request,
-                         const endpoint_identity& at,
+                         const endpoint_identity& at, bool repeated,
                          const admission_callback& then);
   void start_check(const endpoint_identity& at, callback then);
   std::string address_of(const endpoint_identity& at) const;
--- a/src/gateway/poison_guard.cc
+++ b/src/gateway/poison_guard.cc
@@ -229,7 +229,7 @@
                  add_known(request, known);
                }
              });
-    register_at_peers(request, at, then);
+    register_at_peers(request, at, false, then);
     return;
   }
   if (!suspected) {
@@ -278,7 +278,7 @@
                }
              }
              if (outcome == registration::unreachable) {
-               register_at_peers(request, at, then);
+               register_at_peers(request, at, false, then);
                return;
              }
              then(tries_.is_within_bound(request.content, request.scope,
@@ -286,18 +286,21 @@
            });
 }
 
-// Without the stores, a program's request is sent if it is the only try that
-// this gateway and those in reach know of.
+// Without the stores, the other gateways are asked. A program's request is sent
+// if it is the only try that this gateway and those in reach know of.
 void poison_guard::register_at_peers(const guarded_request& request,
-                                     const endpoint_identity& at,
+                                     const endpoint_identity& at, bool repeated,
                                      const admission_callback& then) {
-  if (request.scope != request_scope::program) {
-    then(
-        tries_.is_within_bound(request.content, request.scope, loop_.now_ms()));
-    return;
-  }
-  report_open(request, at, [this, request, at, then] {
-    then(!tries_.has_other_tries(request.content, at, loop_.now_ms()));
+  report_open(request, at, [this, request, at, repeated, then] {
+    const std::uint64_t now = loop_.now_ms();
+    const bool others = tries_.has_other_tries(request.content, at, now);
+    if (request.scope == request_scope::program) {
+      then(!others);
+    } else if (others && !repeated) {
+      register_at_peers(request, at, true, then);
+    } else {
+      then(tries_.is_within_bound(request.content, request.scope, now));
+    }
   });
 }
 
--- a/test/poison_evidence_test.cc
+++ b/test/poison_evidence_test.cc
@@ -91,6 +91,7 @@
   CPPUNIT_TEST(copies_outside_of_programs_that_end_midway_end_three_endpoints);
   CPPUNIT_TEST(
       copies_at_six_gateways_without_record_stores_end_three_endpoints);
+  CPPUNIT_TEST(copies_outside_of_programs_without_record_stores_end_three);
   CPPUNIT_TEST(turns_copied_to_six_gateways_end_three_endpoints);
   CPPUNIT_TEST(gateways_that_cannot_reach_each_other_share_the_bound);
   CPPUNIT_TEST(cut_off_gateways_share_the_bound_outside_of_programs);
@@ -156,6 +157,16 @@
         0);
   }
 
+  void copies_outside_of_programs_without_record_stores_end_three() {
+    check_copies(
+        [](service_deployment& system, int gateway, int copy) {
+          system.request(
+              gateway_name(gateway), "/safe/fatal-late",
+              "c" + std::to_string(gateway) + "-" + std::to_string(copy));
+        },
+        0);
+  }
+
   void turns_copied_to_six_gateways_end_three_endpoints() {
     check_copies([](service_deployment& system, int gateway, int copy) {
       system.turn(gateway_name(gateway),
