Tries are registered at one voter that their content names

Ends and unknown tries still go to a majority, so that the loss of one store loses open tries only. Outcomes travel with the next try to the same voter. A reply no longer drops unknown tries, since the voter may not have them.

Also the format of test/service_deployment.h.

--- a/include/trayrock/internal/decide/poison_requests.h
+++ b/include/trayrock/internal/decide/poison_requests.h
@@ -182,7 +182,7 @@
   void record_peer_try(const request_try& reported, std::uint64_t now_ms,
                        try_source source = try_source::owner);
 
-  // All tries of the request that the record stores know. Tries of other
+  // All tries of the request that the record stores know. Open tries of other
   // processes that are not among them have been closed, but for those that
   // their owners report.
   void replace_peer_tries(request_fingerprint request,
--- a/include/trayrock/internal/records/try_ledger.h
+++ b/include/trayrock/internal/records/try_ledger.h
@@ -1,11 +1,11 @@
 // The tries of requests that gateways report to a record store, in memory.
 //
-// Gateways register a try at a majority of the voters before they send it
-// (try_ledger_client.h). Any two majorities share a voter, so that of two
-// gateways one sees the other's try, whether they reach each other or not, and
-// what a gateway sent stays known after it was killed. Tries last for minutes,
-// so that a store that starts again begins with none; the other voters still
-// have them.
+// Gateways register a try at the voter that its content names before they send
+// it, or at a majority of the voters if that one doesn't reply
+// (try_ledger_client.h). So one gateway sees the other's try, whether they
+// reach each other or not, and what a gateway sent stays known after it was
+// killed. Tries last for minutes, so that a store that starts again begins with
+// none. Those of ended and unknown outcome are at a majority of the voters.
 //
 // Example:
 //   try_ledger ledger(loop, metrics);
@@ -39,6 +39,7 @@
 
   event_loop& loop_;
   metrics_registry& metrics_;
+  std::uint64_t start_;  // drawn at random
   poison_requests tries_;
   timer expiry_;
 };
--- a/include/trayrock/internal/records/try_ledger_client.h
+++ b/include/trayrock/internal/records/try_ledger_client.h
@@ -1,11 +1,12 @@
 // Registers tries of requests at the voters of the record stores
 // (try_ledger.h).
 //
-// A try that is about to be sent is registered at a majority of the voters, and
-// the tries that they know of its request are returned. The near ones are asked
-// first, the others if these do not reply soon. What becomes of a try is
-// posted, mostly with the next try that is registered; nothing waits for that,
-// since a try counts as open until then.
+// A try that is about to be sent is registered at one voter, chosen by its
+// content, and the tries that it knows of the request are returned. If that
+// voter does not reply soon, or has started again lately, a majority of the
+// voters is needed. What becomes of a try is posted, mostly with the next try
+// that is registered there; nothing waits for that, since a try counts as open
+// until then. Ended and unknown tries are posted to a majority of the voters.
 //
 // Example:
 //   client.open(sent, [&](registration outcome,
@@ -29,7 +30,7 @@
 namespace trayrock {
 
 enum class registration {
-  confirmed,    // by a majority of the voters
+  confirmed,    // by the request's voter, or a majority
   unsupported,  // the voters are of an earlier version
   unreachable   // no majority replied in time
 };
@@ -42,10 +43,8 @@
       std::function<void(registration, std::span<const request_try> known)>;
   using group_source = std::function<const records::Group&()>;
 
-  // `rotation` differs between gateways, so that they ask different voters. All
-  // references must outlive the object.
+  // All references must outlive the object.
   try_ledger_client(event_loop& loop, rpc_pool& pool, metrics_registry& metrics,
-                    std::string data_centre, std::uint64_t rotation,
                     group_source group);
   try_ledger_client(const try_ledger_client&) = delete;
   try_ledger_client& operator=(const try_ledger_client&) = delete;
@@ -59,19 +58,22 @@
   // Reports what became of a try, within some hundred milliseconds.
   void post(const request_try& closed);
 
-  // Sends at once what was posted.
-  void flush();
+  // Sends at once what was posted of a request.
+  void flush(request_fingerprint request);
 
   // False for a short time after no majority has replied.
   bool is_reachable() const { return loop_.now_ms() >= unreachable_until_ms_; }
 
  private:
   struct round {
-    records::RequestTries message;
+    request_try about;
     std::vector<rpc_call> calls;
     std::vector<std::string> not_asked;  // addresses of voters
     timer delay;                         // until these are asked, too
     std::size_t voters = 0;
+    std::size_t needed = 0;  // replies
+    // The request's voter, which alone may have its tries; empty: it replied.
+    std::string awaited;
     std::size_t confirmed = 0;
     std::size_t unsupported = 0;
     std::size_t failed = 0;
@@ -79,31 +81,38 @@
     callback done;
   };
 
-  // Addresses, in the order in which they are asked.
-  std::vector<std::string> ordered_voters() const;
+  // Addresses; the one that is asked first differs by content.
+  std::vector<std::string> ordered_voters(request_fingerprint content) const;
 
-  // Adds the try to what was posted, and sends both.
+  // Sends the try, with what was posted to the same voters.
   void exchange(const request_try& about, callback done);
-  void send(records::RequestTries message, callback done);
   void ask(std::uint64_t number, const std::string& voter);
   void ask_others(std::uint64_t number);
-  void on_reply(std::uint64_t number,
+  void on_reply(std::uint64_t number, const std::string& voter,
                 const result<records::RequestTriesReply>& reply);
   void finish_if_decided(round& of);
+  void flush_to(const std::string& voter);
+  void flush_all();
+
+  // Whether the voter is not enough by itself.
+  bool is_doubtful(const std::string& voter) const;
+  // Whether several voters have open tries of the request.
+  bool is_spread(request_fingerprint request) const;
+  void check_start(const std::string& voter, std::uint64_t start);
 
   event_loop& loop_;
   rpc_pool& pool_;
   metrics_registry& metrics_;
-  std::string data_centre_;
-  std::uint64_t rotation_;
   group_source group_;
-  records::RequestTries posted_;
+  std::map<std::string, records::RequestTries> posted_;  // by voter
+  std::map<std::uint64_t, rpc_call> posts_;              // in progress
   timer flush_timer_;
   std::map<std::uint64_t, round> rounds_;
   std::uint64_t last_round_ = 0;
   std::uint64_t unreachable_until_ms_ = 0;
-  // All voters may have tries whose outcome has to be posted.
-  std::uint64_t all_asked_until_ms_ = 0;
+  std::map<std::string, std::uint64_t> doubtful_until_ms_;  // by voter
+  std::map<std::string, std::uint64_t> starts_;             // by voter
+  std::map<request_fingerprint, std::uint64_t> spread_until_ms_;
 };
 
 }  // namespace trayrock
--- a/src/decide/poison_requests.cc
+++ b/src/decide/poison_requests.cc
@@ -453,7 +453,8 @@
   const auto found = known_.find(request);
   if (found != known_.end()) {
     std::erase_if(found->second.tries, [this](const tracked_try& each) {
-      return each.owner != own_id_ && each.source == try_source::others;
+      return each.owner != own_id_ && each.source == try_source::others &&
+             each.unknown_ms == 0;
     });
   }
   for (const request_try& each : reported) {
--- a/src/gateway/poison_guard.cc
+++ b/src/gateway/poison_guard.cc
@@ -62,7 +62,7 @@
       own_(std::move(own)),
       own_id_(random_id()),
       tries_(own_id_),
-      ledger_(loop, pool, metrics, own_.data_centre, own_id_, own_.group) {
+      ledger_(loop, pool, metrics, own_.group) {
   expiry_ = loop_.every(expiry_period, [this] { remove_expired(); });
 }
 
@@ -314,7 +314,7 @@
                              const endpoint_identity& at) {
   metrics_.add("request_tries_withdrawn_total");
   survived(request, at);
-  ledger_.flush();
+  ledger_.flush(request.content);
 }
 
 void poison_guard::broken(const guarded_request& request,
@@ -419,7 +419,7 @@
   // Copies at other gateways may wait for this response.
   if (is_over || (closed.responded &&
                   tries_.has_other_tries(request.content, key.second, now))) {
-    ledger_.flush();
+    ledger_.flush(request.content);
   }
   if (reported || is_over) {
     records::RequestTries message;
--- a/src/records/try_ledger.cc
+++ b/src/records/try_ledger.cc
@@ -1,5 +1,7 @@
 #include "trayrock/internal/records/try_ledger.h"
 
+#include <random>
+
 #include "trayrock/errors.h"
 #include "trayrock/internal/log.h"
 #include "trayrock/internal/records/request_tries.h"
@@ -13,7 +15,10 @@
 }  // namespace
 
 try_ledger::try_ledger(event_loop& loop, metrics_registry& metrics)
-    : loop_(loop), metrics_(metrics), tries_(owner_of_no_try, capacity) {
+    : loop_(loop),
+      metrics_(metrics),
+      start_(std::random_device{}()),
+      tries_(owner_of_no_try, capacity) {
   expiry_ = loop_.every(expiry_period, [this] {
     tries_.remove_expired(loop_.now_ms());
     metrics_.set("requests_with_tries", {}, static_cast<double>(tries_.size()));
@@ -32,6 +37,7 @@
 records::RequestTriesReply try_ledger::record(
     const records::RequestTries& message) {
   records::RequestTriesReply made;
+  made.set_start(start_);
   if (message.tries_size() > max_message_tries) {
     log_warn(
         "request_tries_refused",
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -25,10 +25,10 @@
   double stop_limit_s = 8;         // of the gateways
   bool gateways_together = false;  // all in one data centre
   int gateways_elsewhere = 0;      // but for the last so many, in another one
-  bool links = false;  // calls between processes go through fault proxies
+  bool links = false;       // calls between processes go through fault proxies
   bool peer_links = false;  // those between gateways too: "peers of gateway-1"
-  json workspaces;     // of the first configuration; null: none
-  json more_routes;    // of the first configuration
+  json workspaces;          // of the first configuration; null: none
+  json more_routes;         // of the first configuration
   int revocation_limit_ms = 0;             // 0: no such promise
   int evacuation_notice_ms = 0;            // 0: no data centre is ever emptied
   int idle_timeout_ms = 4000;              // of clients' connections
