Own interface reads replies by the client of the endpoints

evhttp's client hides the bytes of a reply's head, so that nothing can check them: a continuation line, for one, is joined to the field before it.

--- a/include/trayrock/internal/net/http_client.h
+++ b/include/trayrock/internal/net/http_client.h
@@ -1,8 +1,9 @@
-// HTTP towards the platform, engines and plain services, by evhttp's client.
+// HTTP towards the platform, engines and plain services, by http1_client.h:
+// replies are read, bounded and checked as those of the endpoints.
 //
 // Connections are kept and reused, one request on each at a time. Nothing is
 // resent: a connection that breaks ends its request with an error, whatever
-// the method (test/http_client_test.cc holds libevent to that).
+// the method.
 //
 // Example:
 //   http_client client(loop);
@@ -66,9 +67,9 @@
   // Sends one request. With `on_chunk` the body is handed on as it comes and
   // the reply's body stays empty. The timeout is the longest silence.
   // Errors: errc::connect_failed when the peer could not be reached and
-  // nothing was sent, errc::connection_lost when the connection broke,
-  // errc::rpc_timeout after silence, errc::malformed_request for a GET or
-  // DELETE with a body, which evhttp cannot send.
+  // nothing was sent, errc::connection_lost when the connection broke or the
+  // reply is not one of HTTP, errc::rpc_timeout after silence,
+  // errc::malformed_request for a GET or DELETE with a body.
   http_call start(const address& peer, const http_message& message,
                   milliseconds timeout, chunk_callback on_chunk,
                   done_callback on_done);
--- a/src/platform/platform_client.cc
+++ b/src/platform/platform_client.cc
@@ -132,7 +132,7 @@
     running_[id] = client_.start(
         where_, call.message, call.timeout, nullptr,
         [this, id, done = std::move(call.done)](result<http_reply> reply) {
-          // Freed after this callback: evhttp is still inside of it.
+          // Freed after this callback: the client is still inside of it.
           loop_.post(
               [held = std::make_shared<http_call>(std::move(running_[id]))] {});
           running_.erase(id);
--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -1,5 +1,5 @@
-// HTTP client over evhttp: distinguishes requests that were never sent from
-// those that may have been received, and resends nothing.
+// HTTP client of the own interface: distinguishes requests that were never sent
+// from those that may have been received, and resends nothing.
 #include "trayrock/internal/net/http_client.h"
 
 #include <arpa/inet.h>
