Responses with a broken head are broken responses

Clients got answers that were none: the statuses 600 to 999 as they were, and 200 with the endpoint's body for a blank in the name of a field or before its colon (the line was passed on), for continuation lines, for HTTP/0.0 and 9.9, and for a status 000 to 099 with a sound response behind it, since each status below 200 passed for an interim response. With "Transfer-Encoding : chunked" the body was the framing's bytes.

Cause: heads were checked by http_parser alone, which is lenient: Debian builds it without its strict mode, and no mode checks the range of a status or refuses continuation lines.

Change: http1_section checks each byte of a head, of an interim response and of trailers against the grammar of RFC 9112 (2.1, 4, 5.1, 7.1.2) before the parser gets it. The parser pauses where a section begins, so that the two agree on where it ends. A byte that does not fit ends the request as broken: the connection is closed, the outcome of the attempt is unknown, and since the head is reported only when all of it was read, nothing of it reaches the client. What is sent behind it is never read. This is the only reader of HTTP/1 responses, of endpoints, of the platforms, of engines, plain services and of the tools.

Lenient readings that RFC 9112 leaves to recipients are refused, too: a line that ends in LF alone (2.2), and a status line without the space before its reason.

Tests: deployment_with_endpoints moves from endless_response_test to a header of its own, unchanged but for a second parameter.

--- a/src/net/http1_client_connection.cc
+++ b/src/net/http1_client_connection.cc
@@ -173,6 +173,7 @@
     made.on_header_field = on_field;
     made.on_header_value = on_value;
     made.on_headers_complete = on_headers;
+    made.on_chunk_header = on_chunk;
     made.on_body = on_body;
     made.on_message_complete = on_message;
     return made;
@@ -232,6 +233,15 @@
   return bodyless ? 1 : 0;
 }
 
+// Trailers follow the last chunk, whose length is zero.
+int http1_client_connection::on_chunk(http_parser* parser) {
+  if (parser->content_length == 0) {
+    self(parser).section_ = http1_section::trailers();
+    http_parser_pause(parser, 1);
+  }
+  return 0;
+}
+
 int http1_client_connection::on_body(http_parser* parser, const char* at,
                                      std::size_t length) {
   http1_client_connection& me = self(parser);
@@ -252,6 +262,8 @@
 
 int http1_client_connection::on_message(http_parser* parser) {
   http1_client_connection& me = self(parser);
+  me.section_ = http1_section::response_head();
+  http_parser_pause(parser, 1);
   if (me.interim_) {
     return 0;
   }
@@ -260,7 +272,6 @@
     return me.reusable_ ? 0 : 1;
   }
   me.message_done_ = true;
-  http_parser_pause(parser, 1);
   return 0;
 }
 
@@ -268,16 +279,24 @@
 // request, make the connection useless for the next one.
 void http1_client_connection::message_done() {
   message_done_ = false;
-  http_parser_pause(&parser_, 0);
   const bool surplus = evbuffer_get_length(bufferevent_get_input(bev_)) > 0;
   const bool unsent = evbuffer_get_length(bufferevent_get_output(bev_)) > 0;
   reusable_ = reusable_ && !surplus && !unsent;
   end(http1_end::complete);
 }
 
-bool http1_client_connection::execute(const char* bytes, std::size_t length,
+// The parser pauses where a section begins.
+bool http1_client_connection::execute(std::string_view bytes,
                                       std::size_t& used) {
-  used = http_parser_execute(&parser_, &parser_settings(), bytes, length);
+  if (!section_.ended()) {
+    bytes = bytes.substr(0, section_.read(bytes));
+  }
+  if (section_.malformed()) {
+    return false;
+  }
+  http_parser_pause(&parser_, 0);
+  used = http_parser_execute(&parser_, &parser_settings(), bytes.data(),
+                             bytes.size());
   const auto code = HTTP_PARSER_ERRNO(&parser_);
   return code == HPE_OK || code == HPE_PAUSED;
 }
@@ -293,8 +312,8 @@
     evbuffer_iovec piece{};
     evbuffer_peek(input, -1, nullptr, &piece, 1);
     std::size_t used = 0;
-    const bool sound =
-        execute(static_cast<const char*>(piece.iov_base), piece.iov_len, used);
+    const bool sound = execute(
+        {static_cast<const char*>(piece.iov_base), piece.iov_len}, used);
     evbuffer_drain(input, used);
     if (dead_) {
       return;
@@ -353,7 +372,7 @@
   }
   if ((what & BEV_EVENT_EOF) != 0) {
     std::size_t used = 0;
-    me.execute(nullptr, 0, used);  // ends an answer without a length
+    me.execute({}, used);  // ends an answer without a length
     if (me.message_done_) {
       me.reusable_ = false;
       me.message_done_ = false;
--- a/src/net/http1_client_connection.h
+++ b/src/net/http1_client_connection.h
@@ -1,9 +1,10 @@
 // One connection of an http1_pool to an endpoint, and what the connections of
 // a pool share.
 //
-// bufferevent carries the bytes, http_parser reads them. A connection carries
-// one request at a time. After a whole answer it waits in the pool for the
-// next one, for less than the time after which the endpoint would close it.
+// bufferevent carries the bytes, http_parser reads them. Heads and trailers are
+// checked by http1_section first. A connection carries one request at a time.
+// After a whole answer it waits in the pool for the next one, for less than the
+// time after which the endpoint would close it.
 //
 // Example (in the pool):
 //   auto made = std::make_shared<http1_client_connection>(pool, loop, key);
@@ -17,11 +18,13 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
 #include "trayrock/internal/net/http1_client.h"
+#include "trayrock/internal/net/http1_section.h"
 
 namespace trayrock {
 namespace internal {
@@ -104,12 +107,14 @@
   void message_done();
   void rest();
   void read();
-  bool execute(const char* bytes, std::size_t length, std::size_t& used);
+  // Returns false for bytes that are no response. `used` is how many were read.
+  bool execute(std::string_view bytes, std::size_t& used);
 
   static int on_begin(http_parser* parser);
   static int on_field(http_parser* parser, const char* at, std::size_t length);
   static int on_value(http_parser* parser, const char* at, std::size_t length);
   static int on_headers(http_parser* parser);
+  static int on_chunk(http_parser* parser);
   static int on_body(http_parser* parser, const char* at, std::size_t length);
   static int on_message(http_parser* parser);
   static void on_readable(bufferevent*, void* context);
@@ -121,6 +126,8 @@
   std::string key_;
   bufferevent* bev_ = nullptr;
   http_parser parser_{};
+  // The one that is being read, or was last.
+  http1_section section_ = http1_section::response_head();
   std::unique_ptr<running_call> call_;
   http1_answer_head head_;
   header_collector collector_;
--- a/test/endless_response_test.cc
+++ b/test/endless_response_test.cc
@@ -13,9 +13,9 @@
 #include <thread>
 #include <vector>
 
+#include "deployment_with_endpoints.h"
 #include "loopback.h"
 #include "scripted_endpoint.h"
-#include "service_deployment.h"
 #include "test_support.h"
 
 namespace trayrock::testing {
@@ -136,45 +136,6 @@
   return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
-// One gateway, which uses the given endpoints alone.
-class deployment_with_endpoints {
- public:
-  explicit deployment_with_endpoints(const std::vector<std::string>& addresses)
-      : system_(options()) {
-    system_.start_all();
-    for (const std::string& each : addresses) {
-      system_.put_object("servers", "at-" + each,
-                         service_deployment::endpoint_entry(each, "ready"));
-    }
-    wait_until("the gateway has the endpoints", [&] {
-      return system_.metric("gateway-1", "endpoints_known") ==
-             static_cast<double>(addresses.size() + 1);
-    });
-    system_.remove_object("servers", "runner-1");
-    wait_until("the gateway uses these endpoints alone", [&] {
-      return system_.log_lines("gateway-1", "\"removed\":\"runner-1\"") == 1;
-    });
-  }
-
-  http_answer request(const std::string& route, const std::string& attempt) {
-    const std::string body = route.starts_with("/safe") ? "" : "in";
-    return system_.request("gateway-1", route, attempt, {}, body);
-  }
-
-  service_deployment& system() { return system_; }
-
- private:
-  static service_options options() {
-    service_options made;
-    made.gateways = 1;
-    made.runners = 1;
-    made.max_endpoints = 1;
-    return made;
-  }
-
-  service_deployment system_;
-};
-
 class endless_response_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(endless_response_test);
   CPPUNIT_TEST(bytes_that_are_no_response);
--- a/test/scripted_endpoint.cc
+++ b/test/scripted_endpoint.cc
@@ -115,9 +115,11 @@
 }
 
 void scripted_endpoint::serve(int socket) {
+  bool used = false;
   for (std::string request = read_request(socket); !request.empty();
        request = read_request(socket)) {
     ++requests_;
+    used_connections_ += std::exchange(used, true) ? 0 : 1;
     const scripted_response response = respond_(request);
     send_all(socket, response.bytes);
     if (response.end == connection_end::keep_open) {
--- a/test/scripted_endpoint.h
+++ b/test/scripted_endpoint.h
@@ -42,8 +42,9 @@
 
   std::string address() const;
 
-  // How many requests were received.
+  // How many requests were received, and on how many connections.
   int requests() const { return requests_; }
+  int connections() const { return used_connections_; }
 
  private:
   void accept_connections();
@@ -54,6 +55,7 @@
   int port_ = 0;
   std::atomic<bool> stopping_ = false;
   std::atomic<int> requests_ = 0;
+  std::atomic<int> used_connections_ = 0;
   std::mutex guard_;
   std::list<int> open_;
   std::list<std::jthread> connections_;
