A reply of another process has status 200 and no other

A store's or gateway's reply with the status 000, 404 or 999 was taken for the reply: nghttp2 checks names and values of fields, and takes any three digits for a status; the client did not look at it.

Change: the stream of a reply with another status than 200, which is the only one that servers of these calls send, is reset, and the call ends with connection_lost.

--- a/src/net/rpc_client.cc
+++ b/src/net/rpc_client.cc
@@ -19,6 +19,8 @@
 constexpr milliseconds ping_period{1000};
 constexpr int pings_before_lost = 4;
 
+constexpr std::string_view reply_status = "200";
+
 struct client_connection;
 
 nghttp2_nv header(std::string_view name, std::string_view value) {
@@ -78,6 +80,7 @@
     internal::use_large_writes(bev);
     nghttp2_session_callbacks* callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session_callbacks_set_on_header_callback(callbacks, on_header);
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
                                                               on_data);
     nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, on_close);
@@ -166,6 +169,23 @@
     return *static_cast<client_connection*>(context);
   }
 
+  // nghttp2 checks the fields, but takes any three digits for a status. Servers
+  // of these calls send one status only; the stream of another is reset.
+  static int on_header(nghttp2_session*, const nghttp2_frame*,
+                       const std::uint8_t* name, std::size_t name_length,
+                       const std::uint8_t* value, std::size_t value_length,
+                       std::uint8_t, void* context) {
+    const std::string_view field(reinterpret_cast<const char*>(name),
+                                 name_length);
+    const std::string_view text(reinterpret_cast<const char*>(value),
+                                value_length);
+    if (field != ":status" || text == reply_status) {
+      return 0;
+    }
+    ++self(context).counters.garbled;
+    return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+  }
+
   static int on_data(nghttp2_session* session, std::uint8_t, std::int32_t id,
                      const std::uint8_t* bytes, std::size_t length,
                      void* context) {
--- a/test/rpc_message_end_test.cc
+++ b/test/rpc_message_end_test.cc
@@ -1,5 +1,6 @@
-// Calls between processes whose messages end early: guards against running a
-// part of a request, and against taking a part of a reply.
+// Calls between processes whose messages end early or whose heads are broken:
+// guards against running a part of a request, and against taking a part of a
+// reply, or a response that is none.
 #include <nghttp2/nghttp2.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -10,6 +11,8 @@
 #include <cstring>
 #include <optional>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "deployment.h"
 #include "loopback.h"
@@ -40,11 +43,23 @@
   return framed(made.SerializeAsString());
 }
 
+// Fields of a response's head, and of its trailers.
+using field_list = std::vector<std::pair<std::string, std::string>>;
+
+struct response_fields {
+  field_list head{{":status", "200"}};
+  field_list trailers;
+};
+
 // One side of an HTTP/2 connection that sends given bytes on its stream.
 class raw_peer {
  public:
-  raw_peer(int socket, std::string bytes, stream_end end)
-      : socket_(socket), bytes_(std::move(bytes)), end_(end) {}
+  raw_peer(int socket, std::string bytes, stream_end end,
+           response_fields fields = {})
+      : socket_(socket),
+        bytes_(std::move(bytes)),
+        end_(end),
+        fields_(std::move(fields)) {}
   raw_peer(const raw_peer&) = delete;
   raw_peer& operator=(const raw_peer&) = delete;
   ~raw_peer() {
@@ -91,6 +106,17 @@
             std::strlen(name), std::strlen(value), NGHTTP2_NV_FLAG_NONE};
   }
 
+  static std::vector<nghttp2_nv> encode(const field_list& fields) {
+    std::vector<nghttp2_nv> made;
+    for (const auto& [name, value] : fields) {
+      made.push_back(
+          {reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())),
+           reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())),
+           name.size(), value.size(), NGHTTP2_NV_FLAG_NONE});
+    }
+    return made;
+  }
+
   nghttp2_data_provider body() {
     nghttp2_data_provider made{};
     made.source.ptr = this;
@@ -111,6 +137,12 @@
     self->bytes_.erase(0, taken);
     if (self->bytes_.empty() && self->end_ == stream_end::end_stream) {
       *flags |= NGHTTP2_DATA_FLAG_EOF;
+      if (!self->fields_.trailers.empty()) {
+        *flags |= NGHTTP2_DATA_FLAG_NO_END_STREAM;
+        const std::vector<nghttp2_nv> made = encode(self->fields_.trailers);
+        nghttp2_submit_trailer(self->session_, self->stream_, made.data(),
+                               made.size());
+      }
     }
     return static_cast<ssize_t>(taken);
   }
@@ -123,9 +155,10 @@
                            (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
     if (requested) {
       self->stream_ = frame->hd.stream_id;
-      const nghttp2_nv status = header(":status", "200");
+      const std::vector<nghttp2_nv> head = encode(self->fields_.head);
       const nghttp2_data_provider provider = self->body();
-      nghttp2_submit_response(session, self->stream_, &status, 1, &provider);
+      nghttp2_submit_response(session, self->stream_, head.data(), head.size(),
+                              &provider);
     }
     return 0;
   }
@@ -176,6 +209,7 @@
   int socket_;
   std::string bytes_;
   stream_end end_;
+  response_fields fields_;
   nghttp2_session* session_ = nullptr;
   std::int32_t stream_ = 0;
   bool body_sent_ = false;
@@ -191,6 +225,8 @@
   CPPUNIT_TEST(whole_reply_is_taken);
   CPPUNIT_TEST(reply_that_is_cut_anywhere_is_not_taken);
   CPPUNIT_TEST(reply_whose_stream_does_not_end_is_not_taken);
+  CPPUNIT_TEST(reply_with_another_status_is_not_taken);
+  CPPUNIT_TEST(reply_with_a_broken_field_is_not_taken);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -238,6 +274,31 @@
     CPPUNIT_ASSERT(!reply_of(framed_record(), stream_end::connection));
   }
 
+  void reply_with_another_status_is_not_taken() {
+    for (const char* status : {"000", "001", "099", "100", "204", "404", "500",
+                               "599", "600", "999", "0200", "20", "", "2x0"}) {
+      TRAYROCK_CHECK(!reply_of(framed_record(), stream_end::end_stream,
+                               {{{":status", status}}, {}}),
+                     "expected an error, status '" << status << "'");
+    }
+  }
+
+  void reply_with_a_broken_field_is_not_taken() {
+    CPPUNIT_ASSERT(
+        reply_of(framed_record(), stream_end::end_stream,
+                 {{{":status", "200"}, {"x-a", "1"}}, {{"x-b", "2"}}}));
+    for (const char* name :
+         {"x bad", " x-bad", "x-bad ", "x-\x01", "x-\x7f", "x(bad", "x:bad"}) {
+      const std::pair<std::string, std::string> broken{name, "1"};
+      TRAYROCK_CHECK(!reply_of(framed_record(), stream_end::end_stream,
+                               {{{":status", "200"}, broken}, {}}),
+                     "expected an error, field '" << name << "'");
+      TRAYROCK_CHECK(!reply_of(framed_record(), stream_end::end_stream,
+                               {{{":status", "200"}}, {broken}}),
+                     "expected an error, trailer field '" << name << "'");
+    }
+  }
+
  private:
   // How many of the requests with these bodies the server runs.
   static int runs_of(const std::vector<std::string>& bodies,
@@ -281,7 +342,8 @@
 
   // What a call brings whose peer sends these bytes on its stream.
   static result<records::Record> reply_of(const std::string& bytes,
-                                          stream_end end) {
+                                          stream_end end,
+                                          const response_fields& fields = {}) {
     const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in where = loopback(0);
     socklen_t length = sizeof(where);
@@ -292,7 +354,7 @@
             0;
     TRAYROCK_CHECK(listens, "expected a free port on loopback");
     std::jthread peer([&] {
-      raw_peer(accept(listener, nullptr, nullptr), bytes, end).answer();
+      raw_peer(accept(listener, nullptr, nullptr), bytes, end, fields).answer();
     });
     std::optional<result<records::Record>> seen;
     {
