Connections to processes that send no HTTP/2 are closed

A store or gateway kept reading from a peer that sent bytes without an end: after bytes that are no HTTP/2, after a message over the limit, and behind a whole reply. Memory did not grow, since nghttp2 drops such bytes, but the connection stayed in the pool, and later calls on it could only time out.

Cause: nghttp2 ends its session after such bytes and goes on to accept and drop what comes; whether the session was over was never asked. Bytes of streams that have ended are dropped as well, without a bound.

Change: a connection whose session neither reads nor sends any more is closed, by clients and servers. So is one on which a peer sends more than a window (16 MB) since a call began or had data.

--- a/src/net/http2_session.cc
+++ b/src/net/http2_session.cc
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::size_t length_bytes = 4;
-constexpr std::int32_t window_bytes = 16 << 20;
 constexpr std::uint32_t max_streams = 100000;
 // The most that libevent reads from a connection per iteration of the loop.
 constexpr std::size_t libevent_read_bytes = 4096;
@@ -154,7 +153,8 @@
       return false;
     }
     if (length == 0) {
-      return true;
+      return nghttp2_session_want_read(session) != 0 ||
+             nghttp2_session_want_write(session) != 0;
     }
     bytes_out += static_cast<std::uint64_t>(length);
     bufferevent_write(bev, bytes, static_cast<std::size_t>(length));
--- a/src/net/http2_session.h
+++ b/src/net/http2_session.h
@@ -58,9 +58,15 @@
                   std::uint64_t& bytes_in);
 
 // Moves what the session wants to send to `bev`; does nothing while `busy`.
+// Returns false once the session is over, as after bytes that are no HTTP/2: it
+// reads and sends nothing more.
 bool flush_session(nghttp2_session* session, bufferevent* bev, bool busy,
                    std::uint64_t& bytes_out);
 
+// What a peer may have sent on a connection before it learns that its stream
+// has ended.
+constexpr std::int32_t window_bytes = 16 << 20;
+
 // Sends the settings and opens a large window for the connection.
 void submit_large_windows(nghttp2_session* session);
 
--- a/src/net/rpc_client.cc
+++ b/src/net/rpc_client.cc
@@ -20,6 +20,8 @@
 constexpr int pings_before_lost = 4;
 
 constexpr std::string_view reply_status = "200";
+// A peer that sends more without data of an open call is disconnected.
+constexpr std::uint64_t max_unclaimed_bytes = internal::window_bytes;
 
 struct client_connection;
 
@@ -134,6 +136,7 @@
     call->id = nghttp2_submit_request(session, nullptr, headers.data(),
                                       headers.size(), &provider, nullptr);
     calls[call->id] = call;
+    unclaimed_bytes = 0;
     if (!pinger.pending()) {
       pinger = loop.every(ping_period, [this] { ping(); });
     }
@@ -195,6 +198,7 @@
       return 0;
     }
     const std::shared_ptr<rpc_call::state> call = found->second;
+    me.unclaimed_bytes = 0;
     me.restart_silence(call);
     const bool fits =
         call->cutter.add({reinterpret_cast<const char*>(bytes), length},
@@ -238,8 +242,11 @@
     client_connection& me = self(context);
     const auto keep = me.shared_from_this();
     me.unheard = 0;
-    if (!internal::feed_session(me.session, me.bev, me.busy,
-                                me.counters.bytes_in)) {
+    const std::uint64_t before = me.counters.bytes_in;
+    const bool sound = internal::feed_session(me.session, me.bev, me.busy,
+                                              me.counters.bytes_in);
+    me.unclaimed_bytes += me.counters.bytes_in - before;
+    if (!sound || me.unclaimed_bytes > max_unclaimed_bytes) {
       ++me.counters.garbled;
       me.fail(errc::connection_lost);
       return;
@@ -285,6 +292,7 @@
   timer connect_guard;
   timer pinger;
   int unheard = 0;
+  std::uint64_t unclaimed_bytes = 0;  // received since a call began or had data
   bool connected = false;
   bool busy = false;
   bool failed = false;
--- a/test/endless_response_test.cc
+++ b/test/endless_response_test.cc
@@ -1,20 +1,13 @@
 // Tests that a response without an end, or cut within its head, ends in an
 // error after a bounded number of bytes, on every kind of route.
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <algorithm>
 #include <array>
 #include <atomic>
-#include <cerrno>
-#include <cstring>
-#include <fstream>
+#include <functional>
 #include <list>
-#include <thread>
 #include <vector>
 
 #include "deployment_with_endpoints.h"
-#include "loopback.h"
+#include "endless_endpoint.h"
 #include "scripted_endpoint.h"
 #include "test_support.h"
 
@@ -35,107 +28,12 @@
   return route.find("stream") != std::string::npos;
 }
 
-// What an endpoint sends: a beginning, then the same bytes until its caller
-// closes the connection.
-struct endless_response {
-  std::string begin;
-  std::string repeated;
-};
-
-class endless_endpoint {
- public:
-  explicit endless_endpoint(
-      std::function<endless_response(const std::string& request)> respond)
-      : respond_(std::move(respond)) {
-    listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in at = loopback(0);
-    socklen_t size = sizeof(at);
-    const int bound =
-        bind(listener_, reinterpret_cast<const sockaddr*>(&at), sizeof(at));
-    TRAYROCK_CHECK(bound == 0 && listen(listener_, 16) == 0,
-                   "the endpoint cannot listen: " << std::strerror(errno));
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
-    port_ = ntohs(at.sin_port);
-    acceptor_ = std::jthread([this] { accept_connections(); });
-  }
-  endless_endpoint(const endless_endpoint&) = delete;
-  endless_endpoint& operator=(const endless_endpoint&) = delete;
-  ~endless_endpoint() {
-    stopping_ = true;
-    shutdown(listener_, SHUT_RDWR);
-    acceptor_.join();
-    connections_.clear();
-    close(listener_);
-  }
-
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
-
-  // Bytes that were sent on connections that have ended.
-  std::size_t sent() const { return sent_; }
-
- private:
-  void accept_connections() {
-    while (!stopping_) {
-      const int made = accept(listener_, nullptr, nullptr);
-      if (made >= 0) {
-        connections_.emplace_back([this, made] { serve(made); });
-      }
-    }
-  }
-
-  void serve(int socket) {
-    std::string request;
-    std::array<char, 4096> piece{};
-    while (request.find("\r\n\r\n") == std::string::npos) {
-      const ssize_t got = recv(socket, piece.data(), piece.size(), 0);
-      if (got <= 0) {
-        close(socket);
-        return;
-      }
-      request.append(piece.data(), static_cast<std::size_t>(got));
-    }
-    const endless_response response = respond_(request);
-    send(socket, response.begin.data(), response.begin.size(), MSG_NOSIGNAL);
-    std::string block;
-    while (block.size() < std::size_t{64} * 1024) {
-      block += response.repeated;
-    }
-    std::size_t sent = 0;
-    while (!stopping_ && sent < 4 * max_stream_bytes) {
-      const ssize_t went =
-          send(socket, block.data(), block.size(), MSG_NOSIGNAL);
-      if (went <= 0) {
-        break;
-      }
-      sent += static_cast<std::size_t>(went);
-    }
-    sent_ += sent;
-    close(socket);
-  }
-
-  std::function<endless_response(const std::string&)> respond_;
-  int listener_ = -1;
-  int port_ = 0;
-  std::atomic<bool> stopping_ = false;
-  std::atomic<std::size_t> sent_ = 0;
-  std::list<std::jthread> connections_;
-  std::jthread acceptor_;
-};
-
 std::string sealed_head(const std::string& request, const std::string& more) {
   const std::string attempt = header_of(request, "Trayrock-Attempt-Id");
   return "HTTP/1.1 200 OK\r\nTrayrock-Attempt-Id: " + attempt +
          "\r\nTrayrock-Response-Seal: seal." + attempt + "\r\n" + more;
 }
 
-std::size_t resident_bytes(pid_t process) {
-  std::ifstream pages("/proc/" + std::to_string(process) + "/statm");
-  std::size_t size = 0;
-  std::size_t resident = 0;
-  pages >> size >> resident;
-  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-}
-
 class endless_response_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(endless_response_test);
   CPPUNIT_TEST(bytes_that_are_no_response);
