--- a/test/persistent_connection.cc
+++ b/test/persistent_connection.cc
@@ -10,6 +10,7 @@
 #include <cerrno>
 #include <chrono>
 #include <cstdlib>
+#include <thread>
 
 #include "loopback.h"
 
@@ -72,8 +73,27 @@
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool persistent_connection::send_all(const std::vector<std::string>& pieces,
+                                     std::chrono::milliseconds pause) const {
+  for (const std::string& each : pieces) {
+    if (&each != &pieces.front()) {
+      std::this_thread::sleep_for(pause);
+    }
+    if (send(socket_, each.data(), each.size(), MSG_NOSIGNAL) < 0) {
+      return false;
+    }
+  }
+  return true;
+}
+
 std::string persistent_connection::exchange(const std::string& request,
                                             int seconds) {
+  return exchange_in_pieces({request}, std::chrono::milliseconds(0), seconds);
+}
+
+std::string persistent_connection::exchange_in_pieces(
+    const std::vector<std::string>& pieces, std::chrono::milliseconds pause,
+    int seconds) {
   closed_ = false;
   unexpected_.clear();
   if (socket_ >= 0 && !idle_connection_usable()) {
@@ -82,11 +102,11 @@
   if (socket_ < 0 && !open()) {
     return {};
   }
-  const auto sent = send(socket_, request.data(), request.size(), MSG_NOSIGNAL);
+  const bool sent = send_all(pieces, pause);
   std::string response;
   const auto end = clock::now() + std::chrono::seconds(seconds);
   progress reached = progress::incomplete;
-  while (sent >= 0 && reached == progress::incomplete) {
+  while (sent && reached == progress::incomplete) {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         end - clock::now());
     pollfd readable{socket_, POLLIN, 0};
--- a/test/persistent_connection.h
+++ b/test/persistent_connection.h
@@ -5,7 +5,9 @@
 //   const std::string response = to_gateway.exchange(request, 10);
 #pragma once
 
+#include <chrono>
 #include <string>
+#include <vector>
 
 namespace trayrock::testing {
 
@@ -21,6 +23,11 @@
   // closed the connection.
   std::string exchange(const std::string& request, int seconds);
 
+  // The same for a request whose bytes are sent in pieces, with a pause before
+  // each but the first.
+  std::string exchange_in_pieces(const std::vector<std::string>& pieces,
+                                 std::chrono::milliseconds pause, int seconds);
+
   // Whether the server ended the last exchange by closing the connection,
   // without an error.
   bool closed() const { return closed_; }
@@ -31,6 +38,8 @@
  private:
   bool open();
   void close();
+  bool send_all(const std::vector<std::string>& pieces,
+                std::chrono::milliseconds pause) const;
   bool idle_connection_usable();
 
   int port_;
