--- a/fakes/fake_objects.cc
+++ b/fakes/fake_objects.cc
@@ -2,7 +2,9 @@
 // writes of objects with metadata, spec and status.
 //
 // The control port takes faults as JSON on POST /fault (see fault_switches)
-// and POST /forget, after which watches from older revisions get 410.
+// and POST /forget, after which watches from older revisions get 410. The body
+// of POST /raw?kind=K&name=N becomes an object's spec, or with whole=1 the
+// object, and is sent as it is, also where it is no JSON.
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <deque>
@@ -27,6 +29,8 @@
 constexpr int status_gone = 410;
 constexpr int status_unavailable = 503;
 constexpr std::size_t page_size = 500;
+// Begins a string, in a dumped object, in whose place a raw text is sent.
+constexpr std::string_view raw_mark = "\"raw text ";
 
 struct change {
   std::uint64_t revision = 0;
@@ -89,6 +93,8 @@
     } else if (request.path == "/calls") {
       reply(out, status_ok, calls_);
       return;
+    } else if (request.path == "/raw") {
+      write_raw(request);
     } else if (request.path == "/forget") {
       changes_.clear();
       oldest_kept_ = revision_;
@@ -97,9 +103,38 @@
   }
 
  private:
-  static void reply(const http_exchange_ptr& out, int status,
-                    const json& body) {
-    out->reply(status, "application/json", body.dump());
+  void reply(const http_exchange_ptr& out, int status, const json& body) const {
+    const std::string text = body.dump();
+    std::string sent;
+    std::size_t begin = 0;
+    for (std::size_t at = text.find(raw_mark); at != std::string::npos;
+         at = text.find(raw_mark, begin)) {
+      const std::size_t end = text.find('"', at + 1);
+      sent.append(text, begin, at - begin);
+      sent += raw_[std::stoul(text.substr(at + raw_mark.size()))];
+      begin = end + 1;
+    }
+    sent.append(text, begin);
+    out->reply(status, "application/json", sent);
+  }
+
+  // Values that JSON's parser would refuse or change are held as marks.
+  void write_raw(const http_request& request) {
+    const std::string kind(request.parameter("kind"));
+    const std::string name(request.parameter("name"));
+    const std::string mark =
+        std::string(raw_mark.substr(1)) + std::to_string(raw_.size());
+    raw_.push_back(request.body);
+    json object = mark;
+    ++revision_;
+    if (request.number("whole", 0) == 0) {
+      object = {{"metadata", {{"name", name}, {"revision", revision_}}},
+                {"spec", mark},
+                {"status", nullptr}};
+    }
+    objects_[kind][name] = object;
+    changes_.push_back({revision_, kind, false, object});
+    wake_watches();
   }
 
   void cut_when_faulty() {
@@ -277,6 +312,7 @@
   std::deque<waiting_watch> watches_;
   std::vector<http_exchange_ptr> silenced_;
   std::map<std::string, int> calls_;  // by method and path
+  std::vector<std::string> raw_;      // texts by the numbers of their marks
   trayrock::timer expiry_;
 };
 
--- a/test/service_deployment.cc
+++ b/test/service_deployment.cc
@@ -283,6 +283,17 @@
   }
 }
 
+void service_deployment::put_raw(const std::string& kind,
+                                 const std::string& name,
+                                 const std::string& text, raw_part part) {
+  const std::string target = "/raw?kind=" + kind + "&name=" + name +
+                             (part == raw_part::object ? "&whole=1" : "");
+  const int taken = exchange(processes_.at("objects").second_port, "POST",
+                             target, text, {}, 5)
+                        .status;
+  TRAYROCK_CHECK(taken == 200, "the platform did not take " << name);
+}
+
 void service_deployment::remove_object(const std::string& kind,
                                        const std::string& name) {
   exchange(port("objects"), "DELETE", "/objects/" + kind + "/" + name, "", {},
--- a/test/service_deployment.h
+++ b/test/service_deployment.h
@@ -71,6 +71,10 @@
   // The operator's and the runners' writes to the platform.
   void put_object(const std::string& kind, const std::string& name,
                   const json& spec);
+  // The text is sent as it is; it becomes the spec, or the whole object.
+  enum class raw_part { spec, object };
+  void put_raw(const std::string& kind, const std::string& name,
+               const std::string& text, raw_part part = raw_part::spec);
   void remove_object(const std::string& kind, const std::string& name);
   json object(const std::string& kind, const std::string& name);
   void register_runner(const std::string& name, const std::string& phase);
