Tests of broken answers: one listener, each kind of late request; names

planned_stop_test drew the route and the way of sending from the same number, so that requests on a route that may not be repeated came on rested connections in pieces only, and on new connections on that route only. Each route is now asked in each way.

http1_test has the case of an answer in chunks to an earlier request, with trailers that are sound and that are not.

http1_section's states have the names of their meaning, endless_reply_test says which response is a reply, and the stand-in of the platform no longer copies the rest of a page for each raw text. No change of behaviour.

--- a/fakes/fake_objects.cc
+++ b/fakes/fake_objects.cc
@@ -109,9 +109,10 @@
     std::size_t begin = 0;
     for (std::size_t at = text.find(raw_mark); at != std::string::npos;
          at = text.find(raw_mark, begin)) {
-      const std::size_t end = text.find('"', at + 1);
+      const std::size_t number = at + raw_mark.size();
+      const std::size_t end = text.find('"', number);
       sent.append(text, begin, at - begin);
-      sent += raw_[std::stoul(text.substr(at + raw_mark.size()))];
+      sent += raw_[std::stoul(text.substr(number, end - number))];
       begin = end + 1;
     }
     sent.append(text, begin);
--- a/include/trayrock/internal/net/http1_section.h
+++ b/include/trayrock/internal/net/http1_section.h
@@ -22,28 +22,24 @@
 class http1_section {
  public:
   // A status line and its fields.
-  static http1_section response_head() {
-    return http1_section(expected::version);
-  }
+  static http1_section response_head() { return http1_section(state::version); }
 
   // The fields behind the last chunk of a body.
-  static http1_section trailers() {
-    return http1_section(expected::line_start);
-  }
+  static http1_section trailers() { return http1_section(state::line_start); }
 
   // Reads up to the end of the section or the first byte that does not fit.
   // Returns how many bytes belong to the section.
   std::size_t read(std::string_view bytes);
 
   // The empty line at the end of the section was read.
-  bool ended() const { return next_ == expected::nothing; }
+  bool ended() const { return state_ == state::ended; }
 
   // A byte did not fit; no further byte is read.
-  bool malformed() const { return next_ == expected::no_fit; }
+  bool malformed() const { return state_ == state::malformed; }
 
  private:
-  // What the next byte belongs to.
-  enum class expected {
+  // What the next byte belongs to, unless the section is over.
+  enum class state {
     version,  // "HTTP/1."
     minor_version,
     status_space,
@@ -55,17 +51,17 @@
     name,
     value,
     last_line_feed,
-    nothing,
-    no_fit
+    ended,
+    malformed
   };
 
-  explicit http1_section(expected first) : next_(first) {}
+  explicit http1_section(state first) : state_(first) {}
 
-  expected after(char byte);
-  expected after_version(char byte);
-  expected after_status(char byte);
+  state after(char byte);
+  state after_version(char byte);
+  state after_status(char byte);
 
-  expected next_;
+  state state_;
   std::size_t version_bytes_ = 0;
   int status_digits_ = 0;
   int status_ = 0;
--- a/src/net/http1_section.cc
+++ b/src/net/http1_section.cc
@@ -21,9 +21,9 @@
 // HTAB, SP, VCHAR and obs-text: what values and reason phrases consist of.
 bool is_text_byte(char byte) {
   constexpr unsigned char first_visible = 0x20;
-  constexpr unsigned char rubout = 0x7f;
+  constexpr unsigned char del = 0x7f;
   const auto code = static_cast<unsigned char>(byte);
-  return byte == '\t' || (code >= first_visible && code != rubout);
+  return byte == '\t' || (code >= first_visible && code != del);
 }
 
 }  // namespace
@@ -31,71 +31,71 @@
 std::size_t http1_section::read(std::string_view bytes) {
   std::size_t length = 0;
   while (length < bytes.size() && !ended() && !malformed()) {
-    next_ = after(bytes[length]);
+    state_ = after(bytes[length]);
     length += malformed() ? 0 : 1;
   }
   return length;
 }
 
-http1_section::expected http1_section::after(char byte) {
-  switch (next_) {
-    case expected::version:
+http1_section::state http1_section::after(char byte) {
+  switch (state_) {
+    case state::version:
       return after_version(byte);
-    case expected::minor_version:
-      return is_digit(byte) ? expected::status_space : expected::no_fit;
-    case expected::status_space:
-      return byte == ' ' ? expected::status : expected::no_fit;
-    case expected::status:
+    case state::minor_version:
+      return is_digit(byte) ? state::status_space : state::malformed;
+    case state::status_space:
+      return byte == ' ' ? state::status : state::malformed;
+    case state::status:
       return after_status(byte);
-    case expected::reason_space:
-      return byte == ' ' ? expected::reason : expected::no_fit;
-    case expected::reason:
-    case expected::value:
+    case state::reason_space:
+      return byte == ' ' ? state::reason : state::malformed;
+    case state::reason:
+    case state::value:
       if (byte == '\r') {
-        return expected::line_feed;
+        return state::line_feed;
       }
-      return is_text_byte(byte) ? next_ : expected::no_fit;
-    case expected::line_feed:
-      return byte == '\n' ? expected::line_start : expected::no_fit;
-    case expected::line_start:
+      return is_text_byte(byte) ? state_ : state::malformed;
+    case state::line_feed:
+      return byte == '\n' ? state::line_start : state::malformed;
+    case state::line_start:
       if (byte == '\r') {
-        return expected::last_line_feed;
+        return state::last_line_feed;
       }
-      return is_token_byte(byte) ? expected::name : expected::no_fit;
-    case expected::name:
+      return is_token_byte(byte) ? state::name : state::malformed;
+    case state::name:
       if (byte == ':') {
-        return expected::value;
+        return state::value;
       }
-      return is_token_byte(byte) ? expected::name : expected::no_fit;
-    case expected::last_line_feed:
-      return byte == '\n' ? expected::nothing : expected::no_fit;
-    case expected::nothing:
-    case expected::no_fit:
+      return is_token_byte(byte) ? state::name : state::malformed;
+    case state::last_line_feed:
+      return byte == '\n' ? state::ended : state::malformed;
+    case state::ended:
+    case state::malformed:
       break;
   }
-  return expected::no_fit;
+  return state::malformed;
 }
 
-http1_section::expected http1_section::after_version(char byte) {
+http1_section::state http1_section::after_version(char byte) {
   if (byte != version[version_bytes_]) {
-    return expected::no_fit;
+    return state::malformed;
   }
-  return ++version_bytes_ < version.size() ? expected::version
-                                           : expected::minor_version;
+  return ++version_bytes_ < version.size() ? state::version
+                                           : state::minor_version;
 }
 
-http1_section::expected http1_section::after_status(char byte) {
+http1_section::state http1_section::after_status(char byte) {
   constexpr int base = 10;
   if (!is_digit(byte)) {
-    return expected::no_fit;
+    return state::malformed;
   }
   status_ = status_ * base + (byte - '0');
   if (++status_digits_ < status_length) {
-    return expected::status;
+    return state::status;
   }
   return status_ >= least_status && status_ <= greatest_status
-             ? expected::reason_space
-             : expected::no_fit;
+             ? state::reason_space
+             : state::malformed;
 }
 
 }  // namespace trayrock
--- a/src/net/http2_session.h
+++ b/src/net/http2_session.h
@@ -63,8 +63,8 @@
 bool flush_session(nghttp2_session* session, bufferevent* bev, bool busy,
                    std::uint64_t& bytes_out);
 
-// What a peer may have sent on a connection before it learns that its stream
-// has ended.
+// Flow-control window of a connection: the most that a peer may have sent
+// before the end of its stream reaches it.
 constexpr std::int32_t window_bytes = 16 << 20;
 
 // Sends the settings and opens a large window for the connection.
--- a/test/endless_endpoint.h
+++ b/test/endless_endpoint.h
@@ -12,9 +12,10 @@
 #include <atomic>
 #include <cstddef>
 #include <functional>
-#include <list>
 #include <string>
-#include <thread>
+#include <utility>
+
+#include "loopback_listener.h"
 
 namespace trayrock::testing {
 
@@ -29,12 +30,9 @@
   // Called with the head of a request, by several threads.
   using script = std::function<endless_response(const std::string& request)>;
 
-  explicit endless_endpoint(script respond);
-  endless_endpoint(const endless_endpoint&) = delete;
-  endless_endpoint& operator=(const endless_endpoint&) = delete;
-  ~endless_endpoint();
+  explicit endless_endpoint(script respond) : respond_(std::move(respond)) {}
 
-  std::string address() const;
+  std::string address() const { return listener_.address(); }
 
   // Bytes that were sent on connections that have ended.
   std::size_t sent() const { return sent_; }
@@ -43,17 +41,12 @@
   int ended() const { return ended_; }
 
  private:
-  void accept_connections();
   void serve(int socket);
 
   script respond_;
-  int listener_ = -1;
-  int port_ = 0;
-  std::atomic<bool> stopping_ = false;
   std::atomic<std::size_t> sent_ = 0;
   std::atomic<int> ended_ = 0;
-  std::list<std::jthread> connections_;
-  std::jthread acceptor_;
+  loopback_listener listener_{[this](int socket) { serve(socket); }};
 };
 
 // The memory that a process holds, in bytes.
--- a/test/endless_reply_test.cc
+++ b/test/endless_reply_test.cc
@@ -69,8 +69,14 @@
 constexpr int headers_frame = 1;
 constexpr int settings_frame = 4;
 constexpr int continuation_frame = 9;
+constexpr int end_stream = 1;
 constexpr int end_headers = 4;
 constexpr int first_stream = 1;
+// Payload of a frame; a frame has at most 16,384 bytes (RFC 9113, 4.2).
+constexpr std::size_t block = 16000;
+// The length of a message, and no bytes.
+const std::string empty_message(4, '\0');
+const std::string length_over_the_limit = "\x7f\xff\xff\xff";
 // ":status: 200", and "x: 1" without indexing (RFC 7541, 6).
 const std::string status_field = "\x88";
 const std::string other_field("\x00\x01x\x01\x31", 5);
@@ -107,7 +113,6 @@
   }
 
   void head_of_a_process() {
-    constexpr std::size_t block = 16000;
     check_process(
         {settings() + frame(headers_frame, 0, first_stream, status_field),
          frame(continuation_frame, 0, first_stream,
@@ -115,21 +120,20 @@
   }
 
   void message_of_a_process() {
-    constexpr std::size_t block = 16000;
     check_process(
         {settings() +
              frame(headers_frame, end_headers, first_stream, status_field) +
-             frame(data_frame, 0, first_stream, "\x7f\xff\xff\xff"),
+             frame(data_frame, 0, first_stream, length_over_the_limit),
          frame(data_frame, 0, first_stream, std::string(block, 'a'))});
   }
 
   void data_of_a_process_behind_its_reply() {
-    constexpr std::size_t block = 16000;
     check_process(
         {settings() +
              frame(headers_frame, end_headers, first_stream, status_field) +
-             frame(data_frame, 1, first_stream, std::string(4, '\0')),
-         frame(data_frame, 0, first_stream, std::string(block, 'a'))});
+             frame(data_frame, end_stream, first_stream, empty_message),
+         frame(data_frame, 0, first_stream, std::string(block, 'a'))},
+        true);
   }
 
  private:
@@ -188,11 +192,10 @@
     }
   }
 
-  void check_process(const endless_response& response) {
+  void check_process(const endless_response& response, bool is_reply = false) {
     check_one(
         response, max_body_bytes,
-        [this](const std::string& to) { return ask_process(to); },
-        response.begin.ends_with(std::string(4, '\0')));
+        [this](const std::string& to) { return ask_process(to); }, is_reply);
   }
 
   void check_one(const endless_response& response, std::size_t max_bytes,
--- a/test/http1_test.cc
+++ b/test/http1_test.cc
@@ -121,6 +121,7 @@
   CPPUNIT_TEST(connection_with_surplus_bytes_is_not_used_again);
   CPPUNIT_TEST(sound_connection_is_used_again);
   CPPUNIT_TEST(answer_of_an_earlier_request_is_skipped);
+  CPPUNIT_TEST(chunked_answer_of_an_earlier_request_is_skipped);
   CPPUNIT_TEST(unread_bytes_of_a_client_are_reported);
   CPPUNIT_TEST(received_bytes_of_a_request_are_reported);
   CPPUNIT_TEST(dropped_connection_is_told_and_incomplete);
@@ -283,6 +284,24 @@
     CPPUNIT_ASSERT_EQUAL(2, seen.heads);
   }
 
+  void chunked_answer_of_an_earlier_request_is_skipped() {
+    const std::string before =
+        "HTTP/1.1 200 OK\r\nX-Of: before\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n5\r\nother\r\n0\r\n";
+    const std::string own =
+        "\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine";
+    const seen_answer sound =
+        ask(before + "X-Sum: 1\r\n" + own, scripted_peer::ending::stay_open);
+    CPPUNIT_ASSERT(sound.end == http1_end::complete);
+    CPPUNIT_ASSERT_EQUAL(2, sound.heads);
+    CPPUNIT_ASSERT_EQUAL(std::string("mine"), sound.body);
+    const seen_answer broken =
+        ask(before + "X Sum: 1\r\n" + own, scripted_peer::ending::stay_open);
+    CPPUNIT_ASSERT(broken.end == http1_end::broken);
+    CPPUNIT_ASSERT_EQUAL(1, broken.heads);
+    CPPUNIT_ASSERT_EQUAL(std::string(), broken.body);
+  }
+
   // Guards against a gateway that doesn't notice that a client has stopped or
   // begun to read.
   void unread_bytes_of_a_client_are_reported() {
--- a/test/planned_stop_test.cc
+++ b/test/planned_stop_test.cc
@@ -41,7 +41,7 @@
 constexpr int unavailable = 503;
 constexpr int gateway_timeout = 504;
 
-// An endpoint that responds after a time, and remembers what it has run.
+// An endpoint that responds after a time, and records the attempts it ran.
 class slow_endpoint {
  public:
   explicit slow_endpoint(milliseconds run_time) : run_time_(run_time) {}
@@ -101,6 +101,15 @@
   return made;
 }
 
+// How a client asks, by its number: each combination has two active clients,
+// and resting ones over the whole stop.
+std::string route_of(int client) {
+  return routes[static_cast<std::size_t>(client) % routes.size()];
+}
+bool sends_pieces(int client) { return client / 3 % 2 == 1; }
+bool opens_connections(int client) { return client / 6 % 2 == 1; }
+bool asks_before_signal(int client) { return client < 6; }
+
 // What the clients together have seen.
 struct seen_responses {
   std::mutex guard;
@@ -140,7 +149,8 @@
         });
       }
       for (int i = 0; i < resting_clients; ++i) {
-        const milliseconds moment(stop_limit_s * 1000 * i / resting_clients);
+        const milliseconds moment =
+            std::chrono::seconds(stop_limit_s) * i / resting_clients;
         clients.emplace_back([&, i, moment] {
           ask_after_rest(system.port("gateway-1"), i, moment, resting,
                          signalled, seen);
@@ -152,18 +162,7 @@
       signalled = true;
       code = system.wait_end("gateway-1");
     }
-    int lost = 0;
-    std::string listed;
-    for (const std::string& attempt : seen.unanswered) {
-      const bool ran =
-          std::any_of(endpoints.begin(), endpoints.end(),
-                      [&](slow_endpoint& at) { return at.has_run(attempt); });
-      lost += ran ? 1 : 0;
-      listed += ran ? " " + attempt : "";
-    }
-    TRAYROCK_CHECK(lost == 0,
-                   lost << " of " << seen.unanswered.size()
-                        << " requests without a response ran:" << listed);
+    check_unanswered(seen, endpoints);
     CPPUNIT_ASSERT_EQUAL(0, code);
     // The stop had requests of each kind.
     CPPUNIT_ASSERT(seen.answered > 0);
@@ -193,13 +192,29 @@
     });
   }
 
-  // Every third client opens a connection for each request.
+  // A request without a response was passed on to no endpoint.
+  static void check_unanswered(const seen_responses& seen,
+                               std::list<slow_endpoint>& endpoints) {
+    int lost = 0;
+    std::string listed;
+    for (const std::string& attempt : seen.unanswered) {
+      const bool ran =
+          std::any_of(endpoints.begin(), endpoints.end(),
+                      [&](slow_endpoint& at) { return at.has_run(attempt); });
+      lost += ran ? 1 : 0;
+      listed += ran ? " " + attempt : "";
+    }
+    TRAYROCK_CHECK(lost == 0,
+                   lost << " of " << seen.unanswered.size()
+                        << " requests without a response ran:" << listed);
+  }
+
   static void keep_asking(int port, int client, const std::stop_token& over,
                           const std::atomic<bool>& signalled,
                           seen_responses& seen) {
     auto connection = std::make_unique<persistent_connection>(port);
     for (int i = 0; !over.stop_requested(); ++i) {
-      if (client % 3 == 0) {
+      if (opens_connections(client)) {
         connection = std::make_unique<persistent_connection>(port);
       }
       ask(*connection, client,
@@ -221,8 +236,7 @@
     if (parse_response(first, false).status == not_found) {
       ++resting;
     }
-    const bool before_signal = client % 6 == 0;
-    if (!before_signal) {
+    if (!asks_before_signal(client)) {
       wait_until("the gateway is signalled", [&] { return signalled.load(); });
       std::this_thread::sleep_for(moment);
     }
@@ -234,12 +248,10 @@
   static void ask(persistent_connection& connection, int client,
                   const std::string& attempt,
                   const std::atomic<bool>& signalled, seen_responses& seen) {
-    const std::string path =
-        routes[static_cast<std::size_t>(client) % routes.size()] + attempt;
+    const std::string path = route_of(client) + attempt;
     const std::vector<std::string> pieces = pieces_of(path, attempt);
-    const bool in_pieces = client / 3 % 2 == 1;
     const std::string bytes =
-        in_pieces
+        sends_pieces(client)
             ? connection.exchange_in_pieces(pieces, piece_pause, answer_seconds)
             : connection.exchange(joined(pieces), answer_seconds);
     const received_response response =
--- a/test/scripted_endpoint.cc
+++ b/test/scripted_endpoint.cc
@@ -15,7 +15,6 @@
 namespace trayrock::testing {
 namespace {
 
-constexpr int backlog = 64;
 // A reset discards what its receiver has not read.
 constexpr std::chrono::milliseconds reset_delay{50};
 
@@ -72,48 +71,6 @@
   return request.substr(begin, request.find("\r\n", begin) - begin);
 }
 
-scripted_endpoint::scripted_endpoint(script respond)
-    : respond_(std::move(respond)),
-      listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-  sockaddr_in where = loopback(0);
-  socklen_t length = sizeof(where);
-  const bool listens =
-      bind(listener_, reinterpret_cast<sockaddr*>(&where), length) == 0 &&
-      listen(listener_, backlog) == 0 &&
-      getsockname(listener_, reinterpret_cast<sockaddr*>(&where), &length) == 0;
-  TRAYROCK_CHECK(listens, "expected a free port on loopback");
-  port_ = ntohs(where.sin_port);
-  acceptor_ = std::jthread([this] { accept_connections(); });
-}
-
-scripted_endpoint::~scripted_endpoint() {
-  stopping_ = true;
-  shutdown(listener_, SHUT_RDWR);
-  acceptor_.join();
-  close(listener_);
-  const std::scoped_lock lock(guard_);
-  for (const int each : open_) {
-    shutdown(each, SHUT_RDWR);
-  }
-  // The threads join when `connections_` is destroyed, without the lock.
-}
-
-std::string scripted_endpoint::address() const {
-  return "127.0.0.1:" + std::to_string(port_);
-}
-
-void scripted_endpoint::accept_connections() {
-  while (!stopping_) {
-    const int made = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-    if (made < 0) {
-      return;
-    }
-    const std::scoped_lock lock(guard_);
-    open_.push_back(made);
-    connections_.emplace_back([this, made] { serve(made); });
-  }
-}
-
 void scripted_endpoint::serve(int socket) {
   bool used = false;
   for (std::string request = read_request(socket); !request.empty();
@@ -130,11 +87,8 @@
       const linger discard{1, 0};
       setsockopt(socket, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
     }
-    break;
+    return;
   }
-  const std::scoped_lock lock(guard_);
-  open_.remove(socket);
-  close(socket);
 }
 
 }  // namespace trayrock::testing
--- a/test/scripted_endpoint.h
+++ b/test/scripted_endpoint.h
@@ -12,10 +12,10 @@
 
 #include <atomic>
 #include <functional>
-#include <list>
-#include <mutex>
 #include <string>
-#include <thread>
+#include <utility>
+
+#include "loopback_listener.h"
 
 namespace trayrock::testing {
 
@@ -35,31 +35,21 @@
   // Called with the head and body of each request, by several threads.
   using script = std::function<scripted_response(const std::string& request)>;
 
-  explicit scripted_endpoint(script respond);
-  scripted_endpoint(const scripted_endpoint&) = delete;
-  scripted_endpoint& operator=(const scripted_endpoint&) = delete;
-  ~scripted_endpoint();
+  explicit scripted_endpoint(script respond) : respond_(std::move(respond)) {}
 
-  std::string address() const;
+  std::string address() const { return listener_.address(); }
 
   // How many requests were received, and on how many connections.
   int requests() const { return requests_; }
   int connections() const { return used_connections_; }
 
  private:
-  void accept_connections();
   void serve(int socket);
 
   script respond_;
-  int listener_ = -1;
-  int port_ = 0;
-  std::atomic<bool> stopping_ = false;
   std::atomic<int> requests_ = 0;
   std::atomic<int> used_connections_ = 0;
-  std::mutex guard_;
-  std::list<int> open_;
-  std::list<std::jthread> connections_;
-  std::jthread acceptor_;
+  loopback_listener listener_{[this](int socket) { serve(socket); }};
 };
 
 // The value of a header in a request's bytes; empty: it has none.
